--- /dev/null
+++ b/packages/cli/src/commands/budget.ts
@@ -0,0 +1,112 @@
+import type { Holder, TopUp } from "@gooseberrybend/core";
+import { err, ok } from "neverthrow";
+import { parseArgs } from "node:util";
+import { figuresOf, readLedger, releaseHolder } from "../operations/budgets.js";
+import { sharedHelp, sharedOptions, storeOf } from "../options.js";
+import { type Command, formatTable } from "./command.js";
+
+/** Shows the budgets of an account. */
+export const budgetCommand: Command = {
+    name: "budget",
+    summary: "show the budgets of an account",
+    help: `gooseberrybend budget ACCOUNT [--history]
+
+Shows granted, billed, held and free tokens of each budget and who holds them.
+  --history   also show every top-up and the latest bills
+Exit codes: 0 shown, 1 no such account, 4 the service does not answer.
+
+${sharedHelp}`,
+    async run(parameters) {
+        const options = { ...sharedOptions, history: { type: "boolean", default: false } } as const;
+        const { values, positionals } = parseArgs({ args: parameters, allowPositionals: true, options });
+        const account = positionals[0];
+        if (account === undefined) {
+            return err({ kind: "usage", message: "Give an account: budget ACCOUNT." });
+        }
+        const store = storeOf(values);
+        if (store.isErr()) {
+            return err(store.error);
+        }
+        const ledger = await readLedger(store.value);
+        if (ledger.isErr()) {
+            return err(ledger.error);
+        }
+        const record = ledger.value.get(account);
+        if (record === undefined) {
+            return err({
+                kind: "not-found",
+                message: `${account} has no ledger record. Publish it or top it up first.`,
+            });
+        }
+        const figures = figuresOf(account, record);
+        const sections = [
+            formatTable(
+                ["BUDGET", "GRANTED", "BILLED", "HELD", "STRANDED", "FREE"],
+                figures.map((row) => [row.budget, row.granted, row.billed, row.held, row.stranded, row.free]),
+            ),
+            formatTable(["HOLDER", "BUDGET", "ALLOWANCE", "RESERVE", "WRITTEN"], holderRows(record.holders)),
+        ];
+        if (values.history) {
+            sections.push(formatTable(["TOP-UP", "BUDGET", "TOKENS", "AT"], topUpRows(record.topUps)));
+            const bills = Object.entries(record.bills).map((
+                [key, bill],
+            ) => [key, bill.tokens, new Date(bill.at).toISOString()]);
+            sections.push(formatTable(["BILL", "TOKENS", "AT"], bills));
+        }
+        return ok({ text: sections.join("\n\n"), json: { figures, record } });
+    },
+};
+
+function holderRows(holders: Readonly<Record<string, Holder>>): (string | number)[][] {
+    return Object.entries(holders).flatMap(([id, holder]) =>
+        Object.entries(holder.budgets).map(([budget, holding]) => [
+            id,
+            budget,
+            holding.allowance,
+            holding.reserve,
+            new Date(holder.at).toISOString(),
+        ])
+    );
+}
+
+function topUpRows(topUps: Readonly<Record<string, TopUp>>): (string | number)[][] {
+    return Object.entries(topUps).map((
+        [id, entry],
+    ) => [id, entry.budget, entry.tokens, new Date(entry.at).toISOString()]);
+}
+
+/** Returns what a router that is gone held. */
+export const releaseCommand: Command = {
+    name: "release",
+    summary: "return what a router that is surely gone held",
+    help: `gooseberrybend release ACCOUNT INCARNATION --process-ended
+
+Returns to ACCOUNT the tokens that the router INCARNATION holds (see: budget ACCOUNT). You vouch that
+its process has ended: a router that is only cut off or paused would spend the tokens a second time.
+Exit codes: 0 returned, 2 not vouched for, 4 the service does not answer.
+
+${sharedHelp}`,
+    async run(parameters) {
+        const options = { ...sharedOptions, "process-ended": { type: "boolean", default: false } } as const;
+        const { values, positionals } = parseArgs({ args: parameters, allowPositionals: true, options });
+        const [account, router] = positionals;
+        if (account === undefined || router === undefined) {
+            return err({
+                kind: "usage",
+                message: "Give an account and a router's incarnation: release ACCOUNT INCARNATION.",
+            });
+        }
+        if (!values["process-ended"]) {
+            return err({
+                kind: "usage",
+                message: "Make sure that the router's process has ended, then add --process-ended.",
+            });
+        }
+        const store = storeOf(values);
+        if (store.isErr()) {
+            return err(store.error);
+        }
+        const released = await releaseHolder(store.value, account, router);
+        return released.map((report) => ({ text: `${report.tokens} tokens returned to ${account}.`, json: report }));
+    },
+};
--- /dev/null
+++ b/packages/cli/src/commands/check.ts
@@ -0,0 +1,35 @@
+import { readSettings } from "@gooseberrybend/router";
+import { err, ok } from "neverthrow";
+import { statSync } from "node:fs";
+import { parseArgs } from "node:util";
+import { collectFiles } from "../operations/collect.js";
+import type { Command } from "./command.js";
+
+/** Checks settings files and folders of declarations. */
+export const checkCommand: Command = {
+    name: "check",
+    summary: "check settings files or folders of declarations",
+    help: `gooseberrybend check PATH...
+
+Checks each PATH: a file is read as a router's settings, a folder for its declaration files.
+Prints FILE:LINE:COLUMN: what is wrong. Exit codes: 0 correct, 2 wrong.`,
+    async run(parameters) {
+        const { positionals } = parseArgs({ args: parameters, allowPositionals: true, options: {} });
+        if (positionals.length === 0) {
+            return err({
+                kind: "usage",
+                message: "Nothing to check. Name a settings file or a folder of declarations.",
+            });
+        }
+        for (const path of positionals) {
+            const isFolder = statSync(path, { throwIfNoEntry: false })?.isDirectory() ?? false;
+            const checked = isFolder
+                ? collectFiles([path])
+                : readSettings(path).mapErr((faults) => ({ kind: "faults", faults }) as const);
+            if (checked.isErr()) {
+                return err(checked.error);
+            }
+        }
+        return ok({ text: `${positionals.length} checked, no faults.`, json: { checked: positionals.length } });
+    },
+};
--- /dev/null
+++ b/packages/cli/src/commands/publish.ts
@@ -0,0 +1,93 @@
+import { err, ok, type Result } from "neverthrow";
+import { userInfo } from "node:os";
+import { parseArgs } from "node:util";
+import type { CommandFailure } from "../failure.js";
+import { collectFiles } from "../operations/collect.js";
+import { publish, type PublishReport } from "../operations/publish.js";
+import { callsOf, routersOf, sharedHelp, sharedOptions, type SharedValues, storeOf } from "../options.js";
+import type { Command, CommandOutput } from "./command.js";
+
+const WAIT_LIMIT_MS = 14_000;
+const WAIT_STEP_MS = 200;
+
+/** Publishes declarations. */
+export const publishCommand: Command = {
+    name: "publish",
+    summary: "put declarations in force",
+    help: `gooseberrybend publish DIR... [--dry-run] [--wait] [--base VERSION] [--by NAME]
+
+Collects gooseberrybend.jsonc and *.gooseberrybend.jsonc below each DIR, checks the whole
+configuration with them and puts it in force as the next version. Files that another operator
+changed since --base (default: the version in force) conflict; other files are merged.
+  --dry-run        check and show what would change
+  --wait           wait until every router has the version in force
+Exit codes: 0 done, 2 wrong files, 3 conflict, 4 service or routers do not answer in time.
+
+${sharedHelp}`,
+    async run(parameters) {
+        const options = {
+            ...sharedOptions,
+            "dry-run": { type: "boolean", default: false },
+            "wait": { type: "boolean", default: false },
+            "base": { type: "string" },
+            "by": { type: "string" },
+        } as const;
+        const { values, positionals } = parseArgs({ args: parameters, allowPositionals: true, options });
+        if (positionals.length === 0) {
+            return err({ kind: "usage", message: "Nothing to publish. Name one or more folders." });
+        }
+        const base = values.base === undefined ? undefined : Number(values.base);
+        if (base !== undefined && !Number.isInteger(base)) {
+            return err({ kind: "usage", message: "--base: must be a version number." });
+        }
+        const files = collectFiles(positionals);
+        const store = storeOf(values);
+        if (files.isErr()) {
+            return err(files.error);
+        }
+        if (store.isErr()) {
+            return err(store.error);
+        }
+        const by = values.by ?? userInfo().username;
+        const request = { files: files.value, by, base, dryRun: values["dry-run"], now: Date.now() };
+        const report = await publish(store.value, request);
+        if (report.isErr()) {
+            return err(report.error);
+        }
+        const waited = values.wait && !values["dry-run"] ? await waitForVersion(values, report.value.version) : ok();
+        return waited.map(() => outputOf(report.value, values["dry-run"]));
+    },
+};
+
+async function waitForVersion(values: SharedValues, version: number): Promise<Result<void, CommandFailure>> {
+    const calls = callsOf(values);
+    const until = Date.now() + WAIT_LIMIT_MS;
+    let behind: string[] = [];
+    while (Date.now() < until) {
+        const routers = await routersOf(values);
+        if (routers.isErr()) {
+            return err(routers.error);
+        }
+        const statuses = await calls.status(routers.value);
+        behind = statuses.filter((status) => (status.report?.configurationVersion ?? 0) < version).map((status) =>
+            status.address
+        );
+        if (behind.length === 0) {
+            return ok();
+        }
+        await new Promise((resolve) => setTimeout(resolve, WAIT_STEP_MS));
+    }
+    const message = `Version ${version} is accepted, but not yet in force at: ${behind.join(", ")}.`;
+    return err({ kind: "timeout", message });
+}
+
+function outputOf(report: PublishReport, dryRun: boolean): CommandOutput {
+    const lines = [
+        dryRun ? `Version ${report.version} would be put in force.` : `Version ${report.version} is in force.`,
+        ...report.added.map((path) => `  added    ${path}`),
+        ...report.changed.map((path) => `  changed  ${path}`),
+        ...report.removed.map((path) => `  removed  ${path}`),
+        ...report.granted.map((budget) => `  granted  ${budget}`),
+    ];
+    return { text: lines.join("\n"), json: report };
+}
--- /dev/null
+++ b/packages/cli/src/operations/budgets.ts
@@ -0,0 +1,80 @@
+import {
+    freeTokens,
+    heldTokens,
+    type Incarnation,
+    ledgerKey,
+    type LedgerRecord,
+    parseRecord,
+    retireHolder,
+} from "@gooseberrybend/core";
+import type { KeyValueStore } from "@gooseberrybend/router";
+import { err, ok, type Result } from "neverthrow";
+import type { CommandFailure } from "../failure.js";
+import { changeRecord } from "./top-up.js";
+
+/** Figures of a budget in tokens: granted = billed + held + free. */
+export type BudgetFigures = {
+    readonly account: string;
+    readonly budget: string;
+    readonly granted: number;
+    readonly billed: number;
+    /** Held by routers or stranded. */
+    readonly held: number;
+    readonly stranded: number;
+    readonly free: number;
+};
+
+/** Reads the ledger records of all accounts. */
+export async function readLedger(store: KeyValueStore): Promise<Result<Map<string, LedgerRecord>, CommandFailure>> {
+    const entries = await store.list(ledgerKey(""));
+    if (entries === undefined) {
+        return err({ kind: "unavailable", message: "The key-value service does not answer. Try again later." });
+    }
+    return ok(new Map(entries.map((entry) => [entry.key.slice(ledgerKey("").length), parseRecord(entry.value)])));
+}
+
+/** Returns the figures of an account's budgets. */
+export function figuresOf(account: string, record: LedgerRecord): BudgetFigures[] {
+    return Object.entries(record.budgets).map(([id, totals]) => {
+        const budget = id as keyof typeof record.budgets;
+        return {
+            account,
+            budget: id,
+            granted: totals.granted,
+            billed: totals.billed,
+            held: heldTokens(record, budget),
+            stranded: record.stranded[budget] ?? 0,
+            free: freeTokens(record, budget),
+        };
+    });
+}
+
+/** What a release returned. */
+export type ReleaseReport = { readonly account: string; readonly tokens: number; };
+
+/**
+ * Returns to an account what a router holds that is surely gone. The operator vouches that its process
+ * has ended: a router that still runs could spend the tokens a second time.
+ */
+export async function releaseHolder(
+    store: KeyValueStore,
+    account: string,
+    router: string,
+): Promise<Result<ReleaseReport, CommandFailure>> {
+    let tokens = 0;
+    const changed = await changeRecord(store, account, (record) => {
+        const holder = record.holders[router as Incarnation];
+        if (holder === undefined) {
+            return false;
+        }
+        const before = { ...record.stranded };
+        tokens = 0;
+        retireHolder(record, router as Incarnation);
+        for (const [budget, stranded] of Object.entries(record.stranded)) {
+            tokens += stranded - (before[budget as keyof typeof before] ?? 0);
+        }
+        record.stranded = before;
+        return true;
+    });
+    return changed.map(() => ({ account, tokens }));
+}
--- /dev/null
+++ b/packages/cli/src/options.ts
@@ -0,0 +1,70 @@
+import { EtcdStore, type KeyValueStore } from "@gooseberrybend/router";
+import { err, ok, type Result } from "neverthrow";
+import { readFileSync } from "node:fs";
+import type { CommandFailure } from "./failure.js";
+import { registeredRouters, RouterCalls } from "./operations/routers.js";
+
+/** Options that the verbs share, as util.parseArgs takes them. */
+export const sharedOptions = {
+    "platform": { type: "string" },
+    "routers": { type: "string" },
+    "operator-key-file": { type: "string" },
+    "json": { type: "boolean", default: false },
+    "help": { type: "boolean", short: "h", default: false },
+} as const;
+
+/** Values of the shared options. */
+export type SharedValues = {
+    readonly "platform"?: string | undefined;
+    readonly "routers"?: string | undefined;
+    readonly "operator-key-file"?: string | undefined;
+    readonly "json"?: boolean | undefined;
+};
+
+const STORE_TIMEOUT_MS = 3_000;
+
+/** Help on the shared options. */
+export const sharedHelp = `Shared options:
+  --platform URL             key-value service (or GOOSEBERRYBEND_PLATFORM)
+  --routers URL,URL          routers to call instead of the registered ones
+  --operator-key-file FILE   operators' key (or GOOSEBERRYBEND_OPERATOR_KEY)
+  --json                     print JSON
+  -h, --help                 print this help`;
+
+/** Connects to the key-value service that the options name. */
+export function storeOf(values: SharedValues): Result<KeyValueStore, CommandFailure> {
+    const address = values.platform ?? process.env["GOOSEBERRYBEND_PLATFORM"];
+    if (address === undefined) {
+        return err({
+            kind: "usage",
+            message: "No key-value service is named. Give --platform URL or set GOOSEBERRYBEND_PLATFORM.",
+        });
+    }
+    return ok(new EtcdStore(address, STORE_TIMEOUT_MS));
+}
+
+/** Returns the addresses of the routers to call. */
+export async function routersOf(values: SharedValues): Promise<Result<string[], CommandFailure>> {
+    if (values.routers !== undefined) {
+        return ok(values.routers.split(","));
+    }
+    const store = storeOf(values);
+    if (store.isErr()) {
+        return err(store.error);
+    }
+    const registered = await registeredRouters(store.value);
+    if (registered === undefined) {
+        return err({
+            kind: "unavailable",
+            message: "The key-value service does not answer. Name the routers with --routers.",
+        });
+    }
+    return ok(registered);
+}
+
+/** Creates the calls to routers with the operators' key. */
+export function callsOf(values: SharedValues): RouterCalls {
+    const file = values["operator-key-file"];
+    const key = file === undefined ? process.env["GOOSEBERRYBEND_OPERATOR_KEY"] : readFileSync(file, "utf8").trim();
+    return new RouterCalls(key);
+}
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,17 @@
+export * from "./configuration/publication.js";
+export * from "./configuration/schema.js";
+export * from "./configuration/snapshot.js";
+export * from "./ledger/reconcile.js";
+export * from "./ledger/record.js";
+export * from "./policy.js";
+export * from "./support/digest.js";
+export * from "./support/random.js";
+export * from "./support/rendezvous.js";
+export { type Claim, claimKey } from "./systems/claims.js";
+export { runsLeft } from "./systems/drain.js";
+export { addressesFor, type RouterAddress } from "./systems/membership.js";
+export { nextTickAt, tick } from "./tick.js";
+export * from "./types/ids.js";
+export * from "./types/messages.js";
+export * from "./types/outcomes.js";
+export { createWorld, type Identity, type Run, type World, type WorldOptions } from "./world.js";
--- /dev/null
+++ b/packages/core/src/ledger/reconcile.ts
@@ -0,0 +1,246 @@
+import type { BudgetId, Incarnation, KeyDigest, OperationId, TransferId } from "../types/ids.js";
+import { brand } from "../types/ids.js";
+import { type Bill, freeTokens, type Holder, type Holding, type LedgerRecord, type Transfer } from "./record.js";
+
+/** A bill to write. */
+export type Settlement = { readonly key: KeyDigest; readonly budget: BudgetId; readonly tokens: number; };
+
+/** A transfer of allowance to write; either end may write it. */
+export type LedgerTransfer = {
+    readonly id: TransferId;
+    readonly budget: BudgetId;
+    readonly from: Incarnation;
+    readonly to: Incarnation;
+    readonly tokens: number;
+};
+
+/** Bills that a witness writes for another holder. */
+export type WitnessedSettlements = { readonly holder: Incarnation; readonly settlements: readonly Settlement[]; };
+
+/** A reserve that its holder can no longer open. */
+export type Reclaim = { readonly holder: Incarnation; readonly epoch: number; };
+
+/** What a holder wants of one budget. */
+export type Want = {
+    readonly budget: BudgetId;
+    /** Tokens that must stay allowed, whatever is free. */
+    readonly committed: number;
+    /** Tokens beyond the committed ones that waiting requests need. */
+    readonly needed: number;
+    /** Tokens to keep at hand beyond those. */
+    readonly slack: number;
+    /** Tokens to keep for an outage. */
+    readonly reserve: number;
+};
+
+/** One write of a holder to the record of an account. */
+export type Reconciliation = {
+    readonly operation: OperationId;
+    readonly holder: Incarnation;
+    readonly now: number;
+    readonly witness: Incarnation | undefined;
+    /** Orders this write among the holder's writes to all records. */
+    readonly epoch: number;
+    readonly settlements: readonly Settlement[];
+    readonly transfers: readonly LedgerTransfer[];
+    readonly wants: readonly Want[];
+    /** Bills that this holder keeps for silent peers. */
+    readonly witnessed: readonly WitnessedSettlements[];
+    /** Reserves of silent holders whose witness closed them. */
+    readonly reclaims: readonly Reclaim[];
+    /** True when the holder had an entry before this write. */
+    readonly known: boolean;
+};
+
+/** What a reconciliation changed. */
+export type ReconciliationResult = {
+    /** True when the holder's entry was closed, so that nothing was written for it. */
+    readonly fenced: boolean;
+    /** Settlements whose key was billed before. */
+    readonly duplicates: readonly KeyDigest[];
+    readonly holdings: ReadonlyMap<BudgetId, Holding>;
+};
+
+/** Longest time in ms from the first attempt of a request to its last settlement. */
+export const LONGEST_REQUEST_MS = 20 * 60_000;
+/** Time in ms after which a silent holder's tokens become stranded and its entry is closed. */
+export const HOLDER_RETIREMENT_MS = 2 * 60 * 60_000;
+const EMPTY_HOLDER_RETENTION_MS = 60_000;
+const MAX_FREE_SHARE = 0.25;
+const MAX_RESERVE_SHARE = 0.15;
+
+/** Applies a holder's write to the record in place. Total tokens are conserved. */
+export function reconcile(record: LedgerRecord, change: Reconciliation): ReconciliationResult {
+    if (change.known && record.holders[change.holder] === undefined) {
+        return { fenced: true, duplicates: [], holdings: new Map() };
+    }
+    const holder = holderOf(record, change);
+    for (const transfer of change.transfers) {
+        applyTransfer(record, transfer, change.holder, change.now);
+    }
+    for (const { holder: id, settlements } of change.witnessed) {
+        settleForPeer(record, id, settlements, change.now);
+    }
+    for (const reclaim of change.reclaims) {
+        reclaimReserve(record, reclaim);
+    }
+    const duplicates = change.settlements
+        .filter((settlement) => !settle(record, holder, settlement, change.now))
+        .map((settlement) => settlement.key);
+    const holdings = new Map<BudgetId, Holding>();
+    for (const want of change.wants) {
+        holdings.set(want.budget, { ...resize(record, holder, want) });
+    }
+    dropEmptyHoldings(holder);
+    prune(record, change.now);
+    return { fenced: false, duplicates, holdings };
+}
+
+function newHolder(now: number): Holder {
+    return { operation: brand<OperationId>(""), at: now, witness: undefined, epoch: 0, budgets: {} };
+}
+
+function holderOf(record: LedgerRecord, change: Reconciliation): Holder {
+    const holder = record.holders[change.holder] ??= newHolder(change.now);
+    holder.witness = change.witness;
+    holder.epoch = change.epoch;
+    holder.operation = change.operation;
+    holder.at = change.now;
+    return holder;
+}
+
+function settleForPeer(record: LedgerRecord, id: Incarnation, settlements: readonly Settlement[], now: number): void {
+    const holder = record.holders[id];
+    if (holder === undefined) {
+        return;
+    }
+    for (const settlement of settlements) {
+        settle(record, holder, settlement, now);
+    }
+}
+
+/** Returns a reserve to its budget unless the holder wrote again since it was closed. */
+export function reclaimReserve(record: LedgerRecord, reclaim: Reclaim): void {
+    const holder = record.holders[reclaim.holder];
+    if (holder === undefined || holder.epoch !== reclaim.epoch) {
+        return;
+    }
+    for (const holding of Object.values<Holding>(holder.budgets)) {
+        holding.reserve = 0;
+    }
+}
+
+/** Moves allowance between two holders once per transfer id, whichever end writes first. */
+export function applyTransfer(record: LedgerRecord, transfer: LedgerTransfer, writer: Incarnation, now: number): void {
+    const known = record.transfers[transfer.id];
+    if (known !== undefined) {
+        known.seenBy = [...new Set([...known.seenBy, writer])];
+        return;
+    }
+    record.transfers[transfer.id] = { ends: [transfer.from, transfer.to], seenBy: [writer] };
+    const source = record.holders[transfer.from]?.budgets[transfer.budget];
+    if (source === undefined) {
+        return;
+    }
+    const target = record.holders[transfer.to] ??= newHolder(now);
+    const holding = target.budgets[transfer.budget] ??= { allowance: 0, reserve: 0 };
+    drawAllowance(source, transfer.tokens);
+    holding.allowance += transfer.tokens;
+}
+
+/** Writes a bill against a holder's allowance. Returns false when the key was billed before. */
+export function settle(record: LedgerRecord, holder: Holder, settlement: Settlement, now: number): boolean {
+    if (record.bills[settlement.key] !== undefined) {
+        return false;
+    }
+    record.bills[settlement.key] = { tokens: settlement.tokens, at: now };
+    const totals = record.budgets[settlement.budget] ??= { granted: 0, billed: 0 };
+    const holding = holder.budgets[settlement.budget] ??= { allowance: 0, reserve: 0 };
+    totals.billed += settlement.tokens;
+    drawAllowance(holding, settlement.tokens);
+    return true;
+}
+
+// A holder that used more than its allowance had its reserve opened.
+function drawAllowance(holding: Holding, tokens: number): void {
+    if (holding.allowance < tokens) {
+        holding.allowance += holding.reserve;
+        holding.reserve = 0;
+    }
+    holding.allowance -= tokens;
+}
+
+function resize(record: LedgerRecord, holder: Holder, want: Want): Holding {
+    const holding = holder.budgets[want.budget] ??= { allowance: 0, reserve: 0 };
+    const total = freeTokens(record, want.budget) + holding.reserve + holding.allowance;
+    const available = total - want.committed;
+    if (available < 0) {
+        return holding;
+    }
+    const needed = Math.min(want.needed, available);
+    const slack = Math.min(want.slack, Math.floor((available - needed) * MAX_FREE_SHARE));
+    holding.allowance = want.committed + needed + slack;
+    const left = available - needed - slack;
+    holding.reserve = Math.min(want.reserve, Math.floor(left * MAX_RESERVE_SHARE));
+    return holding;
+}
+
+function dropEmptyHoldings(holder: Holder): void {
+    for (const [budget, holding] of Object.entries<Holding>(holder.budgets)) {
+        if (holding.allowance === 0 && holding.reserve === 0) {
+            delete holder.budgets[budget as BudgetId];
+        }
+    }
+}
+
+function prune(record: LedgerRecord, now: number): void {
+    let oldestWrite = now;
+    for (const [id, holder] of Object.entries<Holder>(record.holders)) {
+        if (Object.keys(holder.budgets).length === 0) {
+            pruneEmptyHolder(record, id as Incarnation, now);
+            continue;
+        }
+        if (now - holder.at > HOLDER_RETIREMENT_MS) {
+            retireHolder(record, id as Incarnation);
+            continue;
+        }
+        oldestWrite = Math.min(oldestWrite, holder.at);
+    }
+    pruneBills(record, oldestWrite - LONGEST_REQUEST_MS);
+    pruneTransfers(record);
+}
+
+function pruneEmptyHolder(record: LedgerRecord, id: Incarnation, now: number): void {
+    if (now - record.holders[id]!.at > EMPTY_HOLDER_RETENTION_MS) {
+        delete record.holders[id];
+    }
+}
+
+/** Closes a holder's entry. All it held stays charged, since it may still be spending it. */
+export function retireHolder(record: LedgerRecord, id: Incarnation): void {
+    for (const [budget, holding] of Object.entries<Holding>(record.holders[id]?.budgets ?? {})) {
+        const stranded = record.stranded[budget as BudgetId] ?? 0;
+        record.stranded[budget as BudgetId] = stranded + holding.allowance + holding.reserve;
+    }
+    delete record.holders[id];
+}
+
+function pruneBills(record: LedgerRecord, before: number): void {
+    for (const [key, bill] of Object.entries<Bill>(record.bills)) {
+        if (bill.at < before) {
+            delete record.bills[key as KeyDigest];
+        }
+    }
+}
+
+// A transfer is forgotten only when no end can write it again.
+function pruneTransfers(record: LedgerRecord): void {
+    for (const [id, transfer] of Object.entries<Transfer>(record.transfers)) {
+        const pending = transfer.ends.some((end) =>
+            !transfer.seenBy.includes(end) && record.holders[end] !== undefined
+        );
+        if (!pending) {
+            delete record.transfers[id as TransferId];
+        }
+    }
+}
--- /dev/null
+++ b/packages/core/src/support/digest.ts
@@ -0,0 +1,20 @@
+import { createHash } from "node:crypto";
+import type { AccountId, BodyDigest, KeyDigest, RequestKey } from "../types/ids.js";
+import { brand } from "../types/ids.js";
+
+const KEY_DIGEST_LENGTH = 16;
+
+/** Returns the SHA-256 of a text in base64url. */
+export function digestText(text: string): string {
+    return createHash("sha256").update(text).digest("base64url");
+}
+
+/** Returns the ledger's digest of an account's request key. */
+export function digestKey(account: AccountId, key: RequestKey): KeyDigest {
+    return brand<KeyDigest>(digestText(`${account}\n${key}`).slice(0, KEY_DIGEST_LENGTH));
+}
+
+/** Returns the digest by which repeated bodies of an account are recognised. */
+export function digestBody(account: AccountId, body: string): BodyDigest {
+    return brand<BodyDigest>(digestText(`${account}\n${body}`).slice(0, KEY_DIGEST_LENGTH));
+}
--- /dev/null
+++ b/packages/core/src/systems/answers.ts
@@ -0,0 +1,161 @@
+import { schedule } from "../support/due-queue.js";
+import { randomBelow } from "../support/random.js";
+import type { AnswerEnd, EndpointFailure } from "../types/messages.js";
+import type { RetryReason } from "../types/outcomes.js";
+import { accountRow, endpointRow, type Run, trace, type World } from "../world.js";
+import { recordClaimOutcome } from "./claims.js";
+import { markLeaving, noteFailure, noteSuccess, serverOf } from "./endpoints.js";
+import { clearSuspect, isConvict, leaveLane, noteCrash } from "./lanes.js";
+import { requestWrite } from "./ledger.js";
+import { spreadSuspicion } from "./membership.js";
+import { noteServiceTime } from "./queue.js";
+import { bill, completeRun, refuseRun, seekEndpoint, serveQueue } from "./runs.js";
+import { nextOffset, restartStream, takeRetry, undispatch } from "./streams.js";
+import { witnessOf } from "./witness.js";
+
+const RETRY_PAUSE_MS = 40;
+const FAILED_RETRY_MS = 1_000;
+const BUSY_RETRY_MS = 500;
+
+/** Takes in the end mark of an answer. An answer with a gap before it is continued, not ended. */
+export function receiveEnd(world: World, run: Run, end: AnswerEnd, now: number): void {
+    if (end.chunks !== nextOffset(run)) {
+        handleFailure(world, run, "connection-lost", true, now);
+        return;
+    }
+    const row = endpointRow(world, run.endpoint!);
+    undispatch(world, run, "ended");
+    noteSuccess(row);
+    noteServiceTime(world, run, now);
+    clearSuspect(world, run);
+    leaveLane(world, run, now);
+    run.end = end;
+    run.state = "billing";
+    bill(world, run, run.target.kind === "model" ? end.promptTokens + end.outputTokens : run.worst, now);
+    recordClaimOutcome(world, run, "ran", end.status, now);
+    schedule(world.due, now + world.policy.billWaitMs, { kind: "bill-wait", run: run.id });
+    if (witnessOf(world, now) === undefined) {
+        requestWrite(world, accountRow(world, run.arrival.account), now);
+    }
+    serveQueue(world, serverOf(run.target), now);
+}
+
+/** Ends a run in state billing, whose bill is kept twice or was waited for long enough. */
+export function endBilling(world: World, run: Run | undefined, now: number): void {
+    if (run !== undefined && run.state === "billing") {
+        completeRun(world, run, now);
+    }
+}
+
+/** Decides what becomes of a run whose call to an endpoint failed. */
+export function handleFailure(
+    world: World,
+    run: Run,
+    failure: EndpointFailure,
+    written: boolean,
+    now: number,
+): void {
+    const row = endpointRow(world, run.endpoint!);
+    trace(world, now, run.arrival, "endpoint failed", { endpoint: row.id, failure, written: String(written) });
+    run.written = run.writtenBefore || written;
+    undispatch(world, run, failure === "silent" ? "dropped" : "ended");
+    switch (failure) {
+        case "busy":
+            retry(world, run, "endpoint-busy", now);
+            break;
+        case "leaving":
+            markLeaving(world, row.id);
+            retry(world, run, "endpoint-leaving", now);
+            break;
+        case "rejected":
+            refuseRun(world, run, "endpoint-failed", FAILED_RETRY_MS, now);
+            break;
+        case "connection-refused":
+            noteFailure(world, row, now);
+            retryAfterRefusal(world, run, now);
+            break;
+        case "unknown-stream":
+            crash(world, run, "stream-lost", now);
+            break;
+        case "connection-lost":
+        case "silent":
+            handleLostConnection(world, run, failure, now);
+            break;
+    }
+    serveQueue(world, serverOf(run.target), now);
+}
+
+function retryAfterRefusal(world: World, run: Run, now: number): void {
+    if (run.resuming) {
+        crash(world, run, "endpoint-crashed", now);
+        return;
+    }
+    retry(world, run, "connection-refused", now);
+}
+
+// The connection is blamed first: a stream is asked for again on a new one before the endpoint is.
+function handleLostConnection(world: World, run: Run, failure: "connection-lost" | "silent", now: number): void {
+    const row = endpointRow(world, run.endpoint!);
+    if (run.target.kind === "model" && !run.resuming) {
+        run.resuming = true;
+        seekEndpoint(world, run, now);
+        return;
+    }
+    noteFailure(world, row, now);
+    if (!run.idempotent) {
+        refuseRun(world, run, "endpoint-failed", FAILED_RETRY_MS, now);
+        return;
+    }
+    if (failure === "connection-lost") {
+        crash(world, run, "endpoint-crashed", now);
+        return;
+    }
+    retry(world, run, "connection-silent", now);
+}
+
+function crash(world: World, run: Run, reason: RetryReason, now: number): void {
+    noteCrash(world, run, now);
+    spreadSuspicion(world, run.arrival.bodyDigest, now);
+    leaveLane(world, run, now);
+    if (isConvict(world, run.arrival.bodyDigest, now)) {
+        refuseRun(world, run, "poison-request", world.policy.convictionMs, now);
+        return;
+    }
+    retry(world, run, reason, now);
+}
+
+function retry(world: World, run: Run, reason: RetryReason, now: number): void {
+    if (!run.idempotent && run.written) {
+        refuseRun(world, run, "endpoint-failed", FAILED_RETRY_MS, now);
+        return;
+    }
+    if (!takeRetry(world, run, reason)) {
+        const exhausted = world.retryTokens < 1 ? "retry-budget-spent" : "endpoint-failed";
+        refuseRun(world, run, exhausted, BUSY_RETRY_MS, now);
+        return;
+    }
+    restartStream(world, run);
+    run.state = "queue";
+    const pause = randomBelow(world.random, RETRY_PAUSE_MS * 2 ** run.attempts);
+    schedule(world.due, now + pause, { kind: "retry", run: run.id });
+}
+
+/** Sends a run again after its pause. */
+export function continueRetry(world: World, run: Run, now: number): void {
+    if (run.state === "queue" || (run.state === "lane" && run.laneGranted)) {
+        seekEndpoint(world, run, now);
+    }
+}
+
+/** Acts on a connection that showed no sign of life, or looks again later. */
+export function checkProgress(world: World, run: Run, dispatch: number, now: number): void {
+    if (run.dispatch !== dispatch || run.state !== "running") {
+        return;
+    }
+    const due = run.lastProgress + world.policy.progressTimeoutMs;
+    if (now < due) {
+        schedule(world.due, due, { kind: "progress", run: run.id, dispatch });
+        return;
+    }
+    handleFailure(world, run, "silent", true, now);
+}
--- /dev/null
+++ b/packages/core/src/systems/configuration.ts
@@ -0,0 +1,81 @@
+import {
+    assembleSnapshot,
+    CONFIGURATION_HEAD_KEY,
+    parseHead,
+    partKey,
+    publishedFiles,
+} from "../configuration/publication.js";
+import { compileSnapshot, type Snapshot } from "../configuration/snapshot.js";
+import { digestText } from "../support/digest.js";
+import { schedule } from "../support/due-queue.js";
+import type { KeyValueResult } from "../types/messages.js";
+import type { World } from "../world.js";
+import { readKey } from "./key-value.js";
+
+/** Reads the pointer to the configuration in force. */
+export function pollConfiguration(world: World, now: number): void {
+    readKey(world, CONFIGURATION_HEAD_KEY, { kind: "configuration-head" });
+    schedule(world.due, now + world.policy.configurationPollMs, { kind: "configuration" });
+}
+
+/** Takes in the pointer and asks for the parts that are missing. */
+export function receiveHead(world: World, result: KeyValueResult): void {
+    if (result.kind !== "value") {
+        return;
+    }
+    const head = parseHead(result.current.value);
+    if (head.version <= world.configuration.version) {
+        return;
+    }
+    world.head = head;
+    for (const [, file] of publishedFiles(head)) {
+        if (!world.parts.has(file.digest)) {
+            readKey(world, partKey(file.digest), { kind: "configuration-part", digest: file.digest });
+        }
+    }
+    adoptHead(world);
+}
+
+/** Takes in a part of the configuration. */
+export function receivePart(world: World, digest: string, result: KeyValueResult): void {
+    if (result.kind === "value" && result.current.value !== undefined) {
+        world.parts.set(digest, result.current.value);
+        adoptHead(world);
+    }
+}
+
+function adoptHead(world: World): void {
+    const head = world.head;
+    const snapshot = head === undefined ? undefined : assembleSnapshot(head, world.parts);
+    if (snapshot !== undefined) {
+        world.head = undefined;
+        adoptSnapshot(world, snapshot);
+    }
+}
+
+/** Puts a snapshot in force if it is newer than the one in force; versions only go up. */
+export function adoptSnapshot(world: World, snapshot: Snapshot): void {
+    if (snapshot.version <= world.configuration.version) {
+        return;
+    }
+    const compiled = compileSnapshot(snapshot, world.declarations);
+    if (compiled.isErr()) {
+        return;
+    }
+    world.snapshot = snapshot;
+    world.configuration = compiled.value;
+    rememberParts(world, snapshot);
+    world.effects.push({ kind: "configuration-adopted", version: snapshot.version });
+}
+
+function rememberParts(world: World, snapshot: Snapshot): void {
+    world.parts.clear();
+    for (const text of Object.values(snapshot.files)) {
+        world.parts.set(digestText(text), text);
+    }
+    for (const text of world.declarations.keys()) {
+        if (!world.parts.has(digestText(text))) {
+            world.declarations.delete(text);
+        }
+    }
+}
--- /dev/null
+++ b/packages/core/src/systems/endpoints.ts
@@ -0,0 +1,150 @@
+import type { EndpointDeclaration } from "../configuration/schema.js";
+import { randomElement } from "../support/random.js";
+import { rendezvousOrder } from "../support/rendezvous.js";
+import type { EndpointId } from "../types/ids.js";
+import type { LoadReport, Target } from "../types/messages.js";
+import { type EndpointRow, endpointRow, type Run, type World } from "../world.js";
+
+const FULL_LOAD = 1.25;
+const PREFIX_LOAD = 0.75;
+const OTHER_DOMAIN_LOAD = 0.15;
+const OTHER_REGION_LOAD = 0.6;
+const USED_LATELY_MS = 60_000;
+
+/** Returns the name under which endpoints that can take a target are indexed. */
+export function serverOf(target: Target): string {
+    return target.kind === "model" ? `model:${target.model}` : `service:${target.service}`;
+}
+
+/** Returns the endpoints that this router considers for a model or service. */
+export function candidatesOf(world: World, server: string): readonly EndpointId[] {
+    const servers = world.configuration.servers.get(server) ?? [];
+    if (servers.length <= world.policy.endpointSubset) {
+        return servers;
+    }
+    const near = servers.filter((id) => world.configuration.endpoints.get(id)!.domain === world.self.domain);
+    const rest = rendezvousOrder(world.self.incarnation, servers.filter((id) => !near.includes(id)));
+    return [...near, ...rest].slice(0, world.policy.endpointSubset);
+}
+
+/** Returns true when an endpoint may be given new work. */
+export function isUsable(world: World, row: EndpointRow, now: number): boolean {
+    return !row.leaving && now >= row.ejectedUntil && world.configuration.endpoints.has(row.id);
+}
+
+/** Returns the load of an endpoint as a share of its slots: its report, corrected by what was sent since. */
+export function loadOf(row: EndpointRow, declaration: EndpointDeclaration): number {
+    const report = row.report;
+    if (report === undefined) {
+        return row.running.size / declaration.slots;
+    }
+    const reported = report.running + report.queued + row.sinceReport;
+    return Math.max(reported, row.running.size) / Math.max(1, report.slots);
+}
+
+/** Chooses an endpoint for a run: the prefix holder if it has room, else the better of two random ones. */
+export function chooseEndpoint(world: World, run: Run, now: number): EndpointId | undefined {
+    const usable = candidatesOf(world, serverOf(run.target)).filter((id) =>
+        isUsable(world, endpointRow(world, id), now)
+    );
+    const untried = usable.filter((id) => !run.tried.includes(id));
+    const room = (untried.length > 0 ? untried : usable).filter((id) => loadOfId(world, id) < FULL_LOAD);
+    if (room.length === 0) {
+        return undefined;
+    }
+    const prefixHolder = run.target.kind === "model" ? rendezvousOrder(run.target.prefix, room)[0] : undefined;
+    if (prefixHolder !== undefined && loadOfId(world, prefixHolder) < PREFIX_LOAD) {
+        return prefixHolder;
+    }
+    const first = randomElement(world.random, room)!;
+    const second = randomElement(world.random, room)!;
+    return scoreOf(world, first) <= scoreOf(world, second) ? first : second;
+}
+
+/** Returns true when some endpoint could take a target, now or once it has room. */
+export function hasUsableEndpoint(world: World, target: Target, now: number): boolean {
+    return candidatesOf(world, serverOf(target)).some((id) => isUsable(world, endpointRow(world, id), now));
+}
+
+function loadOfId(world: World, id: EndpointId): number {
+    return loadOf(endpointRow(world, id), world.configuration.endpoints.get(id)!);
+}
+
+function scoreOf(world: World, id: EndpointId): number {
+    const domain = world.configuration.endpoints.get(id)!.domain;
+    const own = world.self.domain;
+    const sameRegion = domain.split("/")[0] === own.split("/")[0];
+    const distance = domain === own ? 0 : sameRegion ? OTHER_DOMAIN_LOAD : OTHER_REGION_LOAD;
+    return loadOfId(world, id) + distance;
+}
+
+/** Takes in a load report, or the failure to get one. */
+export function noteReport(world: World, id: EndpointId, report: LoadReport | undefined, now: number): void {
+    const row = endpointRow(world, id);
+    if (report === undefined) {
+        noteFailure(world, row, now);
+        return;
+    }
+    row.report = report;
+    row.reportedAt = now;
+    row.sinceReport = 0;
+    noteSuccess(row);
+    if (report.leaving) {
+        markLeaving(world, id);
+    }
+}
+
+/** Marks an endpoint as leaving: it gets no new work from then on. */
+export function markLeaving(world: World, id: EndpointId): void {
+    world.leavingEndpoints.add(id);
+    endpointRow(world, id).leaving = true;
+}
+
+/** Notes a success of an endpoint, which ends its ejection. */
+export function noteSuccess(row: EndpointRow): void {
+    row.failures = 0;
+    row.ejections = 0;
+    row.ejectedUntil = -Infinity;
+}
+
+/** Notes a failure of an endpoint; several in a row eject it for a while. */
+export function noteFailure(world: World, row: EndpointRow, now: number): void {
+    row.failures++;
+    if (row.failures < world.policy.ejectionFailures) {
+        return;
+    }
+    const time = Math.min(world.policy.ejectionMs * 2 ** row.ejections, world.policy.longestEjectionMs);
+    row.ejectedUntil = Math.max(row.ejectedUntil, now + time);
+    row.failures = 0;
+    row.ejections++;
+}
+
+/** Asks for the load of each endpoint that lately had work. */
+export function probeEndpoints(world: World, now: number): void {
+    for (const [server, usedAt] of world.serverUsedAt) {
+        if (now - usedAt > USED_LATELY_MS) {
+            world.serverUsedAt.delete(server);
+            continue;
+        }
+        for (const id of candidatesOf(world, server)) {
+            probe(world, endpointRow(world, id), now);
+        }
+    }
+}
+
+function probe(world: World, row: EndpointRow, now: number): void {
+    if (now - row.probedAt >= world.policy.probeIntervalMs) {
+        row.probedAt = now;
+        world.effects.push({ kind: "probe", endpoint: row.id });
+    }
+}
+
+/** Returns the slots of the usable endpoints of a model or service. */
+export function slotsOf(world: World, server: string, now: number): number {
+    let slots = 0;
+    for (const id of candidatesOf(world, server)) {
+        const row = endpointRow(world, id);
+        slots += isUsable(world, row, now) ? row.report?.slots ?? world.configuration.endpoints.get(id)!.slots : 0;
+    }
+    return slots;
+}
--- /dev/null
+++ b/packages/core/src/systems/ledger.ts
@@ -0,0 +1,307 @@
+import { type LedgerTransfer, reconcile, type Want } from "../ledger/reconcile.js";
+import { formatRecord, type Holder, ledgerKey, type LedgerRecord, parseRecord } from "../ledger/record.js";
+import { schedule } from "../support/due-queue.js";
+import { randomBelow } from "../support/random.js";
+import type { AccountId, Incarnation } from "../types/ids.js";
+import type { KeyValueResult, Versioned } from "../types/messages.js";
+import { type AccountRow, accountRow, type LedgerWrite, nextOperation, type World } from "../world.js";
+import { holderName, sumTokens, wantOf } from "./budgets.js";
+import { readKey, swapKey } from "./key-value.js";
+import { reclaimSilentHolders, witnessedSettlements, witnessOf } from "./witness.js";
+
+const CONFLICT_JITTER_MS = 20;
+
+/** What happens to runs and bills when a write of the ledger ends. */
+export type LedgerListener = {
+    readonly committed: (world: World, account: AccountRow, write: LedgerWrite, now: number) => void;
+    readonly failed: (world: World, account: AccountRow, now: number) => void;
+};
+
+/** Asks for a write of an account's record by a time at the latest. */
+export function requestWrite(world: World, account: AccountRow, at: number): void {
+    if (at >= account.dueAt) {
+        return;
+    }
+    account.dueAt = at;
+    schedule(world.due, at, { kind: "ledger", account: account.id, at });
+}
+
+/** Asks for a write that nobody waits for, paced so that the fleet's share of writes holds. */
+export function requestPacedWrite(world: World, account: AccountRow, now: number): void {
+    const routers = world.peers.size + 1;
+    const active = countActive(world);
+    const paced = 1000 * active * routers / world.policy.fleetWritesPerSecond;
+    const interval = Math.max(world.policy.reconcileIntervalMs, paced);
+    requestWrite(world, account, Math.max(now, account.writtenAt + interval));
+}
+
+function countActive(world: World): number {
+    let active = 0;
+    for (const account of world.accounts.values()) {
+        active += account.dueAt === Infinity ? 0 : 1;
+    }
+    return active;
+}
+
+/** Starts the write that is due, unless one is on its way. */
+export function runDueWrite(world: World, id: AccountId, at: number, now: number): void {
+    const account = accountRow(world, id);
+    if (account.dueAt !== at) {
+        return;
+    }
+    account.dueAt = Infinity;
+    if (account.busy) {
+        return;
+    }
+    if (account.stored === undefined) {
+        account.busy = true;
+        readKey(world, ledgerKey(id), { kind: "ledger-read", account: id });
+        return;
+    }
+    if (account.write !== undefined) {
+        resendWrite(world, account);
+        return;
+    }
+    startWrite(world, account, now);
+}
+
+function resendWrite(world: World, account: AccountRow): void {
+    account.busy = true;
+    readKey(world, ledgerKey(account.id), { kind: "ledger-read", account: account.id });
+}
+
+function startWrite(world: World, account: AccountRow, now: number): void {
+    const stored = account.stored!;
+    const record = parseRecord(stored.value);
+    if (account.fenced && !leaveFence(account)) {
+        requestWrite(world, account, now + world.policy.reconcileIntervalMs);
+        return;
+    }
+    reclaimSilentHolders(world, account, record, now);
+    const holder = holderName(world, account);
+    const change = {
+        operation: nextOperation(world),
+        holder,
+        now,
+        witness: witnessOf(world, now),
+        epoch: ++world.epoch,
+        settlements: [...account.settlements],
+        transfers: [...account.transfers, ...account.writtenTransfers],
+        wants: wantsOf(world, account, now),
+        witnessed: witnessedSettlements(world, account.id, now),
+        reclaims: [...account.reclaims],
+        known: holdsTokens(account),
+    };
+    const result = reconcile(record, change);
+    if (result.fenced) {
+        fence(world, account, now);
+        return;
+    }
+    account.write = {
+        operation: change.operation,
+        expected: stored.version,
+        value: formatRecord(record),
+        epoch: change.epoch,
+        witness: change.witness,
+        settlements: change.settlements,
+        transfers: change.transfers,
+        witnessed: change.witnessed,
+        reclaims: change.reclaims,
+        duplicates: new Set(result.duplicates),
+        holdings: result.holdings,
+    };
+    sendWrite(world, account, now);
+}
+
+function sendWrite(world: World, account: AccountRow, now: number): void {
+    const write = account.write!;
+    account.busy = true;
+    account.writtenAt = now;
+    swapKey(world, ledgerKey(account.id), write.expected, write.value, { kind: "ledger-write", account: account.id });
+}
+
+function holdsTokens(account: AccountRow): boolean {
+    for (const row of account.budgets.values()) {
+        if (row.held > 0 || row.reserve > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+function wantsOf(world: World, account: AccountRow, now: number): Want[] {
+    const needed = new Map<string, number>();
+    for (const id of account.waiting) {
+        const run = world.runs.get(id)!;
+        needed.set(run.arrival.budget, (needed.get(run.arrival.budget) ?? 0) + run.worst);
+    }
+    return [...account.budgets.values()].map((row) => wantOf(world, account, row, needed.get(row.id) ?? 0, now));
+}
+
+/** Continues an account's read or write with the service's answer. */
+export function handleLedgerReply(
+    world: World,
+    id: AccountId,
+    result: KeyValueResult,
+    listener: LedgerListener,
+    now: number,
+): void {
+    const account = accountRow(world, id);
+    account.busy = false;
+    switch (result.kind) {
+        case "applied":
+            account.failures = 0;
+            commit(world, account, { version: result.version, value: account.write?.value }, listener, now);
+            return;
+        case "conflict":
+        case "value":
+            account.failures = 0;
+            adopt(world, account, result.current, listener, now);
+            return;
+        case "unavailable":
+        case "unknown":
+            account.failures++;
+            retryLater(world, account, now);
+            listener.failed(world, account, now);
+            return;
+    }
+}
+
+function retryLater(world: World, account: AccountRow, now: number): void {
+    const pause = Math.min(world.policy.ledgerRetryMs, 50 * 2 ** Math.min(account.failures, 6));
+    requestWrite(world, account, now + pause + randomBelow(world.random, CONFLICT_JITTER_MS));
+}
+
+// A write that was not answered either is the holder's last operation in a later version, or can
+// no longer be applied, because its expected version is gone.
+function adopt(world: World, account: AccountRow, current: Versioned, listener: LedgerListener, now: number): void {
+    const write = account.write;
+    if (write === undefined) {
+        account.stored = current;
+        startWrite(world, account, now);
+        return;
+    }
+    if (current.version === write.expected) {
+        sendWrite(world, account, now);
+        return;
+    }
+    const record = parseRecord(current.value);
+    if (record.holders[holderName(world, account)]?.operation === write.operation) {
+        commit(world, account, current, listener, now);
+        return;
+    }
+    account.write = undefined;
+    account.stored = current;
+    account.failures++;
+    requestWrite(world, account, now + randomBelow(world.random, CONFLICT_JITTER_MS * account.failures));
+}
+
+function commit(world: World, account: AccountRow, current: Versioned, listener: LedgerListener, now: number): void {
+    const write = account.write!;
+    const record = parseRecord(current.value);
+    account.write = undefined;
+    account.stored = current;
+    account.epoch = write.epoch;
+    account.witness = write.witness;
+    account.committedAt = now;
+    const settled = new Set(write.settlements);
+    account.settlements = account.settlements.filter((settlement) => !settled.has(settlement));
+    dropTransfers(world, account, write.transfers);
+    countWrittenTransfers(world, account, record);
+    account.reclaims = account.reclaims.filter((reclaim) => !write.reclaims.includes(reclaim));
+    for (const row of account.budgets.values()) {
+        row.unsettled -= sumTokens(write.settlements.filter((settlement) => settlement.budget === row.id));
+    }
+    adoptHoldings(account, record.holders[holderName(world, account)]);
+    listener.committed(world, account, write, now);
+    scheduleNext(world, account, record, now);
+}
+
+function adoptHoldings(account: AccountRow, holder: Holder | undefined): void {
+    for (const row of account.budgets.values()) {
+        const holding = holder?.budgets[row.id];
+        row.held = holding?.allowance ?? 0;
+        row.reserve = holding?.reserve ?? 0;
+    }
+}
+
+function dropTransfers(world: World, account: AccountRow, written: readonly LedgerTransfer[]): void {
+    for (const transfer of account.transfers) {
+        if (written.includes(transfer)) {
+            uncountTransfer(world, account, transfer);
+        }
+    }
+    account.transfers = account.transfers.filter((transfer) => !written.includes(transfer));
+    account.writtenTransfers = account.writtenTransfers.filter((transfer) => !written.includes(transfer));
+}
+
+// The holdings just read include a transfer that the other end wrote meanwhile; it must not count twice.
+function countWrittenTransfers(world: World, account: AccountRow, record: LedgerRecord): void {
+    const written = account.transfers.filter((transfer) => record.transfers[transfer.id] !== undefined);
+    for (const transfer of written) {
+        uncountTransfer(world, account, transfer);
+    }
+    account.transfers = account.transfers.filter((transfer) => !written.includes(transfer));
+    account.writtenTransfers.push(...written);
+}
+
+function uncountTransfer(world: World, account: AccountRow, transfer: LedgerTransfer): void {
+    const row = account.budgets.get(transfer.budget);
+    if (row === undefined) {
+        return;
+    }
+    if (transfer.from === holderName(world, account)) {
+        row.lent -= transfer.tokens;
+    }
+    else {
+        row.borrowed -= transfer.tokens;
+    }
+}
+
+function scheduleNext(world: World, account: AccountRow, record: LedgerRecord, now: number): void {
+    if (hasUnwritten(account)) {
+        requestPacedWrite(world, account, now);
+        return;
+    }
+    if (record.holders[holderName(world, account)] !== undefined && holdsTokens(account)) {
+        requestWrite(world, account, now + world.policy.idleReturnMs);
+    }
+}
+
+/** Returns true when something of the account is to be written. */
+export function hasUnwritten(account: AccountRow): boolean {
+    return account.settlements.length + account.transfers.length + account.writtenTransfers.length
+            + account.reclaims.length > 0;
+}
+
+function fence(world: World, account: AccountRow, now: number): void {
+    account.fenced = true;
+    account.settlements = [];
+    account.transfers = [];
+    account.writtenTransfers = [];
+    account.reclaims = [];
+    requestWrite(world, account, now + world.policy.reconcileIntervalMs);
+}
+
+/** Starts over under a new name once nothing runs on the closed entry's tokens. */
+export function leaveFence(account: AccountRow): boolean {
+    if ([...account.budgets.values()].some((row) => row.reserved > 0)) {
+        return false;
+    }
+    account.fenced = false;
+    account.generation++;
+    account.settlements = [];
+    account.transfers = [];
+    account.budgets.clear();
+    return true;
+}
+
+/** Returns the other routers that hold tokens of an account by its last known record. */
+export function otherHolders(world: World, account: AccountRow): Incarnation[] {
+    if (account.stored === undefined) {
+        return [];
+    }
+    const record = parseRecord(account.stored.value);
+    const self = holderName(world, account);
+    return Object.keys(record.holders).filter((id) => id !== self) as Incarnation[];
+}
--- /dev/null
+++ b/packages/core/src/systems/membership.ts
@@ -0,0 +1,181 @@
+import { schedule } from "../support/due-queue.js";
+import { randomBelow } from "../support/random.js";
+import { rendezvousOrder } from "../support/rendezvous.js";
+import type { AccountId, BodyDigest, Incarnation } from "../types/ids.js";
+import type { Heartbeat, PeerMessage } from "../types/messages.js";
+import { accountRow, type World } from "../world.js";
+import { markLeaving } from "./endpoints.js";
+import { adoptSuspicion, isConvict, isSuspect } from "./lanes.js";
+import { requestPacedWrite } from "./ledger.js";
+import { livePeers, sendToPeer } from "./peers.js";
+import { accountsToSettle, askToOpenReserve } from "./witness.js";
+
+const BROADCAST_LIMIT = 32;
+const WIDTH_STEP = 16;
+const WIDEST = 4;
+
+/** An address that callers may use. */
+export type RouterAddress = { readonly address: string; readonly domain: string; };
+
+/** Sends this router's heartbeat, acts on peers that are silent, and schedules the next one. */
+export function beat(world: World, now: number): void {
+    sendHeartbeats(world, now);
+    forgetPeers(world, now);
+    settleForLostPeers(world, now);
+    if (world.keyValueFailingSince !== undefined) {
+        askToOpenReserve(world, now);
+    }
+    schedule(world.due, now + world.policy.heartbeatIntervalMs, { kind: "heartbeat" });
+}
+
+/** Sends this router's heartbeat to some of its peers. */
+export function sendHeartbeats(world: World, now: number): void {
+    const own = ownHeartbeat(world);
+    const message: PeerMessage = {
+        kind: "heartbeat",
+        own,
+        heard: heardLately(world, now),
+        leavingEndpoints: [...world.leavingEndpoints],
+        suspects: [...world.suspects.keys()].filter((body) => isSuspect(world, body, now)),
+        convicts: [...world.convicts.keys()].filter((body) => isConvict(world, body, now)),
+    };
+    for (const address of heartbeatTargets(world, now)) {
+        world.effects.push({ kind: "peer-send", to: undefined, address, message });
+    }
+}
+
+function ownHeartbeat(world: World): Heartbeat {
+    world.heartbeatSequence++;
+    return {
+        incarnation: world.self.incarnation,
+        address: world.self.address,
+        domain: world.self.domain,
+        sequence: world.heartbeatSequence,
+        draining: world.drainingSince !== undefined,
+        configurationVersion: world.configuration.version,
+    };
+}
+
+function heardLately(world: World, now: number): Heartbeat[] {
+    const rows = [...world.peers.values()].filter((row) => now - row.heardAt < world.policy.peerSilentMs);
+    const entries: Heartbeat[] = [];
+    while (rows.length > 0 && entries.length < world.policy.heartbeatEntries) {
+        const [row] = rows.splice(randomBelow(world.random, rows.length), 1);
+        entries.push(row!.heartbeat);
+    }
+    return entries;
+}
+
+function heartbeatTargets(world: World, now: number): string[] {
+    const addresses = new Set<string>();
+    for (const address of world.instances.keys()) {
+        addresses.add(address);
+    }
+    for (const row of world.peers.values()) {
+        if (now - row.heardAt < world.policy.peerForgottenMs) {
+            addresses.add(row.heartbeat.address);
+        }
+    }
+    addresses.delete(world.self.address);
+    // No incarnation is named: a restarted router at an address should hear of its peers at once.
+    const all = [...addresses];
+    const targets: string[] = [];
+    while (all.length > 0 && targets.length < world.policy.heartbeatFanout) {
+        targets.push(all.splice(randomBelow(world.random, all.length), 1)[0]!);
+    }
+    const witness = world.peers.get(world.witness ?? world.self.incarnation);
+    if (witness !== undefined && !targets.includes(witness.heartbeat.address)) {
+        targets.push(witness.heartbeat.address);
+    }
+    return targets;
+}
+
+/** Takes in a peer's heartbeat and what it passes on. */
+export function receiveHeartbeat(
+    world: World,
+    message: Extract<PeerMessage, { kind: "heartbeat"; }>,
+    now: number,
+): void {
+    notePeer(world, message.own, now);
+    for (const heartbeat of message.heard) {
+        notePeer(world, heartbeat, now);
+    }
+    for (const endpoint of message.leavingEndpoints) {
+        if (!world.leavingEndpoints.has(endpoint)) {
+            markLeaving(world, endpoint);
+        }
+    }
+    adoptSuspicion(world, message.suspects, message.convicts, now);
+    if (message.own.configurationVersion > world.configuration.version) {
+        sendToPeer(world, message.own.incarnation, {
+            kind: "configuration-wanted",
+            above: world.configuration.version,
+        });
+    }
+}
+
+function notePeer(world: World, heartbeat: Heartbeat, now: number): void {
+    if (heartbeat.incarnation === world.self.incarnation) {
+        return;
+    }
+    const known = world.peers.get(heartbeat.incarnation);
+    if (known !== undefined && known.heartbeat.sequence >= heartbeat.sequence) {
+        return;
+    }
+    world.peers.set(heartbeat.incarnation, { heartbeat, heardAt: now });
+}
+
+function forgetPeers(world: World, now: number): void {
+    for (const [incarnation, row] of world.peers) {
+        if (now - row.heardAt > world.policy.peerForgottenMs) {
+            world.peers.delete(incarnation);
+        }
+    }
+}
+
+function settleForLostPeers(world: World, now: number): void {
+    for (const account of accountsToSettle(world, now)) {
+        requestPacedWrite(world, accountRow(world, account), now);
+    }
+}
+
+/** Tells all peers at once that a body is suspected or convicted of crashing endpoints. */
+export function spreadSuspicion(world: World, body: BodyDigest, now: number): void {
+    const message: PeerMessage = {
+        kind: "heartbeat",
+        own: ownHeartbeat(world),
+        heard: [],
+        leavingEndpoints: [],
+        suspects: [body],
+        convicts: isConvict(world, body, now) ? [body] : [],
+    };
+    for (const peer of livePeers(world, now).slice(0, BROADCAST_LIMIT)) {
+        sendToPeer(world, peer, message);
+    }
+}
+
+/** Returns the routers that a caller of an account should use, best first. */
+export function addressesFor(world: World, account: AccountId, now: number): RouterAddress[] {
+    const routers = new Map<Incarnation, RouterAddress>();
+    if (world.drainingSince === undefined) {
+        routers.set(world.self.incarnation, { address: world.self.address, domain: world.self.domain });
+    }
+    for (const peer of livePeers(world, now)) {
+        const { address, domain } = world.peers.get(peer)!.heartbeat;
+        if (!world.instances.get(address)?.leaving) {
+            routers.set(peer, { address, domain });
+        }
+    }
+    // Addresses stay in place over restarts, incarnations do not.
+    const byAddress = new Map([...routers.values()].map((router) => [router.address, router]));
+    const order = rendezvousOrder(account, byAddress.keys()).map((address) => byAddress.get(address)!);
+    const width = Math.min(order.length, widthOf(world, account));
+    const turn = randomBelow(world.random, width);
+    return [...order.slice(turn, width), ...order.slice(0, turn), ...order.slice(width)];
+}
+
+// Few routers per account keep allowances few; a busy account is spread over more of them.
+function widthOf(world: World, account: AccountId): number {
+    const running = world.accounts.get(account)?.runningRuns ?? 0;
+    return Math.min(WIDEST, 1 + Math.floor(running / WIDTH_STEP));
+}
--- /dev/null
+++ b/packages/core/src/systems/runs.ts
@@ -0,0 +1,463 @@
+import { operationKey } from "../configuration/snapshot.js";
+import { freeTokens, parseRecord } from "../ledger/record.js";
+import { digestKey } from "../support/digest.js";
+import { schedule } from "../support/due-queue.js";
+import type { Arrival, Target } from "../types/messages.js";
+import type { Outcome, RefusalReason } from "../types/outcomes.js";
+import { type AccountRow, accountRow, budgetRow, type Call, type Run, trace, type World } from "../world.js";
+import { releaseTokens, reserveTokens, spendableTokens, useTokens } from "./budgets.js";
+import { recordClaimOutcome, startClaim } from "./claims.js";
+import { chooseEndpoint, serverOf } from "./endpoints.js";
+import { askForLane, isConvict, isSuspect, leaveLane } from "./lanes.js";
+import { requestPacedWrite, requestWrite } from "./ledger.js";
+import { askToLend } from "./lending.js";
+import { leaveQueue, nextQueued, queueRun } from "./queue.js";
+import { dispatchRun, nextOffset, replayChunks, undispatch } from "./streams.js";
+import { askToOpenReserve } from "./witness.js";
+
+const EXHAUSTED_RETRY_MS = 60_000;
+const LEDGER_RETRY_MS = 2_000;
+const SHORT_RETRY_MS = 1_000;
+
+/** Takes in a request: follows the run of its key, starts one, or refuses. */
+export function arrive(world: World, arrival: Arrival, now: number): void {
+    const provablyFirst = arrival.keyMinted || arrival.attempt === 1;
+    const keyDigest = digestKey(arrival.account, arrival.key);
+    const known = world.runs.get(world.runsByKey.get(keyDigest) ?? 0);
+    if (known !== undefined) {
+        follow(world, known, arrival, provablyFirst);
+        return;
+    }
+    const unfit = unfitReason(world, arrival, now);
+    if (unfit !== undefined) {
+        refuseArrival(world, arrival, unfit, provablyFirst, now);
+        return;
+    }
+    const run = createRun(world, arrival, keyDigest, now);
+    addCall(world, run, arrival, provablyFirst);
+    if (provablyFirst) {
+        world.retryTokens = Math.min(world.policy.retryBurst, world.retryTokens + world.policy.retryShare);
+    }
+    schedule(world.due, run.arrival.deadline, { kind: "deadline", run: run.id });
+    seekTokens(world, run, now);
+}
+
+function unfitReason(world: World, arrival: Arrival, now: number): RefusalReason | undefined {
+    const { accounts, budgets, servers } = world.configuration;
+    if (!accounts.has(arrival.account)) {
+        return "account-unknown";
+    }
+    if (!budgets.has(`${arrival.account}/${arrival.budget}`)) {
+        return "bad-request";
+    }
+    if (isConvict(world, arrival.bodyDigest, now)) {
+        return "poison-request";
+    }
+    if (!servers.has(serverOf(arrival.target))) {
+        return "no-endpoint";
+    }
+    if (arrival.deadline <= now) {
+        return "deadline-exceeded";
+    }
+    const draining = world.drainingSince;
+    return draining !== undefined && now - draining > 2 * world.policy.addressLifetimeMs ? "draining" : undefined;
+}
+
+function refuseArrival(
+    world: World,
+    arrival: Arrival,
+    reason: RefusalReason,
+    provablyFirst: boolean,
+    now: number,
+): void {
+    const outcome: Outcome = provablyFirst ? "not-run" : "may-have-run";
+    const retryAfterMs = reason === "draining" ? 0 : EXHAUSTED_RETRY_MS;
+    const refusal = { reason, outcome, retryAfterMs, detail: detailOf(reason) };
+    world.effects.push({ kind: "caller-refused", call: arrival.call, refusal });
+    world.effects.push({ kind: "body-released", call: arrival.call });
+    trace(world, now, arrival, "refused", { reason, outcome });
+}
+
+function createRun(world: World, arrival: Arrival, keyDigest: Run["keyDigest"], now: number): Run {
+    const resume = arrival.resume;
+    const run: Run = {
+        id: world.nextRun++,
+        arrival: { ...arrival, deadline: Math.min(arrival.deadline, now + world.policy.longestDeadlineMs) },
+        keyDigest,
+        target: arrival.target,
+        idempotent: isIdempotent(world, arrival.target),
+        worst: worstCase(world, arrival.target),
+        arrivedAt: now,
+        state: "budget",
+        calls: new Set(),
+        reserved: 0,
+        endpoint: resume?.endpoint,
+        dispatch: 0,
+        dispatchedAt: now,
+        stream: resume?.stream ?? "",
+        tried: [],
+        attempts: 0,
+        written: resume !== undefined,
+        writtenBefore: resume !== undefined,
+        resuming: resume !== undefined,
+        lastProgress: now,
+        base: resume?.offset ?? 0,
+        chunks: [],
+        early: new Map(),
+        outputTokens: 0,
+        end: undefined,
+        claim: undefined,
+        lane: undefined,
+        laneGranted: false,
+    };
+    world.runs.set(run.id, run);
+    world.runsByKey.set(keyDigest, run.id);
+    world.serverUsedAt.set(serverOf(run.target), now);
+    accountRow(world, arrival.account).runningRuns++;
+    return run;
+}
+
+function isIdempotent(world: World, target: Target): boolean {
+    if (target.kind === "model") {
+        return true;
+    }
+    return world.configuration.operations.get(operationKey(target.service, target.operation))?.idempotent ?? false;
+}
+
+function worstCase(world: World, target: Target): number {
+    if (target.kind === "model") {
+        return target.promptTokens + target.maxTokens;
+    }
+    return world.configuration.operations.get(operationKey(target.service, target.operation))?.tokens ?? 1;
+}
+
+function addCall(world: World, run: Run, arrival: Arrival, provablyFirst: boolean): Call {
+    const call = { id: arrival.call, run: run.id, provablyFirst, next: arrival.resume?.offset ?? 0 };
+    world.calls.set(call.id, call);
+    run.calls.add(call.id);
+    return call;
+}
+
+function follow(world: World, run: Run, arrival: Arrival, provablyFirst: boolean): void {
+    world.effects.push({ kind: "body-released", call: arrival.call });
+    if (run.arrival.bodyDigest !== arrival.bodyDigest) {
+        const outcome: Outcome = provablyFirst ? "not-run" : "may-have-run";
+        const refusal = { reason: "key-reused", outcome, retryAfterMs: 0, detail: detailOf("key-reused") } as const;
+        world.effects.push({ kind: "caller-refused", call: arrival.call, refusal });
+        return;
+    }
+    const sameStream = arrival.resume !== undefined && arrival.resume.stream === run.stream;
+    const offset = sameStream ? arrival.resume!.offset : 0;
+    if (offset < run.base || offset > nextOffset(run)) {
+        const refusal = { reason: "endpoint-failed", outcome: "may-have-run", retryAfterMs: SHORT_RETRY_MS } as const;
+        world.effects.push({
+            kind: "caller-refused",
+            call: arrival.call,
+            refusal: { ...refusal, detail: detailOf("endpoint-failed") },
+        });
+        return;
+    }
+    const call = addCall(world, run, arrival, provablyFirst);
+    call.next = offset;
+    if (arrival.resume !== undefined && !sameStream) {
+        world.effects.push({ kind: "caller-restart", call: call.id });
+    }
+    replayChunks(world, run, call);
+    if (run.state === "done") {
+        world.effects.push({ kind: "caller-end", call: call.id, end: run.end! });
+        removeCall(world, call.id);
+    }
+}
+
+/** Forgets a caller that went away. */
+export function removeCall(world: World, id: Call["id"]): Run | undefined {
+    const call = world.calls.get(id);
+    const run = world.runs.get(call?.run ?? 0);
+    world.calls.delete(id);
+    run?.calls.delete(id);
+    return run;
+}
+
+/** Lets a run on its way continue after its caller went away, for a while. */
+export function handleCallerGone(world: World, id: Call["id"], now: number): void {
+    const run = removeCall(world, id);
+    if (run === undefined || run.calls.size > 0 || run.state === "done") {
+        return;
+    }
+    schedule(world.due, now + world.policy.orphanMs, { kind: "orphan", run: run.id });
+}
+
+/** Ends a run that no caller came back for. Calls that may not be repeated run on. */
+export function endOrphan(world: World, run: Run, now: number): void {
+    const settled = run.state === "done" || run.state === "billing";
+    if (run.calls.size > 0 || settled || !run.idempotent) {
+        return;
+    }
+    const started = run.written;
+    undispatch(world, run, "stopped");
+    if (started && run.target.kind === "model") {
+        bill(world, run, run.target.promptTokens + run.outputTokens, now);
+    }
+    trace(world, now, run.arrival, "abandoned", { outputTokens: run.outputTokens });
+    endRun(world, run, now);
+}
+
+/** Reserves the worst case of a run, or has it wait for tokens. */
+export function seekTokens(world: World, run: Run, now: number): void {
+    const account = accountRow(world, run.arrival.account);
+    const row = budgetRow(account, run.arrival.budget, now);
+    if (reserveTokens(world, account, row, run.worst, now)) {
+        noteReserved(world, account, run, now);
+        return;
+    }
+    account.waiting.push(run.id);
+    schedule(world.due, now + world.policy.budgetWaitMs, { kind: "budget-wait", run: run.id });
+    requestWrite(world, account, now);
+    if (world.keyValueFailingSince !== undefined) {
+        seekTokensInOutage(world, account, run, now);
+    }
+}
+
+function noteReserved(world: World, account: AccountRow, run: Run, now: number): void {
+    run.reserved = run.worst;
+    const row = budgetRow(account, run.arrival.budget, now);
+    const left = spendableTokens(world, account, row, now);
+    trace(world, now, run.arrival, "reserved", { tokens: run.worst, left });
+    if (left < row.typicalWorst) {
+        requestPacedWrite(world, account, now);
+    }
+    seekEndpoint(world, run, now);
+}
+
+/** Gives waiting runs the tokens that came in. */
+export function serveWaiting(world: World, account: AccountRow, now: number): void {
+    const waiting = account.waiting;
+    account.waiting = [];
+    for (const id of waiting) {
+        const run = world.runs.get(id);
+        if (run === undefined) {
+            continue;
+        }
+        const row = budgetRow(account, run.arrival.budget, now);
+        if (reserveTokens(world, account, row, run.worst, now)) {
+            noteReserved(world, account, run, now);
+        }
+        else {
+            account.waiting.push(id);
+        }
+    }
+}
+
+/** Decides on the runs that a write of the ledger left without tokens. */
+export function judgeWaiting(world: World, account: AccountRow, now: number): void {
+    const record = parseRecord(account.stored?.value);
+    for (const id of [...account.waiting]) {
+        const run = world.runs.get(id)!;
+        const budget = run.arrival.budget;
+        const totals = record.budgets[budget];
+        if (totals === undefined || totals.granted - totals.billed < run.worst) {
+            refuseRun(world, run, "budget-exhausted", EXHAUSTED_RETRY_MS, now);
+        }
+        else if (run.arrivedAt >= account.writtenAt || freeTokens(record, budget) >= run.worst) {
+            requestWrite(world, account, now);
+        }
+        else if (!askToLend(world, account, budget, run.worst, now)) {
+            refuseRun(world, run, "budget-held-elsewhere", SHORT_RETRY_MS, now);
+        }
+    }
+}
+
+/** Looks for tokens outside the ledger while the key-value service fails. */
+export function seekTokensInOutage(world: World, account: AccountRow, run: Run, now: number): void {
+    const row = budgetRow(account, run.arrival.budget, now);
+    if (row.reserve > 0) {
+        askToOpenReserve(world, now);
+    }
+    askToLend(world, account, run.arrival.budget, run.worst, now);
+}
+
+/** Refuses a run that waited long enough for tokens. */
+export function endBudgetWait(world: World, run: Run, now: number): void {
+    const account = accountRow(world, run.arrival.account);
+    if (run.state !== "budget" || !account.waiting.includes(run.id)) {
+        return;
+    }
+    const reason = account.fenced
+        ? "fenced"
+        : world.keyValueFailingSince === undefined && account.stored !== undefined
+        ? "budget-held-elsewhere"
+        : "ledger-unavailable";
+    refuseRun(world, run, reason, LEDGER_RETRY_MS, now);
+}
+
+/** Finds an endpoint for a run that has its tokens, or queues it. */
+export function seekEndpoint(world: World, run: Run, now: number): void {
+    if (isConvict(world, run.arrival.bodyDigest, now)) {
+        refuseRun(world, run, "poison-request", EXHAUSTED_RETRY_MS, now);
+        return;
+    }
+    if (run.resuming) {
+        run.state = "running";
+        dispatchRun(world, run, run.endpoint!, now);
+        return;
+    }
+    if (isSuspect(world, run.arrival.bodyDigest, now) && !run.laneGranted) {
+        run.state = "lane";
+        askForLane(world, run, now);
+        return;
+    }
+    const endpoint = chooseEndpoint(world, run, now);
+    if (endpoint !== undefined) {
+        proceed(world, run, endpoint, now);
+        return;
+    }
+    for (const refused of queueRun(world, run, now)) {
+        refuseRun(world, refused.run, "overloaded", refused.waitMs, now);
+    }
+}
+
+function proceed(world: World, run: Run, endpoint: NonNullable<Run["endpoint"]>, now: number): void {
+    if (run.idempotent || run.claim !== undefined) {
+        run.state = "running";
+        dispatchRun(world, run, endpoint, now);
+        return;
+    }
+    run.state = "claim";
+    startClaim(world, run, now);
+}
+
+/** Continues a run whose key is now claimed by this router. */
+export function continueClaimed(world: World, run: Run, now: number): void {
+    seekEndpoint(world, run, now);
+}
+
+/** Gives queued runs the endpoints that have room. */
+export function serveQueue(world: World, server: string, now: number): void {
+    for (;;) {
+        const run = nextQueued(world, server);
+        if (run === undefined) {
+            return;
+        }
+        const endpoint = chooseEndpoint(world, run, now);
+        if (endpoint === undefined) {
+            return;
+        }
+        leaveQueue(world, run);
+        proceed(world, run, endpoint, now);
+    }
+}
+
+/** Bills a use once, and has the witness keep the bill. */
+export function bill(world: World, run: Run, used: number, now: number): void {
+    const account = accountRow(world, run.arrival.account);
+    const row = budgetRow(account, run.arrival.budget, now);
+    const tokens = Math.min(used, run.reserved);
+    useTokens(row, run.reserved, tokens);
+    run.reserved = 0;
+    if (account.fenced) {
+        return;
+    }
+    const settlement = { key: run.keyDigest, budget: row.id, tokens };
+    account.settlements.push(settlement);
+    world.unkeptBills.push({ ...settlement, account: account.id });
+    requestPacedWrite(world, account, now);
+    trace(world, now, run.arrival, "billed", { tokens });
+}
+
+/** Refuses a run: each of its callers gets the final answer at once. */
+export function refuseRun(world: World, run: Run, reason: RefusalReason, retryAfterMs: number, now: number): void {
+    undispatch(world, run, "stopped");
+    leaveQueue(world, run);
+    for (const id of run.calls) {
+        const outcome = outcomeFor(run, world.calls.get(id)!);
+        const refusal = { reason, outcome, retryAfterMs, detail: detailOf(reason) };
+        world.effects.push({ kind: "caller-refused", call: id, refusal });
+    }
+    trace(world, now, run.arrival, "refused", { reason, written: String(run.written), attempts: run.attempts });
+    // An action that may have run is paid for; a repeatable request is paid for when it is answered.
+    if (run.written && !run.idempotent) {
+        bill(world, run, run.worst, now);
+    }
+    recordClaimOutcome(world, run, run.written ? "ran" : "released", undefined, now);
+    endRun(world, run, now);
+}
+
+function outcomeFor(run: Run, call: Call): Outcome {
+    return call.provablyFirst && !run.written ? "not-run" : "may-have-run";
+}
+
+/** Refuses a run whose key another router claimed. */
+export function refuseClaimed(world: World, run: Run, ran: boolean, now: number): void {
+    run.claim = undefined;
+    for (const id of run.calls) {
+        const outcome: Outcome = ran ? "ran" : "may-have-run";
+        const refusal = {
+            reason: "claimed-elsewhere",
+            outcome,
+            retryAfterMs: 0,
+            detail: detailOf("claimed-elsewhere"),
+        } as const;
+        world.effects.push({ kind: "caller-refused", call: id, refusal });
+    }
+    trace(world, now, run.arrival, "refused", { reason: "claimed-elsewhere", ran: String(ran) });
+    endRun(world, run, now);
+}
+
+/** Ends an answer for all callers, once its bill cannot be lost. */
+export function completeRun(world: World, run: Run, now: number): void {
+    run.state = "done";
+    for (const id of [...run.calls]) {
+        world.effects.push({ kind: "caller-end", call: id, end: run.end! });
+        removeCall(world, id);
+    }
+    accountRow(world, run.arrival.account).runningRuns--;
+    trace(world, now, run.arrival, "completed", { chunks: run.end!.chunks, elapsedMs: now - run.arrivedAt });
+    schedule(world.due, now + world.policy.answerRetentionMs, { kind: "forget-run", run: run.id });
+}
+
+function endRun(world: World, run: Run, now: number): void {
+    const account = accountRow(world, run.arrival.account);
+    account.waiting = account.waiting.filter((id) => id !== run.id);
+    if (run.reserved > 0) {
+        releaseTokens(budgetRow(account, run.arrival.budget, now), run.reserved);
+        run.reserved = 0;
+    }
+    leaveLane(world, run, now);
+    for (const id of [...run.calls]) {
+        removeCall(world, id);
+    }
+    account.runningRuns--;
+    forgetRun(world, run);
+}
+
+/** Removes a run from the tables. */
+export function forgetRun(world: World, run: Run): void {
+    world.runs.delete(run.id);
+    if (world.runsByKey.get(run.keyDigest) === run.id) {
+        world.runsByKey.delete(run.keyDigest);
+    }
+    world.effects.push({ kind: "body-released", call: run.arrival.call });
+}
+
+/** Returns a sentence that tells a caller what a refusal means and what to do. */
+export function detailOf(reason: RefusalReason): string {
+    return details[reason];
+}
+
+const details: Readonly<Record<RefusalReason, string>> = {
+    "account-unknown": "The client account is not declared. Check the credential.",
+    "bad-request": "The request is not valid. Correct it before sending it again.",
+    "budget-exhausted": "The budget has too few tokens left for this request. Top it up.",
+    "budget-held-elsewhere": "The budget's last tokens are held for requests at other routers. Try again shortly.",
+    "claimed-elsewhere": "Another router took this key. The call is not run again.",
+    "deadline-exceeded": "The deadline passed before the answer was complete.",
+    "draining": "This router is shutting down. Use another address.",
+    "endpoint-failed": "The endpoint failed before it answered.",
+    "fenced": "This router lost its hold on the budget. Use another address.",
+    "key-reused": "The idempotency key was used with another body. Use a new key.",
+    "ledger-unavailable": "The key-value service does not answer and no tokens are at hand. Try again shortly.",
+    "no-endpoint": "No endpoint serves this model or service.",
+    "overloaded": "All endpoints are busy for longer than the deadline allows. Try again later.",
+    "poison-request": "This body crashed endpoints repeatedly. It is not run again for a while.",
+    "retry-budget-spent": "Too many requests are being retried. Try again later.",
+};
--- /dev/null
+++ b/packages/core/src/systems/streams.ts
@@ -0,0 +1,141 @@
+import { schedule } from "../support/due-queue.js";
+import type { EndpointId } from "../types/ids.js";
+import type { Chunk } from "../types/messages.js";
+import type { RetryReason } from "../types/outcomes.js";
+import { type Call, endpointRow, type Run, trace, type World } from "../world.js";
+
+/** Sends a run to an endpoint: a new stream, or the rest of one that was cut. */
+export function dispatchRun(world: World, run: Run, endpoint: EndpointId, now: number): void {
+    const row = endpointRow(world, endpoint);
+    run.endpoint = endpoint;
+    run.dispatch++;
+    run.dispatchedAt = now;
+    run.lastProgress = now;
+    run.writtenBefore = run.written;
+    run.written = true;
+    if (!run.resuming) {
+        run.attempts++;
+        run.tried.push(endpoint);
+        run.stream = `${run.keyDigest}.${world.self.incarnation}.${run.id}.${run.dispatch}`;
+        row.sinceReport++;
+    }
+    row.running.add(run.id);
+    schedule(world.due, now + world.policy.progressTimeoutMs, {
+        kind: "progress",
+        run: run.id,
+        dispatch: run.dispatch,
+    });
+    world.effects.push({
+        kind: "dispatch",
+        run: run.id,
+        dispatch: run.dispatch,
+        call: run.arrival.call,
+        endpoint,
+        stream: run.stream,
+        resumeAt: run.resuming ? nextOffset(run) : undefined,
+        freshConnection: run.resuming,
+        deadline: run.arrival.deadline,
+    });
+    trace(world, now, run.arrival, run.resuming ? "resumed" : "dispatched", {
+        endpoint,
+        attempt: run.attempts,
+        load: row.running.size,
+        offset: nextOffset(run),
+    });
+}
+
+/** How a run leaves its endpoint: the call is over, its connection is dropped, or the endpoint is told to stop. */
+export type Departure = "ended" | "dropped" | "stopped";
+
+/** Takes a run off its endpoint. */
+export function undispatch(world: World, run: Run, departure: Departure): void {
+    const endpoint = run.endpoint;
+    if (endpoint === undefined || run.state !== "running") {
+        return;
+    }
+    const row = endpointRow(world, endpoint);
+    if (row.running.delete(run.id) && departure !== "ended") {
+        const stop = departure === "stopped";
+        world.effects.push({ kind: "cancel", run: run.id, dispatch: run.dispatch, endpoint, stream: run.stream, stop });
+    }
+    run.dispatch++;
+}
+
+/** Returns the offset of the next chunk that a run expects. */
+export function nextOffset(run: Run): number {
+    return run.base + run.chunks.length;
+}
+
+/** Takes in a chunk: drops a repeated one, keeps an early one until the gap before it is filled. */
+export function receiveChunk(world: World, run: Run, chunk: Chunk, now: number): void {
+    run.lastProgress = now;
+    run.resuming = false;
+    if (chunk.offset > nextOffset(run)) {
+        run.early.set(chunk.offset, chunk);
+        return;
+    }
+    if (chunk.offset < nextOffset(run)) {
+        return;
+    }
+    appendChunk(world, run, chunk);
+    for (;;) {
+        const next = run.early.get(nextOffset(run));
+        if (next === undefined) {
+            return;
+        }
+        run.early.delete(next.offset);
+        appendChunk(world, run, next);
+    }
+}
+
+function appendChunk(world: World, run: Run, chunk: Chunk): void {
+    run.chunks.push(chunk);
+    run.outputTokens += chunk.tokens;
+    for (const id of run.calls) {
+        sendChunk(world, run, world.calls.get(id)!, chunk);
+    }
+}
+
+function sendChunk(world: World, run: Run, call: Call, chunk: Chunk): void {
+    if (call.next !== chunk.offset) {
+        return;
+    }
+    call.next++;
+    const first = chunk.offset === run.base;
+    const resume = first ? { endpoint: run.endpoint!, stream: run.stream, offset: chunk.offset } : undefined;
+    world.effects.push({ kind: "caller-chunk", call: call.id, chunk, resume });
+}
+
+/** Sends a caller the chunks that are already there, from its next offset. */
+export function replayChunks(world: World, run: Run, call: Call): void {
+    for (let index = call.next - run.base; index < run.chunks.length; index++) {
+        sendChunk(world, run, call, run.chunks[index]!);
+    }
+}
+
+/** Starts an answer over: callers drop what they have of it. */
+export function restartStream(world: World, run: Run): void {
+    run.resuming = false;
+    run.early.clear();
+    const sent = run.base > 0 || run.chunks.length > 0;
+    run.base = 0;
+    run.chunks = [];
+    run.outputTokens = 0;
+    for (const id of run.calls) {
+        const call = world.calls.get(id)!;
+        call.next = 0;
+        if (sent) {
+            world.effects.push({ kind: "caller-restart", call: id });
+        }
+    }
+}
+
+/** Counts a retry. Returns false when the retry budget is spent. */
+export function takeRetry(world: World, run: Run, reason: RetryReason): boolean {
+    if (run.attempts >= world.policy.attemptLimit || world.retryTokens < 1) {
+        return false;
+    }
+    world.retryTokens--;
+    world.effects.push({ kind: "retried", reason, endpoint: run.endpoint! });
+    return true;
+}
--- /dev/null
+++ b/packages/core/src/tick.ts
@@ -0,0 +1,332 @@
+import { earliestDue, takeDue } from "./support/due-queue.js";
+import { checkProgress, continueRetry, endBilling, handleFailure, receiveEnd } from "./systems/answers.js";
+import { handleClaimReply, handleOutcomeReply, writeOutcome } from "./systems/claims.js";
+import { adoptSnapshot, pollConfiguration, receiveHead, receivePart } from "./systems/configuration.js";
+import { checkDrain, startDrain } from "./systems/drain.js";
+import { noteReport, probeEndpoints } from "./systems/endpoints.js";
+import { takePurpose } from "./systems/key-value.js";
+import { enterLane, freeLane, grantLane, queueForLane } from "./systems/lanes.js";
+import { handleLedgerReply, type LedgerListener, requestWrite, runDueWrite } from "./systems/ledger.js";
+import { announceReturned, lend, noteReceived, receiveTransfer, resendTransfer } from "./systems/lending.js";
+import { beat, receiveHeartbeat } from "./systems/membership.js";
+import { sendToPeer } from "./systems/peers.js";
+import { unservable } from "./systems/queue.js";
+import {
+    arrive,
+    continueClaimed,
+    endBudgetWait,
+    endOrphan,
+    forgetRun,
+    handleCallerGone,
+    judgeWaiting,
+    refuseClaimed,
+    refuseRun,
+    seekEndpoint,
+    seekTokensInOutage,
+    serveQueue,
+    serveWaiting,
+} from "./systems/runs.js";
+import { receiveChunk } from "./systems/streams.js";
+import {
+    announceSettled,
+    closeReserve,
+    dropWitnessed,
+    forgetBills,
+    keepBills,
+    noteClosed,
+    noteOpened,
+    offerBills,
+    openReserve,
+    takeKeptBatch,
+} from "./systems/witness.js";
+import type { Incarnation, KeyDigest, KeyValueCallId } from "./types/ids.js";
+import type { Effect, KeyValueResult, Message, PeerMessage } from "./types/messages.js";
+import { type AccountRow, accountRow, type LedgerWrite, type Run, type Task, type World } from "./world.js";
+
+const OVERDUE_RETRY_MS = 1_000;
+
+/**
+ * Runs the systems over the tables: takes in messages, runs the tasks that are due, and returns what
+ * the host is to do. Neither clock nor network is touched; now is the present time in ms.
+ */
+export function tick(world: World, now: number, inbox: readonly Message[]): Effect[] {
+    for (const message of inbox) {
+        handleMessage(world, message, now);
+    }
+    for (let task = takeDue(world.due, now); task !== undefined; task = takeDue(world.due, now)) {
+        runTask(world, task, now);
+    }
+    offerBills(world, now);
+    const effects = world.effects;
+    world.effects = [];
+    return effects;
+}
+
+/** Returns the time in ms at which a tick is due even if no message comes in. */
+export function nextTickAt(world: World): number {
+    return earliestDue(world.due) ?? Infinity;
+}
+
+function handleMessage(world: World, message: Message, now: number): void {
+    switch (message.kind) {
+        case "request-arrived":
+            return arrive(world, message.arrival, now);
+        case "caller-gone":
+            return handleCallerGone(world, message.call, now);
+        case "endpoint-chunk":
+            return withDispatch(world, message, (run) => receiveChunk(world, run, message.chunk, now));
+        case "endpoint-alive":
+            return withDispatch(world, message, (run) => {
+                run.lastProgress = now;
+            });
+        case "endpoint-end":
+            return withDispatch(world, message, (run) => receiveEnd(world, run, message.end, now));
+        case "endpoint-failed":
+            return withDispatch(
+                world,
+                message,
+                (run) => handleFailure(world, run, message.failure, message.written, now),
+            );
+        case "load-report":
+            return receiveReport(world, message, now);
+        case "key-value-reply":
+            return handleKeyValueReply(world, message.call, message.result, now);
+        case "peer-message":
+            if (message.to === undefined || message.to === world.self.incarnation) {
+                handlePeerMessage(world, message.from, message.message, now);
+            }
+            return;
+        case "instances":
+            return noteInstances(world, message.peers);
+        case "drain":
+            return startDrain(world, now);
+    }
+}
+
+function withDispatch(
+    world: World,
+    message: { readonly run: number; readonly dispatch: number; },
+    action: (run: Run) => void,
+): void {
+    const run = world.runs.get(message.run);
+    if (run !== undefined && run.state === "running" && run.dispatch === message.dispatch) {
+        action(run);
+    }
+}
+
+function receiveReport(world: World, message: Extract<Message, { kind: "load-report"; }>, now: number): void {
+    noteReport(world, message.endpoint, message.report, now);
+    const endpoint = world.configuration.endpoints.get(message.endpoint);
+    for (const name of endpoint?.serves ?? []) {
+        serveQueue(world, `${endpoint!.kind}:${name}`, now);
+    }
+}
+
+function noteInstances(world: World, peers: readonly { readonly address: string; readonly leaving: boolean; }[]): void {
+    world.instances.clear();
+    for (const peer of peers) {
+        world.instances.set(peer.address, { leaving: peer.leaving });
+    }
+}
+
+function handleKeyValueReply(world: World, call: KeyValueCallId, result: KeyValueResult, now: number): void {
+    const purpose = takePurpose(world, call, result, now);
+    switch (purpose?.kind) {
+        case undefined:
+            return;
+        case "ledger-read":
+        case "ledger-write":
+            return handleLedgerReply(world, purpose.account, result, ledgerListener, now);
+        case "claim":
+            return handleClaim(world, purpose.run, result, now);
+        case "claim-outcome":
+            return handleOutcomeReply(world, purpose, result, now);
+        case "configuration-head":
+            return receiveHead(world, result);
+        case "configuration-part":
+            return receivePart(world, purpose.digest, result);
+    }
+}
+
+const ledgerListener: LedgerListener = {
+    committed(world: World, account: AccountRow, write: LedgerWrite, now: number): void {
+        const keys = write.settlements.map((settlement) => settlement.key);
+        announceSettled(world, keys, now);
+        dropWitnessed(world, write.witnessed);
+        endBills(world, keys, now);
+        announceReturned(world, account);
+        serveWaiting(world, account, now);
+        judgeWaiting(world, account, now);
+    },
+    failed(world: World, account: AccountRow, now: number): void {
+        for (const id of [...account.waiting]) {
+            seekTokensInOutage(world, account, world.runs.get(id)!, now);
+        }
+    },
+};
+
+function endBills(world: World, keys: readonly KeyDigest[], now: number): void {
+    for (const key of keys) {
+        endBilling(world, world.runs.get(world.runsByKey.get(key) ?? 0), now);
+    }
+}
+
+function handleClaim(world: World, id: number, result: KeyValueResult, now: number): void {
+    const run = world.runs.get(id);
+    if (run === undefined || run.state !== "claim") {
+        return;
+    }
+    const verdict = handleClaimReply(world, run, result);
+    switch (verdict.kind) {
+        case "owned":
+            return continueClaimed(world, run, now);
+        case "pending":
+            return;
+        case "elsewhere":
+            return refuseClaimed(world, run, verdict.claim.state === "ran", now);
+        case "unavailable":
+            return refuseRun(world, run, "ledger-unavailable", world.policy.ledgerRetryMs, now);
+    }
+}
+
+function handlePeerMessage(world: World, from: Incarnation, message: PeerMessage, now: number): void {
+    switch (message.kind) {
+        case "heartbeat":
+            return receiveHeartbeat(world, message, now);
+        case "goodbye":
+            world.peers.delete(message.incarnation);
+            return;
+        case "configuration-wanted":
+            if (world.snapshot.version > message.above) {
+                sendToPeer(world, from, { kind: "configuration", snapshot: world.snapshot });
+            }
+            return;
+        case "configuration":
+            return adoptSnapshot(world, message.snapshot);
+        case "witness-bills":
+            return keepBills(world, from, message.bills, message.batch);
+        case "witness-bills-kept":
+            return endBills(world, takeKeptBatch(world, message.batch), now);
+        case "witness-bills-settled":
+            return forgetBills(world, from, message.keys);
+        case "reserve-open":
+            return openReserve(world, from, message.epoch);
+        case "reserve-opened":
+            noteOpened(world, from, message.epoch, message.closed);
+            return serveAllWaiting(world, now);
+        case "reserve-close":
+            return answerClose(world, from, message);
+        case "reserve-closed":
+            if (message.closed) {
+                requestWrite(world, noteClosed(world, message.account, message.holder, message.epoch), now);
+            }
+            return;
+        case "borrow":
+            return lend(world, from, message, now);
+        case "lend":
+            return serveWaiting(world, receiveTransfer(world, from, message.account, message.transfer, now), now);
+        case "lend-received":
+            return noteReceived(world, message.transfer, now);
+        case "borrow-refused":
+            return noteBorrowRefused(world, from, accountRow(world, message.account), now);
+        case "allowance-returned":
+            return requestWrite(world, accountRow(world, message.account), now);
+        case "lane-wanted":
+            return queueForLane(world, message.lane, from, message.body, now);
+        case "lane-granted":
+            return enterLane(world, message.lane, message.body, now);
+        case "lane-released":
+            return freeLane(world, message.lane, from, message.body, now);
+    }
+}
+
+function answerClose(world: World, from: Incarnation, message: Extract<PeerMessage, { kind: "reserve-close"; }>): void {
+    const { holder, epoch, account } = message;
+    const closed = closeReserve(world, holder, account, epoch);
+    sendToPeer(world, from, { kind: "reserve-closed", holder, epoch, account, closed });
+}
+
+function serveAllWaiting(world: World, now: number): void {
+    for (const account of world.accounts.values()) {
+        if (account.waiting.length > 0) {
+            serveWaiting(world, account, now);
+        }
+    }
+}
+
+function noteBorrowRefused(world: World, from: Incarnation, account: AccountRow, now: number): void {
+    if (!account.lenders.delete(from) || account.lenders.size > 0) {
+        return;
+    }
+    // In an outage the reserve may still be opened; otherwise nobody has the tokens.
+    const opening = world.keyValueFailingSince !== undefined;
+    for (const id of opening ? [] : [...account.waiting]) {
+        refuseRun(world, world.runs.get(id)!, "budget-held-elsewhere", OVERDUE_RETRY_MS, now);
+    }
+}
+
+function runTask(world: World, task: Task, now: number): void {
+    switch (task.kind) {
+        case "ledger":
+            return runDueWrite(world, task.account, task.at, now);
+        case "heartbeat":
+            return beat(world, now);
+        case "probe":
+            probeEndpoints(world, now);
+            world.due.entries.push({ at: now + world.policy.probeIntervalMs / 2, task });
+            return;
+        case "configuration":
+            return pollConfiguration(world, now);
+        case "lane":
+            return grantLane(world, task.lane, now);
+        case "lend":
+            return resendTransfer(world, task.transfer, now);
+        case "claim-outcome":
+            return writeOutcome(world, task);
+        case "queue":
+            return tendQueue(world, task.server, now);
+        case "drain":
+            return checkDrain(world, now);
+        default:
+            return runRunTask(world, task, now);
+    }
+}
+
+function tendQueue(world: World, server: string, now: number): void {
+    serveQueue(world, server, now);
+    for (const run of unservable(world, server, now)) {
+        refuseRun(world, run, "no-endpoint", OVERDUE_RETRY_MS, now);
+    }
+}
+
+function runRunTask(world: World, task: Extract<Task, { run: number; }>, now: number): void {
+    const run = world.runs.get(task.run);
+    if (run === undefined) {
+        return;
+    }
+    switch (task.kind) {
+        case "budget-wait":
+            return endBudgetWait(world, run, now);
+        case "deadline":
+            if (run.state !== "done" && run.state !== "billing") {
+                refuseRun(world, run, "deadline-exceeded", OVERDUE_RETRY_MS, now);
+            }
+            return;
+        case "progress":
+            return checkProgress(world, run, task.dispatch, now);
+        case "bill-wait":
+            return endBilling(world, run, now);
+        case "forget-run":
+            return forgetRun(world, run);
+        case "orphan":
+            return endOrphan(world, run, now);
+        case "retry":
+            return continueRetry(world, run, now);
+        case "lane-wait":
+            if (run.state === "lane" && !run.laneGranted) {
+                run.laneGranted = true;
+                seekEndpoint(world, run, now);
+            }
+            return;
+    }
+}
--- /dev/null
+++ b/packages/core/src/types/messages.ts
@@ -0,0 +1,256 @@
+import type { Snapshot } from "../configuration/snapshot.js";
+import type { LedgerTransfer } from "../ledger/reconcile.js";
+import type {
+    AccountId,
+    BodyDigest,
+    BudgetId,
+    CallId,
+    EndpointId,
+    FailureDomain,
+    Incarnation,
+    KeyDigest,
+    KeyValueCallId,
+    RequestKey,
+    TransferId,
+} from "./ids.js";
+import type { Refusal, RetryReason } from "./outcomes.js";
+
+/** What a request asks for. */
+export type Target =
+    | {
+        readonly kind: "model";
+        readonly model: string;
+        readonly promptTokens: number;
+        readonly maxTokens: number;
+        readonly prefix: string;
+    }
+    | { readonly kind: "service"; readonly service: string; readonly operation: string; };
+
+/** A point in an answer from which a caller continues. */
+export type ResumePoint = {
+    readonly endpoint: EndpointId;
+    readonly stream: string;
+    readonly offset: number;
+};
+
+/** A request as it came in at a router. */
+export type Arrival = {
+    readonly call: CallId;
+    readonly account: AccountId;
+    readonly budget: BudgetId;
+    readonly key: RequestKey;
+    /** True when the router minted the key, which proves a first attempt. */
+    readonly keyMinted: boolean;
+    /** The caller's attempt number from 1, or undefined when it gave none. */
+    readonly attempt: number | undefined;
+    /** Time in ms at which the caller stops waiting. */
+    readonly deadline: number;
+    readonly target: Target;
+    readonly bodyDigest: BodyDigest;
+    readonly resume: ResumePoint | undefined;
+};
+
+/** One piece of an answer. Offsets count pieces from 0. */
+export type Chunk = {
+    readonly offset: number;
+    readonly tokens: number;
+    readonly data: string;
+};
+
+/** The end mark of an answer, with the totals that prove it whole. */
+export type AnswerEnd = {
+    readonly chunks: number;
+    readonly status: number;
+    readonly promptTokens: number;
+    readonly outputTokens: number;
+    readonly contentType: string;
+};
+
+/** How a call to an endpoint failed. */
+export type EndpointFailure =
+    | "connection-refused"
+    | "connection-lost"
+    | "silent"
+    | "busy"
+    | "leaving"
+    | "unknown-stream"
+    | "rejected";
+
+/** An endpoint's load as it reports it. */
+export type LoadReport = {
+    readonly running: number;
+    readonly queued: number;
+    readonly slots: number;
+    readonly leaving: boolean;
+};
+
+/** A stored value and its version; version 0 stands for an absent key. */
+export type Versioned = { readonly version: number; readonly value: string | undefined; };
+
+/** Result of one call to the key-value service. */
+export type KeyValueResult =
+    | { readonly kind: "value"; readonly current: Versioned; }
+    | { readonly kind: "applied"; readonly version: number; }
+    | { readonly kind: "conflict"; readonly current: Versioned; }
+    | { readonly kind: "unavailable"; }
+    | { readonly kind: "unknown"; };
+
+/** A bill that a witness keeps until the ledger has it. */
+export type WitnessedBill = {
+    readonly account: AccountId;
+    readonly budget: BudgetId;
+    readonly key: KeyDigest;
+    readonly tokens: number;
+};
+
+/** A reserve of one account that its witness closed, up to a write's epoch. */
+export type ClosedReserve = { readonly account: AccountId; readonly epoch: number; };
+
+/** What a router tells its peers of itself with each heartbeat. */
+export type Heartbeat = {
+    readonly incarnation: Incarnation;
+    readonly address: string;
+    readonly domain: FailureDomain;
+    readonly sequence: number;
+    readonly draining: boolean;
+    readonly configurationVersion: number;
+};
+
+/** A message between two routers. */
+export type PeerMessage =
+    | {
+        readonly kind: "heartbeat";
+        readonly own: Heartbeat;
+        readonly heard: readonly Heartbeat[];
+        readonly leavingEndpoints: readonly EndpointId[];
+        readonly suspects: readonly BodyDigest[];
+        readonly convicts: readonly BodyDigest[];
+    }
+    | { readonly kind: "goodbye"; readonly incarnation: Incarnation; }
+    | { readonly kind: "configuration-wanted"; readonly above: number; }
+    | { readonly kind: "configuration"; readonly snapshot: Snapshot; }
+    | { readonly kind: "witness-bills"; readonly bills: readonly WitnessedBill[]; readonly batch: number; }
+    | { readonly kind: "witness-bills-kept"; readonly batch: number; }
+    | { readonly kind: "witness-bills-settled"; readonly keys: readonly KeyDigest[]; }
+    | { readonly kind: "reserve-open"; readonly epoch: number; }
+    | { readonly kind: "reserve-opened"; readonly epoch: number; readonly closed: readonly ClosedReserve[]; }
+    | {
+        readonly kind: "reserve-close";
+        readonly holder: Incarnation;
+        readonly epoch: number;
+        readonly account: AccountId;
+    }
+    | {
+        readonly kind: "reserve-closed";
+        readonly holder: Incarnation;
+        readonly epoch: number;
+        readonly account: AccountId;
+        readonly closed: boolean;
+    }
+    | {
+        readonly kind: "borrow";
+        readonly holder: Incarnation;
+        readonly account: AccountId;
+        readonly budget: BudgetId;
+        readonly tokens: number;
+    }
+    | { readonly kind: "allowance-returned"; readonly account: AccountId; }
+    | { readonly kind: "lend"; readonly account: AccountId; readonly transfer: LedgerTransfer; }
+    | { readonly kind: "lend-received"; readonly transfer: TransferId; }
+    | { readonly kind: "borrow-refused"; readonly account: AccountId; }
+    | { readonly kind: "lane-wanted"; readonly lane: string; readonly body: BodyDigest; }
+    | { readonly kind: "lane-granted"; readonly lane: string; readonly body: BodyDigest; }
+    | { readonly kind: "lane-released"; readonly lane: string; readonly body: BodyDigest; };
+
+/** An event that a world takes in. */
+export type Message =
+    | { readonly kind: "request-arrived"; readonly arrival: Arrival; }
+    | { readonly kind: "caller-gone"; readonly call: CallId; }
+    | { readonly kind: "endpoint-chunk"; readonly run: number; readonly dispatch: number; readonly chunk: Chunk; }
+    | { readonly kind: "endpoint-alive"; readonly run: number; readonly dispatch: number; }
+    | { readonly kind: "endpoint-end"; readonly run: number; readonly dispatch: number; readonly end: AnswerEnd; }
+    | {
+        readonly kind: "endpoint-failed";
+        readonly run: number;
+        readonly dispatch: number;
+        readonly failure: EndpointFailure;
+        /** True when any byte of the request may have reached the endpoint. */
+        readonly written: boolean;
+    }
+    | { readonly kind: "load-report"; readonly endpoint: EndpointId; readonly report: LoadReport | undefined; }
+    | { readonly kind: "key-value-reply"; readonly call: KeyValueCallId; readonly result: KeyValueResult; }
+    | {
+        readonly kind: "peer-message";
+        readonly from: Incarnation;
+        /** The incarnation it was sent to; undefined when the sender knew only the address. */
+        readonly to: Incarnation | undefined;
+        readonly message: PeerMessage;
+    }
+    | {
+        readonly kind: "instances";
+        readonly peers: readonly { readonly address: string; readonly leaving: boolean; }[];
+    }
+    | { readonly kind: "drain"; };
+
+/** Something a world asks its host to do. */
+export type Effect =
+    | {
+        readonly kind: "caller-chunk";
+        readonly call: CallId;
+        readonly chunk: Chunk;
+        readonly resume: ResumePoint | undefined;
+    }
+    | { readonly kind: "caller-restart"; readonly call: CallId; }
+    | { readonly kind: "caller-end"; readonly call: CallId; readonly end: AnswerEnd; }
+    | { readonly kind: "caller-refused"; readonly call: CallId; readonly refusal: Refusal; }
+    | {
+        readonly kind: "dispatch";
+        readonly run: number;
+        readonly dispatch: number;
+        readonly call: CallId;
+        readonly endpoint: EndpointId;
+        readonly stream: string;
+        /** Where the endpoint is to continue; undefined for a new stream. */
+        readonly resumeAt: number | undefined;
+        /** True when pooled connections to this endpoint must not be used. */
+        readonly freshConnection: boolean;
+        readonly deadline: number;
+    }
+    | {
+        readonly kind: "cancel";
+        readonly run: number;
+        readonly dispatch: number;
+        readonly endpoint: EndpointId;
+        readonly stream: string;
+        /** True when the endpoint is to stop the work, not just to be disconnected. */
+        readonly stop: boolean;
+    }
+    | { readonly kind: "probe"; readonly endpoint: EndpointId; }
+    | { readonly kind: "key-value-get"; readonly call: KeyValueCallId; readonly key: string; }
+    | {
+        readonly kind: "key-value-swap";
+        readonly call: KeyValueCallId;
+        readonly key: string;
+        readonly expected: number;
+        readonly value: string;
+    }
+    | {
+        readonly kind: "peer-send";
+        readonly to: Incarnation | undefined;
+        readonly address: string;
+        readonly message: PeerMessage;
+    }
+    | { readonly kind: "configuration-adopted"; readonly version: number; }
+    | { readonly kind: "body-released"; readonly call: CallId; }
+    | { readonly kind: "retried"; readonly reason: RetryReason; readonly endpoint: EndpointId; }
+    | { readonly kind: "trace"; readonly trace: Trace; }
+    | { readonly kind: "drained"; };
+
+/** One decision on a request with the figures it was taken on. */
+export type Trace = {
+    readonly at: number;
+    readonly account: AccountId;
+    readonly key: RequestKey;
+    readonly decision: string;
+    readonly figures: Readonly<Record<string, number | string>>;
+};
--- /dev/null
+++ b/packages/core/src/world.ts
@@ -0,0 +1,450 @@
+import type { ConfigurationHead } from "./configuration/publication.js";
+import {
+    type Configuration,
+    type DeclarationCache,
+    emptyConfiguration,
+    type Snapshot,
+} from "./configuration/snapshot.js";
+import type { LedgerTransfer, Reclaim, Settlement, WitnessedSettlements } from "./ledger/reconcile.js";
+import type { Holding } from "./ledger/record.js";
+import { defaultPolicy, type Policy } from "./policy.js";
+import { createDueQueue, type DueQueue } from "./support/due-queue.js";
+import { createRandom, type Random } from "./support/random.js";
+import type {
+    AccountId,
+    BodyDigest,
+    BudgetId,
+    CallId,
+    EndpointId,
+    FailureDomain,
+    Incarnation,
+    KeyDigest,
+    KeyValueCallId,
+    OperationId,
+    RequestKey,
+    TransferId,
+} from "./types/ids.js";
+import type {
+    AnswerEnd,
+    Arrival,
+    Chunk,
+    Effect,
+    Heartbeat,
+    LoadReport,
+    Target,
+    WitnessedBill,
+} from "./types/messages.js";
+
+/** A budget as this router sees it. All figures in tokens. */
+export type BudgetRow = {
+    readonly id: BudgetId;
+    /** Allowance of the last write that is known to be applied. */
+    held: number;
+    /** Reserve of that write. */
+    reserve: number;
+    /** Worst case of the requests that run. */
+    reserved: number;
+    /** Used, but not yet billed in the ledger. */
+    unsettled: number;
+    /** Lent to peers, not yet written. */
+    lent: number;
+    /** Borrowed from peers, not yet written. */
+    borrowed: number;
+    /** Tokens used since the rate was last computed. */
+    used: number;
+    /** Tokens used per ms. */
+    rate: number;
+    rateAt: number;
+    /** Moving average of the worst case of a request. */
+    typicalWorst: number;
+    lastUsedAt: number;
+    openRuns: number;
+};
+
+/** A write to an account's record that is not yet known to be applied or lost. */
+export type LedgerWrite = {
+    readonly operation: OperationId;
+    readonly expected: number;
+    readonly value: string;
+    readonly epoch: number;
+    readonly witness: Incarnation | undefined;
+    readonly settlements: readonly Settlement[];
+    readonly transfers: readonly LedgerTransfer[];
+    readonly witnessed: readonly WitnessedSettlements[];
+    readonly reclaims: readonly Reclaim[];
+    readonly duplicates: ReadonlySet<KeyDigest>;
+    readonly holdings: ReadonlyMap<BudgetId, Holding>;
+};
+
+/** An account's ledger record as this router sees it. */
+export type AccountRow = {
+    readonly id: AccountId;
+    readonly budgets: Map<BudgetId, BudgetRow>;
+    /** Version and text of the record, or undefined before the first read. */
+    stored: { version: number; value: string | undefined; } | undefined;
+    /** A read or write is on its way. */
+    busy: boolean;
+    write: LedgerWrite | undefined;
+    settlements: Settlement[];
+    /** Transfers that this router's figures count and the ledger may not. */
+    transfers: LedgerTransfer[];
+    /** Transfers that the other end wrote, still to be marked as seen. */
+    writtenTransfers: LedgerTransfer[];
+    /** Transfers taken in, so that a repeated one counts once. */
+    readonly receivedTransfers: Set<TransferId>;
+    reclaims: Reclaim[];
+    /** Epoch and witness of the last applied write. */
+    epoch: number;
+    witness: Incarnation | undefined;
+    committedAt: number;
+    writtenAt: number;
+    dueAt: number;
+    failures: number;
+    /** The entry was closed: nothing new is spent until the runs of the account have ended. */
+    fenced: boolean;
+    /** Counts the entries that this router has had in the record. */
+    generation: number;
+    /** Runs that wait for tokens, in order of arrival. */
+    waiting: number[];
+    /** Peers asked to lend that have not answered. */
+    lenders: Set<Incarnation>;
+    lentAskedAt: number;
+    /** Peers that wait for this router to return what it does not use. */
+    readonly borrowers: Set<Incarnation>;
+    /** Time until which nothing beyond the open reservations is held. */
+    recalledUntil: number;
+    runningRuns: number;
+    closing: Set<Incarnation>;
+};
+
+/** Where a run stands. */
+export type RunState = "budget" | "queue" | "lane" | "claim" | "running" | "billing" | "done";
+
+/** One execution of a request key. Several callers may follow it. */
+export type Run = {
+    readonly id: number;
+    readonly arrival: Arrival;
+    readonly keyDigest: KeyDigest;
+    readonly target: Target;
+    readonly idempotent: boolean;
+    readonly worst: number;
+    readonly arrivedAt: number;
+    state: RunState;
+    calls: Set<CallId>;
+    /** Tokens reserved of the budget, 0 before and after. */
+    reserved: number;
+    endpoint: EndpointId | undefined;
+    dispatch: number;
+    dispatchedAt: number;
+    stream: string;
+    tried: EndpointId[];
+    attempts: number;
+    /** True once any byte may have reached an endpoint that did not deny having run it. */
+    written: boolean;
+    /** The same before the dispatch on its way. */
+    writtenBefore: boolean;
+    resuming: boolean;
+    lastProgress: number;
+    /** Offset of the first kept chunk; above 0 for a run that continues a stream. */
+    base: number;
+    chunks: Chunk[];
+    early: Map<number, Chunk>;
+    outputTokens: number;
+    end: AnswerEnd | undefined;
+    claim: { operation: OperationId; value: string; version: number; } | undefined;
+    lane: string | undefined;
+    laneGranted: boolean;
+};
+
+/** One caller that follows a run. */
+export type Call = {
+    readonly id: CallId;
+    readonly run: number;
+    readonly provablyFirst: boolean;
+    /** Next offset that this caller is sent. */
+    next: number;
+};
+
+/** An endpoint as this router sees it. */
+export type EndpointRow = {
+    readonly id: EndpointId;
+    report: LoadReport | undefined;
+    reportedAt: number;
+    /** Requests sent by this router since the last report. */
+    sinceReport: number;
+    running: Set<number>;
+    failures: number;
+    ejections: number;
+    ejectedUntil: number;
+    leaving: boolean;
+    probedAt: number;
+};
+
+/** Another router as this one sees it. */
+export type PeerRow = { heartbeat: Heartbeat; heardAt: number; };
+
+/** What a router keeps as the witness of a peer. */
+export type WitnessRow = {
+    bills: Map<KeyDigest, WitnessedBill>;
+    openedEpoch: number;
+    closed: Map<AccountId, number>;
+};
+
+/** A request for the lane in which suspects run alone. */
+export type LaneRow = {
+    holder: { incarnation: Incarnation; body: BodyDigest; until: number; } | undefined;
+    waiting: { incarnation: Incarnation; body: BodyDigest; }[];
+};
+
+/** What a key-value call was made for. */
+export type KeyValuePurpose =
+    | { readonly kind: "ledger-read"; readonly account: AccountId; }
+    | { readonly kind: "ledger-write"; readonly account: AccountId; }
+    | { readonly kind: "claim"; readonly run: number; }
+    | { readonly kind: "claim-outcome"; readonly key: string; readonly value: string; readonly expected: number; }
+    | { readonly kind: "configuration-head"; }
+    | { readonly kind: "configuration-part"; readonly digest: string; };
+
+/** A task of the timer queue. */
+export type Task =
+    | { readonly kind: "ledger"; readonly account: AccountId; readonly at: number; }
+    | { readonly kind: "budget-wait"; readonly run: number; }
+    | { readonly kind: "deadline"; readonly run: number; }
+    | { readonly kind: "progress"; readonly run: number; readonly dispatch: number; }
+    | { readonly kind: "bill-wait"; readonly run: number; }
+    | { readonly kind: "forget-run"; readonly run: number; }
+    | { readonly kind: "orphan"; readonly run: number; }
+    | { readonly kind: "heartbeat"; }
+    | { readonly kind: "probe"; }
+    | { readonly kind: "configuration"; }
+    | { readonly kind: "queue"; readonly server: string; }
+    | { readonly kind: "lane"; readonly lane: string; }
+    | { readonly kind: "lane-wait"; readonly run: number; }
+    | { readonly kind: "retry"; readonly run: number; }
+    | { readonly kind: "lend"; readonly transfer: TransferId; }
+    | { readonly kind: "claim-outcome"; readonly key: string; readonly value: string; readonly expected: number; }
+    | { readonly kind: "drain"; };
+
+/** A transfer that its receiver has not acknowledged. */
+export type LendRow = { readonly to: Incarnation; readonly account: AccountId; readonly transfer: LedgerTransfer; };
+
+/** Who a router is. */
+export type Identity = {
+    readonly incarnation: Incarnation;
+    readonly address: string;
+    readonly domain: FailureDomain;
+};
+
+/** All tables of one router. Systems read and change them; nothing else does. */
+export type World = {
+    readonly self: Identity;
+    readonly policy: Policy;
+    readonly random: Random;
+    snapshot: Snapshot;
+    configuration: Configuration;
+    readonly declarations: DeclarationCache;
+    head: ConfigurationHead | undefined;
+    readonly parts: Map<string, string>;
+    readonly accounts: Map<AccountId, AccountRow>;
+    readonly runs: Map<number, Run>;
+    readonly runsByKey: Map<KeyDigest, number>;
+    readonly calls: Map<CallId, Call>;
+    readonly endpoints: Map<EndpointId, EndpointRow>;
+    readonly leavingEndpoints: Set<EndpointId>;
+    /** Runs that wait for an endpoint, by what they need. */
+    readonly queues: Map<string, number[]>;
+    readonly serverUsedAt: Map<string, number>;
+    /** Moving average of a request's time at an endpoint, by model or service. */
+    readonly serviceTimes: Map<string, number>;
+    readonly peers: Map<Incarnation, PeerRow>;
+    /** Addresses of routers that the instance list names. */
+    readonly instances: Map<string, { leaving: boolean; }>;
+    readonly witnessed: Map<Incarnation, WitnessRow>;
+    /** Bills to offer to the witness at the end of the tick. */
+    unkeptBills: WitnessedBill[];
+    readonly billBatches: Map<number, readonly KeyDigest[]>;
+    nextBatch: number;
+    /** What the witness opened: rows written by it up to this epoch, but for the closed ones. */
+    opened: { witness: Incarnation; epoch: number; closed: ReadonlyMap<AccountId, number>; } | undefined;
+    openAskedAt: number;
+    witness: Incarnation | undefined;
+    readonly lends: Map<TransferId, LendRow>;
+    readonly lanes: Map<string, LaneRow>;
+    readonly suspects: Map<BodyDigest, { crashes: number; at: number; }>;
+    readonly convicts: Map<BodyDigest, number>;
+    readonly keyValueCalls: Map<KeyValueCallId, KeyValuePurpose>;
+    /** Time since which the key-value service has not answered, if it fails. */
+    keyValueFailingSince: number | undefined;
+    readonly due: DueQueue<Task>;
+    effects: Effect[];
+    retryTokens: number;
+    nextRun: number;
+    nextCall: number;
+    nextOperation: number;
+    epoch: number;
+    heartbeatSequence: number;
+    drainingSince: number | undefined;
+    drained: boolean;
+};
+
+/** What a world is created from. */
+export type WorldOptions = {
+    readonly self: Identity;
+    readonly seed: number;
+    readonly now: number;
+    readonly policy?: Partial<Policy>;
+};
+
+/** Creates the tables of a router that starts now, with its periodic tasks scheduled. */
+export function createWorld(options: WorldOptions): World {
+    const policy = { ...defaultPolicy, ...options.policy };
+    const world: World = {
+        self: options.self,
+        policy,
+        random: createRandom(options.seed),
+        snapshot: { version: 0, files: {} },
+        configuration: emptyConfiguration,
+        declarations: new Map(),
+        head: undefined,
+        parts: new Map(),
+        accounts: new Map(),
+        runs: new Map(),
+        runsByKey: new Map(),
+        calls: new Map(),
+        endpoints: new Map(),
+        leavingEndpoints: new Set(),
+        queues: new Map(),
+        serverUsedAt: new Map(),
+        serviceTimes: new Map(),
+        peers: new Map(),
+        instances: new Map(),
+        witnessed: new Map(),
+        unkeptBills: [],
+        billBatches: new Map(),
+        nextBatch: 1,
+        opened: undefined,
+        openAskedAt: -Infinity,
+        witness: undefined,
+        lends: new Map(),
+        lanes: new Map(),
+        suspects: new Map(),
+        convicts: new Map(),
+        keyValueCalls: new Map(),
+        keyValueFailingSince: undefined,
+        due: createDueQueue(),
+        effects: [],
+        retryTokens: policy.retryBurst,
+        nextRun: 1,
+        nextCall: 1,
+        nextOperation: 1,
+        epoch: 0,
+        heartbeatSequence: 0,
+        drainingSince: undefined,
+        drained: false,
+    };
+    world.due.entries.push({ at: options.now, task: { kind: "configuration" } });
+    world.due.entries.push({ at: options.now, task: { kind: "heartbeat" } });
+    world.due.entries.push({ at: options.now, task: { kind: "probe" } });
+    return world;
+}
+
+/** Returns the row of an account, created on first use. */
+export function accountRow(world: World, id: AccountId): AccountRow {
+    const known = world.accounts.get(id);
+    if (known !== undefined) {
+        return known;
+    }
+    const row: AccountRow = {
+        id,
+        budgets: new Map(),
+        stored: undefined,
+        busy: false,
+        write: undefined,
+        settlements: [],
+        transfers: [],
+        writtenTransfers: [],
+        receivedTransfers: new Set(),
+        reclaims: [],
+        epoch: 0,
+        witness: undefined,
+        committedAt: -Infinity,
+        writtenAt: -Infinity,
+        dueAt: Infinity,
+        failures: 0,
+        fenced: false,
+        generation: 1,
+        waiting: [],
+        lenders: new Set(),
+        lentAskedAt: -Infinity,
+        borrowers: new Set(),
+        recalledUntil: -Infinity,
+        runningRuns: 0,
+        closing: new Set(),
+    };
+    world.accounts.set(id, row);
+    return row;
+}
+
+/** Returns the row of a budget, created on first use. */
+export function budgetRow(account: AccountRow, id: BudgetId, now: number): BudgetRow {
+    const known = account.budgets.get(id);
+    if (known !== undefined) {
+        return known;
+    }
+    const row: BudgetRow = {
+        id,
+        held: 0,
+        reserve: 0,
+        reserved: 0,
+        unsettled: 0,
+        lent: 0,
+        borrowed: 0,
+        used: 0,
+        rate: 0,
+        rateAt: now,
+        typicalWorst: 0,
+        lastUsedAt: now,
+        openRuns: 0,
+    };
+    account.budgets.set(id, row);
+    return row;
+}
+
+/** Returns the row of an endpoint, created on first use. */
+export function endpointRow(world: World, id: EndpointId): EndpointRow {
+    const known = world.endpoints.get(id);
+    if (known !== undefined) {
+        return known;
+    }
+    const row: EndpointRow = {
+        id,
+        report: undefined,
+        reportedAt: -Infinity,
+        sinceReport: 0,
+        running: new Set(),
+        failures: 0,
+        ejections: 0,
+        ejectedUntil: -Infinity,
+        leaving: world.leavingEndpoints.has(id),
+        probedAt: -Infinity,
+    };
+    world.endpoints.set(id, row);
+    return row;
+}
+
+/** Creates an id for a write of this router. */
+export function nextOperation(world: World): OperationId {
+    return `${world.self.incarnation}.${world.nextOperation++}` as OperationId;
+}
+
+/** Records a decision on a request with the figures it was taken on. */
+export function trace(
+    world: World,
+    now: number,
+    request: { account: AccountId; key: RequestKey; },
+    decision: string,
+    figures: Record<string, number | string>,
+): void {
+    const entry = { at: now, account: request.account, key: request.key, decision, figures };
+    world.effects.push({ kind: "trace", trace: entry });
+}
--- /dev/null
+++ b/packages/router/src/callers/callers.controller.ts
@@ -0,0 +1,152 @@
+import { addressesFor, brand, digestKey, operationKey, type RequestKey } from "@gooseberrybend/core";
+import { All, Controller, Get, Inject, Post, Req, Res } from "@nestjs/common";
+import type { FastifyReply, FastifyRequest } from "fastify";
+import { type Router } from "../router.js";
+import { ROUTER } from "../tokens.js";
+import { readModelRequest } from "./model-request.js";
+import { accountOf, badRequest, type HeaderFault, readHeaders, type RequestHeaders } from "./request-headers.js";
+import { sendJson, sendRefusal, ServiceResponse, StreamResponse, WholeModelResponse } from "./responses.js";
+import { matchOperation } from "./service-request.js";
+
+const FAULT_RETRY_MS = 0;
+
+/** The callers' side: model requests, service calls, addresses and the state of a request. */
+@Controller("v1")
+export class CallersController {
+    constructor(@Inject(ROUTER) private readonly router: Router) {}
+
+    /** Runs a chat completion. */
+    @Post("chat/completions")
+    complete(@Req() request: FastifyRequest, @Res() reply: FastifyReply): void {
+        reply.hijack();
+        const headers = readHeaders(request.raw, this.router.world.configuration);
+        if (headers.isErr()) {
+            return sendFault(reply, headers.error);
+        }
+        const parsed = readModelRequest(bodyOf(request), this.router.settings.limits);
+        if (parsed.isErr()) {
+            return sendFault(reply, parsed.error);
+        }
+        const { target, stream, body } = parsed.value;
+        if (!this.router.world.configuration.servers.has(`model:${target.model}`)) {
+            return sendFault(reply, {
+                status: 404,
+                reason: "no-endpoint",
+                detail: `No endpoint serves the model ${target.model}.`,
+            });
+        }
+        const { key, restarts, offset } = headers.value;
+        const response = stream
+            ? new StreamResponse(reply.raw, key, restarts, offset > 0)
+            : new WholeModelResponse(reply.raw, key);
+        const endpointRequest = {
+            method: "POST",
+            path: "/v1/chat/completions",
+            body,
+            contentType: "application/json",
+            key,
+        };
+        this.accept(reply, headers.value, { target, body, endpointRequest, response });
+    }
+
+    /** Runs a call of a plain service. */
+    @All("services/:service/*")
+    callService(@Req() request: FastifyRequest, @Res() reply: FastifyReply): void {
+        reply.hijack();
+        const configuration = this.router.world.configuration;
+        const headers = readHeaders(request.raw, configuration);
+        if (headers.isErr()) {
+            return sendFault(reply, headers.error);
+        }
+        const { service } = request.params as { service: string; };
+        if (!configuration.servers.has(`service:${service}`)) {
+            return sendFault(reply, { status: 404, reason: "no-endpoint", detail: `No endpoint serves ${service}.` });
+        }
+        const path = request.url.slice(`/v1/services/${service}`.length);
+        const operation = matchOperation(configuration, service, request.method, path.split("?")[0]!);
+        const body = bodyOf(request);
+        const { key } = headers.value;
+        const contentType = request.headers["content-type"];
+        this.accept(reply, headers.value, {
+            target: { kind: "service", service, operation: operation?.id ?? "" },
+            body: `${operationKey(service, request.method)}\n${path}\n${body.toString("latin1")}`,
+            endpointRequest: {
+                method: request.method,
+                path,
+                body: body.length === 0 ? undefined : body,
+                contentType,
+                key,
+            },
+            response: new ServiceResponse(reply.raw, key),
+        });
+    }
+
+    /** Names the routers that a caller should use, best first. */
+    @Get("addresses")
+    addresses(@Req() request: FastifyRequest, @Res() reply: FastifyReply): void {
+        reply.hijack();
+        const account = accountOf(request.raw, this.router.world.configuration);
+        if (account === undefined) {
+            const detail = "The credential is missing or not known.";
+            return sendFault(reply, { status: 401, reason: "account-unknown", detail });
+        }
+        const addresses = addressesFor(this.router.world, account, Date.now());
+        sendJson(reply.raw, 200, { addresses, lifetimeMs: this.router.world.policy.addressLifetimeMs });
+    }
+
+    /** Tells where a request of the caller's own account stands at this router. */
+    @Get("requests/:key")
+    requestState(@Req() request: FastifyRequest, @Res() reply: FastifyReply): void {
+        reply.hijack();
+        const account = accountOf(request.raw, this.router.world.configuration);
+        if (account === undefined) {
+            const detail = "The credential is missing or not known.";
+            return sendFault(reply, { status: 401, reason: "account-unknown", detail });
+        }
+        const { key } = request.params as { key: string; };
+        const world = this.router.world;
+        const run = world.runs.get(world.runsByKey.get(digestKey(account, brand<RequestKey>(key))) ?? 0);
+        if (run === undefined) {
+            return sendFault(reply, {
+                status: 404,
+                reason: "bad-request",
+                detail: "This router knows no such request.",
+            });
+        }
+        const outcome = run.state === "done" || run.state === "billing"
+            ? "ran"
+            : run.written
+            ? "may-have-run"
+            : "not-run";
+        sendJson(reply.raw, 200, { state: run.state, outcome, chunks: run.base + run.chunks.length, end: run.end });
+    }
+
+    private accept(
+        reply: FastifyReply,
+        headers: RequestHeaders,
+        request: Omit<Parameters<Router["accept"]>[0], "headers">,
+    ): void {
+        const gone = this.router.accept({ ...request, headers });
+        reply.raw.on("close", gone);
+    }
+}
+
+/** Answers with a typed fault before anything was reserved or sent. */
+export function sendFault(reply: FastifyReply, fault: HeaderFault): void {
+    const refusal = {
+        reason: fault.reason,
+        outcome: "not-run",
+        retryAfterMs: FAULT_RETRY_MS,
+        detail: fault.detail,
+    } as const;
+    sendRefusal(reply.raw, fault.status, refusal, undefined);
+}
+
+function bodyOf(request: FastifyRequest): Buffer {
+    return Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0);
+}
+
+/** Returns the fault of a body that could not be read. */
+export function bodyFault(status: number): HeaderFault {
+    return { ...badRequest("The body is too large or was cut off."), status };
+}
--- /dev/null
+++ b/packages/router/src/endpoints/model-client.ts
@@ -0,0 +1,132 @@
+import type { AnswerEnd, EndpointDeclaration } from "@gooseberrybend/core";
+import { createParser, type EventSourceMessage } from "eventsource-parser";
+import { type Dispatcher, request } from "undici";
+import {
+    type EndpointCall,
+    EndpointClient,
+    type FailedCall,
+    failureOf,
+    type MessageSink,
+    turnedAway,
+} from "./endpoint-client.js";
+
+type Usage = { readonly prompt_tokens: number; readonly completion_tokens: number; };
+
+/** Counts of a stream as it comes in. */
+type StreamCount = { next: number; usage: Usage | undefined; ended: boolean; };
+
+/** Speaks the chat-completions protocol with server-sent events, resume and cancel by stream id. */
+export class ModelClient extends EndpointClient {
+    override async send(
+        declaration: EndpointDeclaration,
+        dispatcher: Dispatcher,
+        call: EndpointCall,
+        signal: AbortSignal,
+        sink: MessageSink,
+    ): Promise<void> {
+        const { run, dispatch } = call;
+        const count: StreamCount = { next: call.resumeAt ?? 0, usage: undefined, ended: false };
+        try {
+            const response = await this.open(declaration, dispatcher, call, signal);
+            if (response.statusCode !== 200) {
+                const failed = failureOfStatus(response.statusCode, response.headers, call);
+                await response.body.dump();
+                sink({ kind: "endpoint-failed", run, dispatch, ...failed });
+                return;
+            }
+            await this.relay(response.body, call, count, sink);
+        }
+        catch (error) {
+            if (!count.ended && !signal.aborted) {
+                sink({ kind: "endpoint-failed", run, dispatch, ...failureOf(error) });
+            }
+            return;
+        }
+        if (!count.ended) {
+            sink({ kind: "endpoint-failed", run, dispatch, failure: "connection-lost", written: true });
+        }
+    }
+
+    override async cancel(declaration: EndpointDeclaration, dispatcher: Dispatcher, stream: string): Promise<void> {
+        const response = await request(`${declaration.address}/v1/streams/${stream}`, { method: "DELETE", dispatcher });
+        await response.body.dump();
+    }
+
+    private open(
+        declaration: EndpointDeclaration,
+        dispatcher: Dispatcher,
+        call: EndpointCall,
+        signal: AbortSignal,
+    ): Promise<Dispatcher.ResponseData> {
+        if (call.resumeAt !== undefined) {
+            const url = `${declaration.address}/v1/streams/${call.stream}?offset=${call.resumeAt}`;
+            return request(url, { method: "GET", dispatcher, signal });
+        }
+        return request(`${declaration.address}${call.request.path}`, {
+            method: "POST",
+            dispatcher,
+            signal,
+            body: call.request.body,
+            headers: {
+                "content-type": "application/json",
+                "x-stream-id": call.stream,
+                "idempotency-key": call.request.key,
+            },
+        });
+    }
+
+    private async relay(
+        body: AsyncIterable<Buffer>,
+        call: EndpointCall,
+        count: StreamCount,
+        sink: MessageSink,
+    ): Promise<void> {
+        const { run, dispatch } = call;
+        const parser = createParser({
+            onEvent: (event) => relayEvent(event, call, count, sink),
+            onComment: () => sink({ kind: "endpoint-alive", run, dispatch }),
+        });
+        const decoder = new TextDecoder();
+        for await (const piece of body) {
+            parser.feed(decoder.decode(piece, { stream: true }));
+        }
+    }
+}
+
+function relayEvent(event: EventSourceMessage, call: EndpointCall, count: StreamCount, sink: MessageSink): void {
+    const { run, dispatch } = call;
+    if (event.data === "[DONE]") {
+        count.ended = true;
+        sink({ kind: "endpoint-end", run, dispatch, end: endOf(count) });
+        return;
+    }
+    const offset = event.id === undefined ? count.next : Number(event.id);
+    count.next = offset + 1;
+    const isUsage = event.data.includes('"usage":{');
+    if (isUsage) {
+        count.usage = (JSON.parse(event.data) as { usage: Usage; }).usage;
+    }
+    const tokens = isUsage || !event.data.includes('"content"') ? 0 : 1;
+    sink({ kind: "endpoint-chunk", run, dispatch, chunk: { offset, tokens, data: event.data } });
+}
+
+function endOf(count: StreamCount): AnswerEnd {
+    return {
+        chunks: count.next,
+        status: 200,
+        promptTokens: count.usage?.prompt_tokens ?? 0,
+        outputTokens: count.usage?.completion_tokens ?? 0,
+        contentType: "text/event-stream",
+    };
+}
+
+function failureOfStatus(status: number, headers: Readonly<Record<string, unknown>>, call: EndpointCall): FailedCall {
+    const away = turnedAway(status, headers);
+    if (away !== undefined) {
+        return away;
+    }
+    if (call.resumeAt !== undefined && status === 404) {
+        return { failure: "unknown-stream", written: true };
+    }
+    return status < 500 ? { failure: "rejected", written: false } : { failure: "connection-lost", written: true };
+}
--- /dev/null
+++ b/packages/router/src/router.ts
@@ -0,0 +1,300 @@
+import {
+    type Arrival,
+    brand,
+    createWorld,
+    digestBody,
+    type Effect,
+    type EndpointDeclaration,
+    type FailureDomain,
+    type Incarnation,
+    type Policy,
+    type World,
+} from "@gooseberrybend/core";
+import { randomBytes } from "node:crypto";
+import { readFileSync } from "node:fs";
+import { CallTable, type OpenCall } from "./callers/call-table.js";
+import type { RequestHeaders } from "./callers/request-headers.js";
+import type { CallerResponse } from "./callers/responses.js";
+import { readResume, signResume } from "./callers/resume-token.js";
+import type { EndpointRequest } from "./endpoints/endpoint-client.js";
+import { EndpointPool } from "./endpoints/endpoint-pool.js";
+import { Host } from "./host/host.js";
+import { createLogs, type Logs } from "./observability/log.js";
+import { countEffect, countMessage, createMetrics, type Metrics, observeWorld } from "./observability/metrics.js";
+import { addTrace, createTrail, type Trail } from "./observability/trail.js";
+import { PeerLinks } from "./peers/peer-links.js";
+import { EtcdStore } from "./platform/etcd-store.js";
+import { HttpInstanceList, type InstanceList, StaticInstanceList } from "./platform/instance-list.js";
+import type { KeyValueStore } from "./platform/key-value-store.js";
+import type { Settings } from "./settings.js";
+
+const INSTANCE_POLL_MS = 2_000;
+const REGISTRATION_LEASE_S = 10;
+const REGISTRATION_MS = 3_000;
+const KEEP_ALIVE_MS = 2_000;
+
+/** A request that passed the checks and is to be handed to the decisions. */
+export type AcceptedRequest = {
+    readonly headers: RequestHeaders;
+    readonly target: Arrival["target"];
+    readonly body: string;
+    readonly endpointRequest: EndpointRequest;
+    readonly response: CallerResponse;
+};
+
+/** One router: the decisions, and all that carries them out. */
+export class Router {
+    readonly world: World;
+    readonly host: Host;
+    readonly calls = new CallTable();
+    readonly metrics: Metrics = createMetrics();
+    readonly trail: Trail = createTrail();
+    readonly logs: Logs;
+    readonly store: KeyValueStore;
+    readonly links: PeerLinks;
+    readonly incarnation: Incarnation;
+    private readonly endpoints: EndpointPool;
+    private readonly instances: InstanceList;
+    private readonly resumeSecret: string;
+    private readonly timers: NodeJS.Timeout[] = [];
+    private lease: string | undefined;
+    private whenDrained: () => void = () => undefined;
+
+    constructor(readonly settings: Settings, port: number) {
+        this.incarnation = brand<Incarnation>(randomBytes(9).toString("base64url"));
+        this.logs = createLogs(settings.log);
+        this.store = new EtcdStore(settings.platform.keyValue, settings.timeouts.keyValueMs);
+        this.instances = instanceListOf(settings);
+        this.resumeSecret = settings.keys?.resume ?? "loopback";
+        const authority = settings.tls?.authority;
+        const certificate = authority === undefined ? undefined : readFileSync(authority, "utf8");
+        this.links = new PeerLinks(this.incarnation, settings.keys?.peer, certificate);
+        const scheme = settings.tls === undefined ? "http" : "https";
+        this.world = createWorld({
+            self: {
+                incarnation: this.incarnation,
+                address: `${scheme}://${settings.listen.address}:${port}`,
+                domain: brand<FailureDomain>(settings.domain),
+            },
+            seed: randomBytes(4).readInt32LE(),
+            now: Date.now(),
+            policy: definedPolicy(settings.policy),
+        });
+        this.host = new Host(
+            this.world,
+            (effect) => this.carryOut(effect),
+            (message) => countMessage(this.metrics, message),
+        );
+        this.endpoints = new EndpointPool(settings.timeouts.connectMs, (message) => this.host.deliver(message));
+        observeWorld(this.metrics, this.world);
+    }
+
+    /** Starts the periodic work. */
+    start(): void {
+        this.host.start();
+        this.every(INSTANCE_POLL_MS, () => this.readInstances());
+        this.every(REGISTRATION_MS, () => this.register());
+        this.every(KEEP_ALIVE_MS, async () => this.calls.keepAlive());
+        this.logs.host.info("Started.", { incarnation: this.incarnation, address: this.world.self.address });
+    }
+
+    /** Starts to drain; resolves when nothing is left to finish. */
+    drain(): Promise<void> {
+        this.logs.host.info("Draining.", { runs: this.world.runs.size });
+        this.host.deliver({ kind: "drain" });
+        return new Promise((resolve) => {
+            this.whenDrained = resolve;
+        });
+    }
+
+    /** Stops all work. */
+    async stop(): Promise<void> {
+        this.timers.forEach((timer) => clearInterval(timer));
+        this.host.stop();
+        await this.endpoints.close();
+    }
+
+    /** Hands an accepted request to the decisions. Returns a function to call when its caller goes away. */
+    accept(request: AcceptedRequest): () => void {
+        const { headers } = request;
+        const now = Date.now();
+        const call: OpenCall = {
+            response: request.response,
+            request: request.endpointRequest,
+            arrivedAt: now,
+            signResume: (point) => signResume(this.resumeSecret, headers.account, headers.key, point),
+            firstChunkAt: undefined,
+        };
+        const id = this.calls.add(call);
+        const token = headers.resumeToken;
+        const resume = token === undefined
+            ? undefined
+            : readResume(this.resumeSecret, token, headers.account, headers.key, headers.offset);
+        if (headers.offset > 0 && resume === undefined) {
+            call.response.restart();
+        }
+        const arrival: Arrival = {
+            call: id,
+            account: headers.account,
+            budget: headers.budget,
+            key: headers.key,
+            keyMinted: headers.keyMinted,
+            attempt: headers.attempt,
+            deadline: now + (headers.timeoutMs ?? this.settings.timeouts.requestMs),
+            target: request.target,
+            bodyDigest: digestBody(headers.account, request.body),
+            resume,
+        };
+        this.host.deliver({ kind: "request-arrived", arrival });
+        return () => {
+            if (this.calls.close(id)) {
+                this.host.deliver({ kind: "caller-gone", call: id });
+            }
+        };
+    }
+
+    private carryOut(effect: Effect): void {
+        countEffect(this.metrics, effect);
+        switch (effect.kind) {
+            case "caller-chunk":
+                return this.sendChunk(effect);
+            case "caller-restart":
+                return this.calls.get(effect.call)?.response.restart();
+            case "caller-end":
+                this.calls.get(effect.call)?.response.end(effect.end);
+                this.calls.close(effect.call);
+                return;
+            case "caller-refused":
+                this.logs.admission.info("Refused.", {
+                    reason: effect.refusal.reason,
+                    outcome: effect.refusal.outcome,
+                });
+                this.calls.get(effect.call)?.response.refuse(effect.refusal);
+                this.calls.close(effect.call);
+                return;
+            case "dispatch":
+                return this.dispatch(effect);
+            case "cancel": {
+                const declaration = this.declarationOf(effect.endpoint);
+                return this.endpoints.cancel(effect.endpoint, declaration, effect.run, effect.stream, effect.stop);
+            }
+            case "probe": {
+                const declaration = this.declarationOf(effect.endpoint);
+                if (declaration !== undefined) {
+                    void this.endpoints.probe(effect.endpoint, declaration);
+                }
+                return;
+            }
+            case "key-value-get":
+            case "key-value-swap":
+                void this.callStore(effect);
+                return;
+            case "peer-send":
+                return this.links.send(effect.address, { to: effect.to, message: effect.message });
+            case "configuration-adopted":
+                this.logs.configuration.info("In force.", { version: effect.version });
+                return;
+            case "body-released":
+                return this.calls.release(effect.call);
+            case "retried":
+                this.logs.endpoints.info("Retrying.", { reason: effect.reason, endpoint: effect.endpoint });
+                return;
+            case "trace":
+                return addTrace(this.trail, effect.trace);
+            case "drained":
+                this.logs.host.info("Drained.");
+                return this.whenDrained();
+        }
+    }
+
+    private sendChunk(effect: Extract<Effect, { kind: "caller-chunk"; }>): void {
+        const call = this.calls.get(effect.call);
+        if (call === undefined) {
+            return;
+        }
+        if (call.firstChunkAt === undefined) {
+            call.firstChunkAt = Date.now();
+            this.metrics.firstChunk.observe((call.firstChunkAt - call.arrivedAt) / 1000);
+        }
+        call.response.chunk(effect.chunk, effect.resume === undefined ? undefined : call.signResume(effect.resume));
+    }
+
+    private dispatch(effect: Extract<Effect, { kind: "dispatch"; }>): void {
+        const declaration = this.declarationOf(effect.endpoint);
+        const request = this.calls.requestOf(effect.call);
+        const { run, dispatch } = effect;
+        if (declaration === undefined || request === undefined) {
+            const message = {
+                kind: "endpoint-failed",
+                run,
+                dispatch,
+                failure: "connection-refused",
+                written: false,
+            } as const;
+            this.host.deliver(message);
+            return;
+        }
+        const call = {
+            run,
+            dispatch,
+            stream: effect.stream,
+            resumeAt: effect.resumeAt,
+            deadline: effect.deadline,
+            request,
+        };
+        this.endpoints.send(effect.endpoint, declaration, call, effect.freshConnection);
+    }
+
+    private async callStore(effect: Extract<Effect, { kind: "key-value-get" | "key-value-swap"; }>): Promise<void> {
+        const result = effect.kind === "key-value-get"
+            ? await this.store.get(effect.key)
+            : await this.store.compareAndSwap(effect.key, effect.expected, effect.value);
+        const operation = effect.kind === "key-value-get" ? "get" : "swap";
+        this.metrics.keyValueCalls.inc({ operation, result: result.kind });
+        this.host.deliver({ kind: "key-value-reply", call: effect.call, result });
+    }
+
+    private declarationOf(endpoint: Extract<Effect, { kind: "probe"; }>["endpoint"]): EndpointDeclaration | undefined {
+        return this.world.configuration.endpoints.get(endpoint);
+    }
+
+    private every(time: number, task: () => Promise<void>): void {
+        void task();
+        this.timers.push(setInterval(() => void task(), time));
+    }
+
+    private async readInstances(): Promise<void> {
+        const peers = await this.instances.read();
+        if (peers !== undefined) {
+            this.host.deliver({ kind: "instances", peers });
+        }
+    }
+
+    // The registration only serves operators; no decision depends on it.
+    private async register(): Promise<void> {
+        if (this.lease !== undefined && await this.store.keepAlive(this.lease)) {
+            return;
+        }
+        this.lease = await this.store.grantLease(REGISTRATION_LEASE_S);
+        if (this.lease === undefined) {
+            return;
+        }
+        const key = `routers/${this.incarnation}`;
+        const current = await this.store.get(key);
+        const version = current.kind === "value" ? current.current.version : 0;
+        const value = JSON.stringify({ address: this.world.self.address, domain: this.world.self.domain });
+        await this.store.compareAndSwap(key, version, value, this.lease);
+    }
+}
+
+function instanceListOf(settings: Settings): InstanceList {
+    const { instances } = settings.platform;
+    if (instances === undefined) {
+        return new StaticInstanceList(settings.peers);
+    }
+    return new HttpInstanceList(instances, settings.peers, settings.timeouts.keyValueMs);
+}
+
+function definedPolicy(policy: Settings["policy"]): Partial<Policy> {
+    return Object.fromEntries(Object.entries(policy).filter(([, value]) => value !== undefined));
+}
--- /dev/null
+++ b/packages/router/src/server.ts
@@ -0,0 +1,71 @@
+import "reflect-metadata";
+import { type DynamicModule, Module } from "@nestjs/common";
+import { NestFactory } from "@nestjs/core";
+import { FastifyAdapter, type NestFastifyApplication } from "@nestjs/platform-fastify";
+import type { FastifyError, FastifyReply, FastifyRequest } from "fastify";
+import { readFileSync } from "node:fs";
+import { bodyFault, CallersController, sendFault } from "./callers/callers.controller.js";
+import { OperatorsController } from "./operators/operators.controller.js";
+import { PeersController } from "./peers/peers.controller.js";
+import { Router } from "./router.js";
+import type { Settings } from "./settings.js";
+import { ROUTER } from "./tokens.js";
+
+/** A router that serves requests. */
+export type RunningRouter = {
+    readonly router: Router;
+    /** Stops serving and ends all work. */
+    readonly close: () => Promise<void>;
+};
+
+@Module({})
+class RouterModule {
+    static of(router: Router): DynamicModule {
+        return {
+            module: RouterModule,
+            controllers: [CallersController, OperatorsController, PeersController],
+            providers: [{ provide: ROUTER, useValue: router }],
+        };
+    }
+}
+
+/** Starts a router. Rejects when its address cannot be listened on. */
+export async function startRouter(settings: Settings): Promise<RunningRouter> {
+    const adapter = createAdapter(settings);
+    const router = new Router(settings, settings.listen.port);
+    const options = { bodyParser: false, logger: false, abortOnError: false } as const;
+    const application = await NestFactory.create<NestFastifyApplication>(RouterModule.of(router), adapter, options);
+    await application.listen(settings.listen.port, settings.listen.address);
+    router.start();
+    return {
+        router,
+        async close() {
+            await router.stop();
+            adapter.getInstance().server.closeAllConnections();
+            await application.close();
+        },
+    };
+}
+
+function createAdapter(settings: Settings): FastifyAdapter {
+    const common = {
+        bodyLimit: settings.limits.bodyBytes,
+        forceCloseConnections: true,
+        allowErrorHandlerOverride: true,
+    };
+    const tls = settings.tls;
+    const adapter = tls === undefined ? new FastifyAdapter(common) : new FastifyAdapter({
+        ...common,
+        https: { cert: readFileSync(tls.certificate), key: readFileSync(tls.key) },
+    });
+    const instance = adapter.getInstance();
+    instance.removeAllContentTypeParsers();
+    instance.addContentTypeParser("*", { parseAs: "buffer" }, (unusedRequest: FastifyRequest, body, done) => {
+        done(undefined as never, body);
+    });
+    instance.setErrorHandler((error: FastifyError, unusedRequest: FastifyRequest, reply: FastifyReply) => {
+        reply.hijack();
+        sendFault(reply, bodyFault(error.statusCode ?? 400));
+    });
+    return adapter;
+}
--- /dev/null
+++ b/packages/router/src/tokens.ts
@@ -0,0 +1,2 @@
+/** Injection token of the running router. */
+export const ROUTER = Symbol("router");
--- /dev/null
+++ b/packages/standins/src/demo/main.ts
@@ -0,0 +1,317 @@
+import { collectFiles, publish, readLedger, RouterCalls, topUp } from "@gooseberrybend/cli";
+import { GooseberrybendClient } from "@gooseberrybend/client";
+import type { BudgetId } from "@gooseberrybend/core";
+import { EtcdStore } from "@gooseberrybend/router";
+import { fileURLToPath } from "node:url";
+import { parseArgs } from "node:util";
+import { request } from "undici";
+import { Link } from "../link/link.js";
+import { Load, type LoadAccount } from "../load/load.js";
+import type { EngineCounts } from "../model-engine/engine.js";
+import type { ServiceCounts } from "../plain-service/service.js";
+import { Processes, type RunningProcess } from "./processes.js";
+import { judge, safetyFigures, type Verdict } from "./truth.js";
+
+const KEY_VALUE_PORT = 21_101;
+const ROUTER_PORTS = [21_001, 21_002, 21_003, 21_004];
+const ENGINE_PORTS = [21_211, 21_212, 21_213];
+const ENGINE_LINK_PORTS = [21_201, 21_202, 21_203];
+const SERVICE_PORTS = [21_301, 21_302];
+const DOMAINS = ["pl-south/a", "pl-south/b", "pl-south/c", "pl-south/d"];
+const OUTAGE_TOP_UP_TOKENS = 50_000;
+const SETTLE_LIMIT_MS = 12_000;
+
+const accounts: readonly LoadAccount[] = [
+    accountOf("press-floor", "die-assistant", "library", "/profiles/P100", "/dies/D7/withdrawal", 10),
+    accountOf("die-shop", "die-assistant", "library", "/profiles/P200", "/dies/D8/nitriding", 6),
+    accountOf("planning", "die-assistant", "library", "/profiles/P300", "/dies/D9/withdrawal", 3),
+    accountOf("examiners", "assessor", "booking", "/candidates/C1", "/certificates", 8),
+    accountOf("candidates", "assessor", "booking", "/candidates/C2", "/slots/S1", 5),
+];
+
+const callCosts = {
+    lookup: { "press-floor": 2, "die-shop": 2, "planning": 2, "examiners": 2, "candidates": 2 },
+    action: { "press-floor": 5, "die-shop": 5, "planning": 5, "examiners": 8, "candidates": 5 },
+};
+
+const { values } = parseArgs({
+    options: {
+        json: { type: "boolean", default: false },
+        seed: { type: "string", default: "1" },
+        short: { type: "boolean", default: false },
+    },
+});
+const startedAt = Date.now();
+const processes = new Processes();
+process.exitCode = await runDemo();
+process.exit();
+
+async function runDemo(): Promise<number> {
+    try {
+        const verdict = await demonstrate();
+        print(verdict);
+        return safetyFigures.some((name) => verdict[name] > 0) ? 1 : 0;
+    }
+    finally {
+        await processes.endAll();
+    }
+}
+
+async function demonstrate(): Promise<Verdict> {
+    const keyValue = processes.start("key-value", KEY_VALUE_PORT, "../key-value/main.js", [
+        "--port",
+        String(KEY_VALUE_PORT),
+        "--seed",
+        values.seed,
+    ]);
+    const engines = ENGINE_PORTS.map((port, index) =>
+        processes.start(`runner-${index + 1}`, port, "../model-engine/main.js", [
+            "--port",
+            String(port),
+            "--slots",
+            "24",
+        ])
+    );
+    const services = SERVICE_PORTS.map((port, index) =>
+        processes.start(`records-${index + 1}`, port, "../plain-service/main.js", ["--port", String(port)])
+    );
+    const links = ENGINE_PORTS.map((port) => new Link(port));
+    await Promise.all(links.map((link, index) => link.listen(ENGINE_LINK_PORTS[index]!)));
+    await processes.ready(keyValue, "/counts");
+    const routers = ROUTER_PORTS.map((port, index) =>
+        processes.startRouter(`router-${index + 1}`, port, settingsOf(index))
+    );
+    await Promise.all([...engines, ...services].map((running) => processes.ready(running, "/load")));
+    await Promise.all(routers.map((running) => processes.ready(running, "/health")));
+    say("Stand-ins and 4 routers run.");
+    const store = new EtcdStore(`http://127.0.0.1:${KEY_VALUE_PORT}`, 1_000);
+    await publishExamples(store);
+    await inForce(routers, 1);
+    let drainingRouter: string | undefined;
+    let cutByDrain = 0;
+    const load = new Load({
+        routers: ROUTER_PORTS.map((port) => `http://127.0.0.1:${port}`),
+        accounts,
+        maxTokens: 96,
+        pauseMs: 60,
+        modelShare: 0.6,
+        actionShare: 0.15,
+        timeoutMs: 30_000,
+        seed: Number(values.seed) * 1_000,
+        onLost(router) {
+            cutByDrain += router === drainingRouter ? 1 : 0;
+        },
+    });
+    load.start();
+    say("Load runs.");
+    const extra: Promise<unknown>[] = [];
+    const timeline: [number, string, () => void | Promise<void>][] = [
+        [3, "Router 1 is killed with streams open.", () => void routers[0]!.process.kill("SIGKILL")],
+        [5, "Router 2 is frozen past its lease.", () => void routers[1]!.process.kill("SIGSTOP")],
+        [7, "The key-value service goes down; a top-up starts.", () => {
+            extra.push(setFaults(keyValue, { down: true }));
+            extra.push(topUpDuringOutage(store));
+        }],
+        [10, "The link to runner 2 is cut.", () => links[1]!.set("cut")],
+        [12, "The link to runner 2 works again.", () => links[1]!.set("open")],
+        [14, "The key-value service is back, and loses replies.", () => {
+            extra.push(setFaults(keyValue, { down: false, lostReplies: 0.1 }));
+        }],
+        [16, "Open connections to runner 1 go silent.", () => links[0]!.set("silent")],
+        [18, "Router 2 wakes.", () => void routers[1]!.process.kill("SIGCONT")],
+        [19, "Router 1 is replaced.", () => {
+            routers[0]!.process = routers[0]!.start();
+        }],
+        [20, "Runner 3 announces that it leaves.", () => void extra.push(setFaults(engines[2]!, { leaving: true }))],
+        [22, "Router 3 drains with streams open.", () => {
+            drainingRouter = `http://127.0.0.1:${ROUTER_PORTS[2]}`;
+            routers[2]!.process.kill("SIGTERM");
+        }],
+        [24, "A request that crashes engines comes in.", () => {
+            extra.push(sendPoison());
+            restartCrashed(engines);
+        }],
+    ];
+    const begin = Date.now();
+    for (const [at, text, act] of timeline) {
+        await until(begin + at * 1_000);
+        say(text);
+        await act();
+    }
+    await until(begin + (values.short ? 27_000 : 31_000));
+    await load.stop();
+    await Promise.all(extra);
+    await setFaults(keyValue, { lostReplies: 0 });
+    say("Load has ended; the routers settle.");
+    const live = await settled(store, load.records.filter((record) => record.result === "whole").length);
+    const verdict = judge({
+        records: load.records,
+        engines: await countsOf<EngineCounts>(engines),
+        services: await countsOf<ServiceCounts>(services),
+        ledger: (await readLedger(store))._unsafeUnwrap(),
+        liveRouters: live,
+        cutByDrain: cutByDrain + (routers[2]!.exitCode === 0 ? 0 : 1),
+        callCosts,
+    });
+    links.forEach((link) => link.close());
+    report(load);
+    return verdict;
+}
+
+function accountOf(
+    account: string,
+    model: string,
+    service: string,
+    lookupPath: string,
+    actionPath: string,
+    callers: number,
+): LoadAccount {
+    return { account, credential: `${account}-demo-credential`, model, service, lookupPath, actionPath, callers };
+}
+
+function settingsOf(index: number): object {
+    const port = ROUTER_PORTS[index]!;
+    return {
+        listen: { address: "127.0.0.1", port },
+        domain: DOMAINS[index],
+        platform: { keyValue: `http://127.0.0.1:${KEY_VALUE_PORT}` },
+        peers: ROUTER_PORTS.filter((other) => other !== port).map((other) => `http://127.0.0.1:${other}`),
+        timeouts: { keyValueMs: 500, connectMs: 500 },
+        log: { level: "warn", format: "json" },
+        policy: { addressLifetimeMs: 2_000, progressTimeoutMs: 3_000 },
+    };
+}
+
+async function publishExamples(store: EtcdStore): Promise<void> {
+    const folder = (name: string): string => fileURLToPath(new URL(`../../../../examples/${name}`, import.meta.url));
+    for (const name of ["wyciskarnia-kodu", "meistars"]) {
+        const files = collectFiles([folder(name)])._unsafeUnwrap();
+        const published = await publish(store, { files, by: "demo", base: undefined, dryRun: false, now: Date.now() });
+        say(`Published ${name}: version ${published._unsafeUnwrap().version}.`);
+    }
+}
+
+async function inForce(routers: readonly RunningProcess[], least: number): Promise<void> {
+    const calls = new RouterCalls(undefined);
+    const addresses = routers.map((router) => `http://127.0.0.1:${router.port}`);
+    for (let tries = 0; tries < 100; tries++) {
+        const statuses = await calls.status(addresses);
+        if (statuses.every((status) => (status.report?.configurationVersion ?? 0) > least)) {
+            say("In force at all routers.");
+            break;
+        }
+        await new Promise((resolve) => setTimeout(resolve, 100));
+    }
+    await calls.close();
+}
+
+async function setFaults(running: RunningProcess, faults: object): Promise<void> {
+    const response = await request(`http://127.0.0.1:${running.port}/faults`, {
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify(faults),
+    });
+    await response.body.dump();
+}
+
+async function topUpDuringOutage(store: EtcdStore): Promise<void> {
+    const change = { budget: "main" as BudgetId, tokens: OUTAGE_TOP_UP_TOKENS, at: Date.now() };
+    for (let tries = 0; tries < 20; tries++) {
+        const result = await topUp(store, "planning", "outage-top-up", change);
+        if (result.isOk()) {
+            say(`Topped up planning by ${OUTAGE_TOP_UP_TOKENS} tokens.`);
+            return;
+        }
+    }
+}
+
+async function sendPoison(): Promise<void> {
+    const client = new GooseberrybendClient({
+        routers: [`http://127.0.0.1:${ROUTER_PORTS[3]}`],
+        credential: "die-shop-demo-credential",
+        timeoutMs: 12_000,
+    });
+    const messages = [{ role: "user", content: "crash the engine" }];
+    const result = await client.complete({ model: "die-assistant", messages, maxTokens: 16 });
+    say(result.isErr() ? `It is refused: ${result.error.reason}, ${result.error.outcome}.` : "It is answered.");
+    await client.close();
+}
+
+// The platform replaces a crashed engine.
+function restartCrashed(engines: readonly RunningProcess[]): void {
+    for (const engine of engines) {
+        engine.process.on("exit", () => {
+            say(`${engine.name} crashed and is replaced.`);
+            engine.process = engine.start();
+        });
+    }
+}
+
+async function settled(store: EtcdStore, answers: number): Promise<Set<string>> {
+    const limit = Date.now() + SETTLE_LIMIT_MS;
+    const calls = new RouterCalls(undefined);
+    const live = new Set<string>();
+    while (Date.now() < limit) {
+        const statuses = await calls.status(ROUTER_PORTS.map((port) => `http://127.0.0.1:${port}`));
+        const reports = statuses.flatMap((status) => status.report ?? []);
+        reports.forEach((entry) => live.add(entry.incarnation));
+        const unsettled = reports.flatMap((entry) => entry.budgets).reduce(
+            (sum, row) => sum + row.unsettled + row.reserved,
+            0,
+        );
+        const ledger = (await readLedger(store)).unwrapOr(new Map());
+        const bills = [...ledger.values()].reduce((sum, record) => sum + Object.keys(record.bills).length, 0);
+        if (unsettled === 0 && bills >= answers) {
+            break;
+        }
+        await new Promise((resolve) => setTimeout(resolve, 300));
+    }
+    await calls.close();
+    return live;
+}
+
+async function countsOf<Counts>(running: readonly RunningProcess[]): Promise<Counts[]> {
+    const counts: Counts[] = [];
+    for (const entry of running) {
+        counts.push(...entry.messages as Counts[]);
+        await processes.ready(entry, "/counts");
+        const response = await request(`http://127.0.0.1:${entry.port}/counts`);
+        counts.push(await response.body.json() as Counts);
+    }
+    return counts;
+}
+
+async function until(time: number): Promise<void> {
+    await new Promise((resolve) => setTimeout(resolve, Math.max(0, time - Date.now())));
+}
+
+function report(load: Load): void {
+    const reasons = new Map<string, number>();
+    for (const record of load.records) {
+        if (record.failure !== undefined) {
+            const name = `${record.kind} ${record.failure.reason ?? record.failure.kind} ${record.failure.outcome}`;
+            reasons.set(name, (reasons.get(name) ?? 0) + 1);
+        }
+    }
+    for (const [name, count] of reasons) {
+        say(`Refused: ${name}: ${count}`);
+    }
+    say(`First chunk, ms: median ${load.firstChunk.getValueAtPercentile(50)}, 95%: ${
+        load.firstChunk.getValueAtPercentile(95)
+    }`);
+}
+
+function print(verdict: Verdict): void {
+    if (values.json) {
+        process.stdout.write(`${JSON.stringify(verdict)}\n`);
+        return;
+    }
+    for (const [name, value] of Object.entries(verdict)) {
+        process.stdout.write(`${name.padEnd(24)}${value}\n`);
+    }
+}
+
+function say(text: string): void {
+    const seconds = ((Date.now() - startedAt) / 1000).toFixed(1).padStart(5);
+    process.stdout.write(`${seconds} s  ${text}\n`);
+}
--- /dev/null
+++ b/packages/standins/src/model-engine/engine.ts
@@ -0,0 +1,276 @@
+import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
+
+/** Settings of an engine stand-in. Times in ms. */
+export type EngineSettings = {
+    readonly slots: number;
+    readonly firstTokenMs: number;
+    readonly tokenMs: number;
+    /** Age of the load that it reports. */
+    readonly reportLagMs: number;
+};
+
+/** Faults that the stand-in shows on command. */
+export type EngineFaults = {
+    leaving: boolean;
+    /** Open connections get nothing more; new ones work. */
+    silenceOpen: boolean;
+};
+
+type Message = { readonly content: string; };
+
+type Stream = {
+    readonly id: string;
+    readonly key: string;
+    readonly promptTokens: number;
+    readonly events: string[];
+    readonly length: number;
+    followers: Set<FastifyReply>;
+    state: "queued" | "running" | "done" | "cancelled";
+    startedAt: number;
+};
+
+/** What an engine did, for the truth of a test. */
+export type EngineCounts = {
+    started: number;
+    cancelled: number;
+    tokens: number;
+    /** Requests that came after the engine had announced that it leaves. */
+    startedAfterLeaving: number;
+    /** Keys of all requests that were started. */
+    keys: string[];
+    /** Finished streams by request key: prompt and output tokens of each run. */
+    finished: Record<string, { prompt: number; output: number; }[]>;
+};
+
+const CRASH_MARK = "crash the engine";
+const STEP_MS = 2;
+const KEEP_ALIVE_MS = 1_000;
+const LEAVING_GRACE_MS = 3_000;
+
+/** Returns the text that every engine generates for a prompt: the whole of it can be checked. */
+export function answerText(prompt: string, tokens: number): string[] {
+    const words: string[] = [];
+    for (let index = 0; index < tokens; index++) {
+        words.push(`${prompt.length}:${index} `);
+    }
+    return words;
+}
+
+/** A small model engine: batches streams, reports its load with a lag, resumes and cancels by stream id. */
+export class Engine {
+    readonly faults: EngineFaults = { leaving: false, silenceOpen: false };
+    readonly counts: EngineCounts = {
+        started: 0,
+        cancelled: 0,
+        tokens: 0,
+        startedAfterLeaving: 0,
+        keys: [],
+        finished: {},
+    };
+    private readonly server: FastifyInstance;
+    private readonly streams = new Map<string, Stream>();
+    private readonly queue: Stream[] = [];
+    private readonly running = new Set<Stream>();
+    private readonly silenced = new WeakSet<FastifyReply>();
+    private reported = { running: 0, queued: 0 };
+    private leavingSince: number | undefined;
+
+    constructor(private readonly settings: EngineSettings) {
+        this.server = Fastify({ forceCloseConnections: true, bodyLimit: 16 * 1024 * 1024 });
+        this.server.post("/v1/chat/completions", (request, reply) => this.complete(request, reply));
+        this.server.get("/v1/streams/:id", (request, reply) => this.resume(request, reply));
+        this.server.delete("/v1/streams/:id", async (request) => this.cancel(request));
+        this.server.get("/load", async () => this.load());
+        this.server.post("/faults", async (request) => this.setFaults(request.body as Partial<EngineFaults>));
+        this.server.get("/counts", async () => this.counts);
+    }
+
+    /** Starts to listen on loopback and to generate. */
+    async listen(port: number): Promise<void> {
+        await this.server.listen({ port, host: "127.0.0.1" });
+        setInterval(() => this.step(Date.now()), STEP_MS);
+        setInterval(() => this.keepAlive(), KEEP_ALIVE_MS);
+        setInterval(() => {
+            this.reported = { running: this.running.size, queued: this.queue.length };
+        }, this.settings.reportLagMs);
+    }
+
+    private setFaults(faults: Partial<EngineFaults>): EngineFaults {
+        Object.assign(this.faults, faults);
+        if (faults.leaving === true) {
+            this.leavingSince ??= Date.now();
+        }
+        if (faults.silenceOpen === true) {
+            this.silenceOpenConnections();
+        }
+        return this.faults;
+    }
+
+    private silenceOpenConnections(): void {
+        this.faults.silenceOpen = false;
+        for (const stream of this.streams.values()) {
+            stream.followers.forEach((reply) => this.silenced.add(reply));
+            stream.followers = new Set();
+        }
+    }
+
+    private load(): object {
+        return { ...this.reported, slots: this.settings.slots, leaving: this.faults.leaving };
+    }
+
+    private complete(request: FastifyRequest, reply: FastifyReply): FastifyReply | undefined {
+        const body = request.body as { messages: Message[]; max_tokens: number; };
+        const prompt = body.messages.map((message) => message.content).join("\n");
+        const key = String(request.headers["idempotency-key"] ?? "none");
+        if (prompt.includes(CRASH_MARK)) {
+            this.crash(key);
+            return undefined;
+        }
+        if (this.leavingSince !== undefined && Date.now() - this.leavingSince > LEAVING_GRACE_MS) {
+            this.counts.startedAfterLeaving++;
+            return reply.code(503).header("x-instance-state", "leaving").send({ error: "leaving" });
+        }
+        const id = String(request.headers["x-stream-id"] ?? `stream-${this.counts.started}`);
+        const length = outputLength(prompt, body.max_tokens);
+        const stream: Stream = {
+            id,
+            key,
+            promptTokens: Math.ceil(prompt.length / 4),
+            events: [],
+            length,
+            followers: new Set(),
+            state: "queued",
+            startedAt: 0,
+        };
+        this.counts.started++;
+        this.counts.keys.push(key);
+        this.streams.set(id, stream);
+        this.queue.push(stream);
+        this.prepare(stream, prompt);
+        this.follow(stream, reply, 0);
+        return undefined;
+    }
+
+    // The counts outlive the process, as the truth of a test must.
+    private crash(key: string): void {
+        this.counts.keys.push(key);
+        if (process.send === undefined) {
+            process.exit(1);
+        }
+        process.send(this.counts, () => process.exit(1));
+    }
+
+    private prepare(stream: Stream, prompt: string): void {
+        for (const [offset, text] of answerText(prompt, stream.length).entries()) {
+            const body = {
+                id: stream.id,
+                object: "chat.completion.chunk",
+                choices: [{ index: 0, delta: { content: text } }],
+            };
+            stream.events.push(`id: ${offset}\ndata: ${JSON.stringify(body)}\n\n`);
+        }
+        const usage = { prompt_tokens: stream.promptTokens, completion_tokens: stream.length };
+        const last = { id: stream.id, object: "chat.completion.chunk", choices: [], usage };
+        stream.events.push(`id: ${stream.length}\ndata: ${JSON.stringify(last)}\n\n`);
+    }
+
+    private resume(request: FastifyRequest, reply: FastifyReply): FastifyReply | undefined {
+        const { id } = request.params as { id: string; };
+        const stream = this.streams.get(id);
+        if (stream === undefined || stream.state === "cancelled") {
+            return reply.code(404).send({ error: "unknown stream" });
+        }
+        this.follow(stream, reply, Number((request.query as { offset?: string; }).offset ?? 0));
+        return undefined;
+    }
+
+    private follow(stream: Stream, reply: FastifyReply, offset: number): void {
+        reply.hijack();
+        reply.raw.writeHead(200, { "content-type": "text/event-stream" });
+        reply.raw.write(": open\n\n");
+        const sent = sentEvents(stream, Date.now(), this.settings);
+        for (let index = offset; index < sent; index++) {
+            reply.raw.write(stream.events[index]!);
+        }
+        if (stream.state === "done") {
+            reply.raw.end("data: [DONE]\n\n");
+            return;
+        }
+        stream.followers.add(reply);
+        reply.raw.on("close", () => stream.followers.delete(reply));
+    }
+
+    private cancel(request: FastifyRequest): object {
+        const stream = this.streams.get((request.params as { id: string; }).id);
+        if (stream === undefined || stream.state === "done") {
+            return {};
+        }
+        stream.state = "cancelled";
+        this.running.delete(stream);
+        const index = this.queue.indexOf(stream);
+        if (index >= 0) {
+            this.queue.splice(index, 1);
+        }
+        this.counts.cancelled++;
+        stream.followers.forEach((reply) => reply.raw.destroy());
+        return {};
+    }
+
+    private readonly sent = new WeakMap<Stream, number>();
+
+    private step(now: number): void {
+        while (this.running.size < this.settings.slots && this.queue.length > 0) {
+            const stream = this.queue.shift()!;
+            stream.state = "running";
+            stream.startedAt = now;
+            this.running.add(stream);
+        }
+        for (const stream of this.running) {
+            this.advance(stream, now);
+        }
+    }
+
+    private advance(stream: Stream, now: number): void {
+        const from = this.sent.get(stream) ?? 0;
+        const to = sentEvents(stream, now, this.settings);
+        if (to === from) {
+            return;
+        }
+        this.sent.set(stream, to);
+        this.counts.tokens += to - from;
+        const text = stream.events.slice(from, to).join("");
+        for (const reply of stream.followers) {
+            reply.raw.write(text);
+        }
+        if (to === stream.events.length) {
+            this.finish(stream);
+        }
+    }
+
+    private finish(stream: Stream): void {
+        stream.state = "done";
+        this.running.delete(stream);
+        const finished = this.counts.finished[stream.key] ??= [];
+        finished.push({ prompt: stream.promptTokens, output: stream.length });
+        stream.followers.forEach((reply) => reply.raw.end("data: [DONE]\n\n"));
+        stream.followers.clear();
+    }
+
+    private keepAlive(): void {
+        for (const stream of [...this.running, ...this.queue]) {
+            stream.followers.forEach((reply) => reply.raw.write(": keep-alive\n\n"));
+        }
+    }
+}
+
+function outputLength(prompt: string, maxTokens: number): number {
+    return Math.max(1, Math.min(maxTokens, 1 + Math.floor(maxTokens * (0.5 + (prompt.length % 50) / 100))));
+}
+
+function sentEvents(stream: Stream, now: number, settings: EngineSettings): number {
+    if (stream.state === "queued") {
+        return 0;
+    }
+    const elapsed = now - stream.startedAt - settings.firstTokenMs;
+    return elapsed < 0 ? 0 : Math.min(stream.events.length, 1 + Math.floor(elapsed / settings.tokenMs));
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,8 @@
+import { defineConfig } from "vitest/config";
+
+export default defineConfig({
+    test: {
+        include: ["packages/*/src/**/*.test.ts"],
+        testTimeout: 60_000,
+    },
+});
