--- a/packages/core/src/ledger/reconcile.ts
+++ b/packages/core/src/ledger/reconcile.ts
@@ -15,7 +15,7 @@
 };
 
 /** Bills that a witness writes for another holder. */
-export type WitnessedSettlements = { readonly holder: Incarnation; readonly settlements: readonly Settlement[]; };
+export type WitnessedSettlements = { readonly holder: Incarnation; readonly settlements: Settlement[]; };
 
 /** A reserve that its holder can no longer open. */
 export type Reclaim = { readonly holder: Incarnation; readonly epoch: number; };
@@ -38,7 +38,7 @@
     readonly operation: OperationId;
     readonly holder: Incarnation;
     readonly now: number;
-    readonly witness: Incarnation | undefined;
+    readonly witnesses: readonly Incarnation[];
     /** Orders this write among the holder's writes to all records. */
     readonly epoch: number;
     readonly settlements: readonly Settlement[];
@@ -46,7 +46,7 @@
     readonly wants: readonly Want[];
     /** Bills that this holder keeps for silent peers. */
     readonly witnessed: readonly WitnessedSettlements[];
-    /** Reserves of silent holders whose witness closed them. */
+    /** Reserves of silent holders whose witnesses closed them. */
     readonly reclaims: readonly Reclaim[];
     /** True when the holder had an entry before this write. */
     readonly known: boolean;
@@ -97,12 +97,12 @@
 }
 
 function newHolder(now: number): Holder {
-    return { operation: brand<OperationId>(""), at: now, witness: undefined, epoch: 0, budgets: {} };
+    return { operation: brand<OperationId>(""), at: now, witnesses: [], epoch: 0, budgets: {} };
 }
 
 function holderOf(record: LedgerRecord, change: Reconciliation): Holder {
     const holder = record.holders[change.holder] ??= newHolder(change.now);
-    holder.witness = change.witness;
+    holder.witnesses = [...change.witnesses];
     holder.epoch = change.epoch;
     holder.operation = change.operation;
     holder.at = change.now;
--- a/packages/core/src/ledger/record.ts
+++ b/packages/core/src/ledger/record.ts
@@ -7,7 +7,7 @@
 export type Holding = {
     /** Tokens that the holder may spend without asking anybody. */
     allowance: number;
-    /** Tokens that the holder may spend only once its witness has opened them. */
+    /** Tokens that the holder may spend only once a witness has opened them. */
     reserve: number;
 };
 
@@ -17,8 +17,8 @@
     operation: OperationId;
     /** Time in ms of that write. */
     at: number;
-    /** The peer that opens the reserve and keeps bills that are not yet written. */
-    witness: Incarnation | undefined;
+    /** Peers that open the reserve: any one can, and all must agree to close it. */
+    witnesses: Incarnation[];
     /** Order of that write among the holder's writes to all records. */
     epoch: number;
     budgets: Record<BudgetId, Holding>;
--- /dev/null
+++ b/packages/core/src/mocks/fake-fleet.ts
@@ -0,0 +1,549 @@
+import { CONFIGURATION_HEAD_KEY, mergePublication, parseHead, partKey } from "../configuration/publication.js";
+import {
+    applyTopUp,
+    formatRecord,
+    type Holder,
+    type Holding,
+    ledgerKey,
+    type LedgerRecord,
+    parseRecord,
+} from "../ledger/record.js";
+import type { Policy } from "../policy.js";
+import { digestText } from "../support/digest.js";
+import { createRandom, type Random, randomBelow } from "../support/random.js";
+import type { AccountId, BudgetId, CallId, EndpointId, FailureDomain, Incarnation, KeyDigest } from "../types/ids.js";
+import type { Effect, Message } from "../types/messages.js";
+import type { WorldOptions } from "../world.js";
+import { CoreBrain, type RouterBrain } from "./brain.js";
+import { FakeCallers, type RequestPlan, type RequestRecord } from "./fake-callers.js";
+import { FakeClock } from "./fake-clock.js";
+import { type EndpointTruth, FakeEndpoint, type FakeListener, type FakeWork } from "./fake-endpoints.js";
+import { FakeKeyValue } from "./fake-key-value.js";
+import { FakeRouter } from "./fake-routers.js";
+
+/** What a fake fleet consists of. */
+export type FleetOptions = {
+    readonly seed: number;
+    readonly routers: number;
+    readonly engines: number;
+    readonly services: number;
+    readonly slots: number;
+    /** Granted tokens by account; each has the budget main. */
+    readonly budgets: Readonly<Record<string, number>>;
+    readonly policy?: Partial<Policy>;
+    readonly createBrain?: (options: WorldOptions, routers: number) => RouterBrain;
+    /** Ms per step of an engine; an answer takes a few steps. */
+    readonly stepMs?: number;
+};
+
+/** Figures of a run; the safety figures must be 0. */
+export type FleetVerdict = {
+    readonly requests: number;
+    readonly answeredWhole: number;
+    readonly overspentTokens: number;
+    readonly billsMissing: number;
+    readonly billsDoubled: number;
+    readonly nonIdempotentDoubles: number;
+    readonly dishonestRefusals: number;
+    readonly brokenAnswers: number;
+    readonly falseRefusals: number;
+    readonly strandedTokens: number;
+    readonly keyValueCalls: number;
+    readonly keyValueWrites: number;
+    readonly peerMessages: number;
+    readonly crashes: number;
+    readonly startsAfterLeaving: number;
+};
+
+const MAIN = "main" as BudgetId;
+const DOMAINS = ["r1/a", "r1/b", "r1/c", "r1/d"];
+const PEER_DELAY_MS = 3;
+const ENGINE_STEP_MS = 20;
+const SERVICE_STEP_MS = 8;
+const SERVICE_CALL_TOKENS = 5;
+
+/** Routers, callers, endpoints and platform on a virtual clock, with faults on command and their own truth. */
+export class FakeFleet {
+    readonly clock = new FakeClock();
+    readonly random: Random;
+    readonly keyValue: FakeKeyValue;
+    readonly callers: FakeCallers;
+    readonly endpoints = new Map<EndpointId, FakeEndpoint>();
+    readonly truth: EndpointTruth = { starts: new Map(), finished: new Map(), crashes: 0, startsAfterLeaving: 0 };
+    readonly routers: FakeRouter[] = [];
+    /** Addresses that cannot exchange messages with the others or the key-value service. */
+    readonly isolated = new Set<string>();
+    /** Addresses that cannot reach the key-value service. */
+    readonly withoutKeyValue = new Set<string>();
+    /** Broken rules, as they were seen. */
+    readonly violations: string[] = [];
+    /** Configuration versions adopted by each incarnation, in order. */
+    readonly adopted = new Map<Incarnation, number[]>();
+    drainedCuts = 0;
+    peerMessages = 0;
+    private nextIncarnation = 1;
+    private nextPublication = 1;
+
+    constructor(readonly options: FleetOptions) {
+        this.random = createRandom(options.seed);
+        this.keyValue = new FakeKeyValue(this.clock, this.random, (key, value) => this.checkRecord(key, value));
+        this.callers = new FakeCallers(
+            this.clock,
+            this.random,
+            () => this.routers,
+            (key) => this.truth.starts.has(key),
+        );
+        this.addEndpoints();
+        this.publish("base", this.declaration());
+        for (const [account, tokens] of Object.entries(options.budgets)) {
+            this.topUp(account, "initial", tokens);
+        }
+        for (let index = 0; index < options.routers; index++) {
+            this.startRouter(`http://10.0.0.${index + 1}:7000`);
+        }
+    }
+
+    /** Lets virtual time pass. */
+    run(time: number): void {
+        this.clock.runUntil(this.clock.now + time);
+    }
+
+    /** Does something after some ms. */
+    at(delay: number, action: () => void): void {
+        this.clock.after(delay, action);
+    }
+
+    /** Starts a router at an address. */
+    startRouter(address: string): FakeRouter {
+        const incarnation = `router-${this.nextIncarnation++}` as Incarnation;
+        const domain = DOMAINS[this.routers.length % DOMAINS.length] as FailureDomain;
+        const options: WorldOptions = {
+            self: { incarnation, address, domain },
+            seed: this.options.seed * 1_000 + this.nextIncarnation,
+            now: this.clock.now,
+            ...(this.options.policy === undefined ? {} : { policy: this.options.policy }),
+        };
+        const brain = this.options.createBrain?.(options, this.options.routers) ?? new CoreBrain(options);
+        const router = new FakeRouter(
+            incarnation,
+            address,
+            domain,
+            brain,
+            this.clock,
+            (from, effect) => this.carryOut(from, effect),
+        );
+        this.routers.push(router);
+        router.deliver({ kind: "instances", peers: this.instances() });
+        return router;
+    }
+
+    /** Ends a router process at once. */
+    kill(router: FakeRouter): void {
+        router.state = "dead";
+        this.callers.loseAll(router);
+    }
+
+    /** Puts a new router at the address of one that died. */
+    replace(router: FakeRouter): FakeRouter {
+        this.routers.splice(this.routers.indexOf(router), 1);
+        this.dead.push(router);
+        return this.startRouter(router.address);
+    }
+
+    private readonly dead: FakeRouter[] = [];
+
+    /** Sends a request of the usual kinds. */
+    send(plan: Omit<Partial<RequestPlan>, "account"> & { account: string; }): RequestRecord {
+        const outputTokens = plan.outputTokens ?? 40;
+        return this.callers.send({
+            budget: MAIN,
+            target: { kind: "model", model: "m", promptTokens: 20, maxTokens: 60, prefix: plan.account },
+            idempotent: true,
+            outputTokens,
+            chunks: 4,
+            poison: false,
+            mostAttempts: 4,
+            timeoutMs: 20_000,
+            impatientAfterMs: undefined,
+            ...plan,
+            account: plan.account as AccountId,
+        });
+    }
+
+    /** Sends a service call that may not be repeated. */
+    sendAction(account: string, plan: Partial<RequestPlan> = {}): RequestRecord {
+        const target = { kind: "service", service: "s", operation: "act" } as const;
+        return this.send({ target, idempotent: false, chunks: 1, outputTokens: 0, ...plan, account });
+    }
+
+    /** Adds tokens to an account's budget, once per id. */
+    topUp(account: string, id: string, tokens: number): void {
+        this.keyValue.change(ledgerKey(account), (value) => {
+            const record = parseRecord(value);
+            applyTopUp(record, id, { budget: MAIN, tokens, at: this.clock.now });
+            return formatRecord(record);
+        });
+    }
+
+    /** Publishes one declaration file. */
+    publish(path: string, text: string): void {
+        this.keyValue.change(partKey(digestText(text)), () => text);
+        this.keyValue.change(CONFIGURATION_HEAD_KEY, (value) => {
+            const head = parseHead(value);
+            const id = `publication-${this.nextPublication++}`;
+            const publication = {
+                id,
+                by: "operator",
+                at: this.clock.now,
+                base: head.version,
+                changes: { [path]: text },
+            };
+            return JSON.stringify(mergePublication(head, publication)._unsafeUnwrap());
+        });
+    }
+
+    /** Returns the ledger record of an account. */
+    record(account: string): LedgerRecord {
+        return parseRecord(this.keyValue.values.get(ledgerKey(account))?.value);
+    }
+
+    private instances(): { address: string; leaving: boolean; }[] {
+        return Array.from({ length: this.options.routers }, (unused, index) => ({
+            address: `http://10.0.0.${index + 1}:7000`,
+            leaving: false,
+        }));
+    }
+
+    private addEndpoints(): void {
+        const { engines, services, slots } = this.options;
+        const stepMs = this.options.stepMs ?? ENGINE_STEP_MS;
+        for (let index = 0; index < engines; index++) {
+            const id = `engine-${index}` as EndpointId;
+            this.endpoints.set(id, new FakeEndpoint(id, "model", slots, stepMs, this.clock, this.random, this.truth));
+        }
+        for (let index = 0; index < services; index++) {
+            const id = `service-${index}` as EndpointId;
+            this.endpoints.set(
+                id,
+                new FakeEndpoint(id, "service", slots, SERVICE_STEP_MS, this.clock, this.random, this.truth),
+            );
+        }
+    }
+
+    private declaration(): string {
+        const accounts = Object.keys(this.options.budgets);
+        return JSON.stringify({
+            accounts: accounts.map((id) => ({
+                id,
+                credentialDigests: [Buffer.from(digestText(id), "base64url").toString("hex")],
+            })),
+            budgets: accounts.map((account) => ({ account, id: MAIN })),
+            endpoints: [...this.endpoints.keys()].map((id, index) => ({
+                id,
+                kind: id.startsWith("engine") ? "model" : "service",
+                address: `http://10.0.1.${index + 1}:8000`,
+                domain: DOMAINS[index % DOMAINS.length],
+                serves: [id.startsWith("engine") ? "m" : "s"],
+                slots: this.options.slots,
+            })),
+            operations: [
+                {
+                    service: "s",
+                    id: "act",
+                    method: "POST",
+                    path: "/act",
+                    idempotent: false,
+                    tokens: SERVICE_CALL_TOKENS,
+                },
+                {
+                    service: "s",
+                    id: "look",
+                    method: "GET",
+                    path: "/look",
+                    idempotent: true,
+                    tokens: SERVICE_CALL_TOKENS,
+                },
+            ],
+        });
+    }
+
+    private carryOut(router: FakeRouter, effect: Effect): void {
+        switch (effect.kind) {
+            case "caller-chunk":
+            case "caller-restart":
+            case "caller-end":
+            case "caller-refused":
+                return this.callers.receive(effect);
+            case "dispatch":
+                return this.dispatch(router, effect);
+            case "cancel":
+                return this.cancel(router, effect);
+            case "probe":
+                return this.probe(router, effect.endpoint);
+            case "key-value-get":
+                return this.callKeyValue(router, effect.call, (reply) => this.keyValue.get(effect.key, reply));
+            case "key-value-swap":
+                return this.callKeyValue(router, effect.call, (reply) => {
+                    this.keyValue.swap(effect.key, effect.expected, effect.value, reply);
+                });
+            case "peer-send":
+                return this.sendPeer(router, effect);
+            case "configuration-adopted":
+                this.adopted.set(router.incarnation, [...this.adopted.get(router.incarnation) ?? [], effect.version]);
+                return;
+            case "drained":
+                this.drainedCuts += this.callers.openAt(router);
+                router.state = "dead";
+                return;
+            case "body-released":
+            case "retried":
+            case "trace":
+                return;
+        }
+    }
+
+    private dispatch(router: FakeRouter, effect: Extract<Effect, { kind: "dispatch"; }>): void {
+        const { run, dispatch } = effect;
+        const found = this.callers.recordOf(effect.call);
+        if (found === undefined) {
+            this.violations.push("a body was needed after its release");
+            return;
+        }
+        this.noteDispatch(found.record, found.attempt, effect.resumeAt);
+        const call = { dispatch, open: true };
+        router.calls.set(run, call);
+        const send = (message: Message): void => {
+            if (call.open) {
+                router.deliver(message);
+            }
+        };
+        const listener: FakeListener = {
+            chunk: (chunk) => send({ kind: "endpoint-chunk", run, dispatch, chunk }),
+            alive: () => send({ kind: "endpoint-alive", run, dispatch }),
+            end: (end) => send({ kind: "endpoint-end", run, dispatch, end }),
+            failed: (failure, written) => send({ kind: "endpoint-failed", run, dispatch, failure, written }),
+            isOpen: () => call.open && router.state !== "dead",
+        };
+        const { plan, key } = found.record;
+        const work: FakeWork = {
+            key,
+            stream: effect.stream,
+            promptTokens: plan.target.kind === "model" ? Math.ceil(plan.target.promptTokens / 2) : 0,
+            outputTokens: plan.outputTokens,
+            chunks: plan.chunks,
+            poison: plan.poison,
+        };
+        this.endpoints.get(effect.endpoint)!.send(work, effect.resumeAt, listener);
+    }
+
+    // A request that was refused as not run must not run for that attempt or an earlier one.
+    private noteDispatch(record: RequestRecord, attempt: number, resumeAt: number | undefined): void {
+        if (resumeAt === undefined && attempt <= record.notRunUpTo) {
+            record.dishonest = true;
+        }
+    }
+
+    private cancel(router: FakeRouter, effect: Extract<Effect, { kind: "cancel"; }>): void {
+        const call = router.calls.get(effect.run);
+        if (call !== undefined) {
+            call.open = false;
+        }
+        if (effect.stop) {
+            this.endpoints.get(effect.endpoint)?.cancel(effect.stream);
+        }
+    }
+
+    private probe(router: FakeRouter, endpoint: EndpointId): void {
+        this.clock.after(PEER_DELAY_MS, () => {
+            const report = this.endpoints.get(endpoint)?.load();
+            router.deliver({ kind: "load-report", endpoint, report });
+        });
+    }
+
+    private callKeyValue(
+        router: FakeRouter,
+        call: Extract<Effect, { kind: "key-value-get"; }>["call"],
+        send: (reply: (result: Extract<Message, { kind: "key-value-reply"; }>["result"]) => void) => void,
+    ): void {
+        const cut = (): boolean => this.isolated.has(router.address) || this.withoutKeyValue.has(router.address);
+        if (cut()) {
+            this.clock.after(
+                100,
+                () => router.deliver({ kind: "key-value-reply", call, result: { kind: "unavailable" } }),
+            );
+            return;
+        }
+        send((result) => {
+            const told = cut() ? { kind: "unknown" } as const : result;
+            router.deliver({ kind: "key-value-reply", call, result: told });
+        });
+    }
+
+    private sendPeer(router: FakeRouter, effect: Extract<Effect, { kind: "peer-send"; }>): void {
+        this.peerMessages++;
+        this.clock.after(1 + randomBelow(this.random, PEER_DELAY_MS), () => {
+            const target = this.routers.find((other) => other.address === effect.address && other.state !== "dead");
+            const cut = this.isolated.has(router.address) !== this.isolated.has(effect.address);
+            if (target !== undefined && !cut && router.state !== "dead") {
+                // Messages are data: what is delivered shares nothing with the sender.
+                const message = structuredClone(effect.message);
+                target.deliver({ kind: "peer-message", from: router.incarnation, to: effect.to, message });
+            }
+        });
+    }
+
+    private checkRecord(key: string, value: string): void {
+        if (!key.startsWith("ledger/")) {
+            return;
+        }
+        const record = parseRecord(value);
+        for (const [budget, totals] of Object.entries(record.budgets)) {
+            const holdings = Object.values<Holder>(record.holders).map((holder) => holder.budgets[budget as BudgetId]);
+            const held = holdings.reduce((sum, holding) => sum + tokensOf(holding), 0);
+            const charged = totals.billed + held + (record.stranded[budget as BudgetId] ?? 0);
+            if (charged > totals.granted) {
+                this.violations.push(`${key}: ${charged} charged of ${totals.granted} granted`);
+            }
+            if (holdings.some((holding) => tokensOf(holding) < 0)) {
+                this.violations.push(`${key}: a holding is below 0`);
+            }
+        }
+        this.checkPromised(key, record);
+    }
+
+    // Billed, to be billed and reserved anywhere must fit in what was granted.
+    private checkPromised(key: string, record: LedgerRecord): void {
+        const account = key.slice(ledgerKey("").length) as AccountId;
+        const seen = new Set<KeyDigest>(Object.keys(record.bills) as KeyDigest[]);
+        const totals = record.budgets[MAIN] ?? { granted: 0, billed: 0 };
+        let promised = totals.billed;
+        for (const router of this.routers) {
+            const row = router.state === "dead" ? undefined : router.brain.world?.accounts.get(account);
+            for (const settlement of row?.settlements ?? []) {
+                promised += seen.has(settlement.key) ? 0 : settlement.tokens;
+                seen.add(settlement.key);
+            }
+            promised += row?.budgets.get(MAIN)?.reserved ?? 0;
+        }
+        if (promised > totals.granted) {
+            this.violations.push(`${key}: ${promised} promised of ${totals.granted} granted`);
+        }
+    }
+
+    /** Judges the run so far by the fakes' own truth. */
+    verdict(): FleetVerdict {
+        const records = this.callers.records;
+        const whole = records.filter((record) => record.result === "whole");
+        const accounts = Object.keys(this.options.budgets);
+        return {
+            requests: records.length,
+            answeredWhole: whole.length,
+            overspentTokens: accounts.reduce((sum, account) => sum + this.overspent(account, whole), 0),
+            billsMissing: whole.filter((record) => !this.isBilled(record) && !this.isLostWithKeepers(record)).length,
+            billsDoubled: accounts.filter((account) => this.hasDoubledBills(account)).length,
+            nonIdempotentDoubles:
+                records.filter((record) => !record.plan.idempotent && this.startsOf(record) > 1).length,
+            dishonestRefusals: records.filter((record) => record.dishonest).length,
+            brokenAnswers: records.filter((record) => record.broken).length,
+            falseRefusals: records.filter((record) => this.isFalselyRefused(record)).length,
+            strandedTokens: accounts.reduce((sum, account) => sum + this.stranded(account), 0),
+            keyValueCalls: this.keyValue.reads + this.keyValue.writes,
+            keyValueWrites: this.keyValue.writes,
+            peerMessages: this.peerMessages,
+            crashes: this.truth.crashes,
+            startsAfterLeaving: this.truth.startsAfterLeaving,
+        };
+    }
+
+    private startsOf(record: RequestRecord): number {
+        return this.truth.starts.get(record.key) ?? 0;
+    }
+
+    private isBilled(record: RequestRecord): boolean {
+        return this.record(record.plan.account).bills[record.keyDigest] !== undefined;
+    }
+
+    // The case allowed: all three routers that had the bill died before one could write it, or both of two while
+    // the ledger was away.
+    private isLostWithKeepers(record: RequestRecord): boolean {
+        const live = new Set(
+            this.routers.filter((router) => router.state !== "dead").map((router) => router.incarnation as string),
+        );
+        const enough = record.keepers.length >= (record.ledgerAway ? 2 : 3);
+        return enough && record.keepers.every((keeper) => !live.has(keeper));
+    }
+
+    private overspent(account: string, whole: readonly RequestRecord[]): number {
+        const used = whole.filter((record) => record.plan.account === account).reduce(
+            (sum, record) => sum + costOf(record),
+            0,
+        );
+        const totals = this.record(account).budgets[MAIN] ?? { granted: 0, billed: 0 };
+        return Math.max(0, used - totals.granted, totals.billed - totals.granted);
+    }
+
+    private hasDoubledBills(account: string): boolean {
+        const record = this.record(account);
+        const bills = Object.values(record.bills).reduce((sum, bill) => sum + bill.tokens, 0);
+        return (record.budgets[MAIN]?.billed ?? 0) !== bills;
+    }
+
+    // A refusal is false when the budget truly had the tokens at the time.
+    private isFalselyRefused(record: RequestRecord): boolean {
+        const last = record.refusals[record.refusals.length - 1];
+        if (record.result === "lost") {
+            return record.endedAt !== undefined && !record.plan.poison;
+        }
+        if (record.result !== "refused" || last === undefined || record.plan.poison) {
+            return false;
+        }
+        if (last.refusal.reason === "claimed-elsewhere" || this.startsOf(record) > 0 && !record.plan.idempotent) {
+            return false;
+        }
+        return this.hadTokens(record, last.at);
+    }
+
+    private hadTokens(record: RequestRecord, at: number): boolean {
+        const account = record.plan.account;
+        const spent = this.callers.records
+            .filter((other) => other.plan.account === account && other.sentAt <= at)
+            .filter((other) => other.result === "whole" && other !== record)
+            .reduce((sum, other) => sum + (other.endedAt! <= at ? costOf(other) : worstOf(other)), 0);
+        const topUps = Object.values(this.record(account).topUps).filter((topUp) => topUp.at <= at);
+        const granted = topUps.reduce((sum, topUp) => sum + topUp.tokens, 0);
+        return granted - spent >= worstOf(record);
+    }
+
+    private stranded(account: string): number {
+        const record = this.record(account);
+        let sum = Object.values(record.stranded).reduce<number>((total, tokens) => total + (tokens as number), 0);
+        const live = new Set(
+            this.routers.filter((router) => router.state !== "dead").map((router) => router.incarnation as string),
+        );
+        for (const [name, holder] of Object.entries<Holder>(record.holders)) {
+            if (!live.has(name.split("~")[0]!)) {
+                sum += Object.values<Holding>(holder.budgets).reduce((total, holding) => total + tokensOf(holding), 0);
+            }
+        }
+        return sum;
+    }
+
+    /** Returns the bodies that callers sent, by call. */
+    bodyOf(call: CallId): RequestRecord | undefined {
+        return this.callers.recordOf(call)?.record;
+    }
+}
+
+function tokensOf(holding: Holding | undefined): number {
+    return holding === undefined ? 0 : holding.allowance + holding.reserve;
+}
+
+function costOf(record: RequestRecord): number {
+    const { target, outputTokens } = record.plan;
+    return target.kind === "model" ? Math.ceil(target.promptTokens / 2) + outputTokens : SERVICE_CALL_TOKENS;
+}
+
+function worstOf(record: RequestRecord): number {
+    const { target } = record.plan;
+    return target.kind === "model" ? target.promptTokens + target.maxTokens : SERVICE_CALL_TOKENS;
+}
--- a/packages/core/src/policy.ts
+++ b/packages/core/src/policy.ts
@@ -14,8 +14,12 @@
     readonly idleReturnMs: number;
     /** Time after which a holder that could not write stops spending. */
     readonly holderFenceMs: number;
-    /** Longest time that the end of an answer waits for its bill to be kept twice. */
+    /** Time after which a bill that nobody else keeps yet is offered again. */
     readonly billWaitMs: number;
+    /** Longest time that the end of an answer waits for its bill to be kept elsewhere. */
+    readonly billWaitLimitMs: number;
+    /** Time after which a witness writes a bill that its router has not written. */
+    readonly witnessSettleMs: number;
     /** Time between two heartbeats. */
     readonly heartbeatIntervalMs: number;
     /** Peers that one heartbeat goes to. */
@@ -32,6 +36,8 @@
     readonly configurationPollMs: number;
     /** Time between two load probes of an endpoint. */
     readonly probeIntervalMs: number;
+    /** Age up to which a load report counts; an endpoint without one gets no work. */
+    readonly reportLifetimeMs: number;
     /** Time without a sign of life after which a connection to an endpoint counts as silent. */
     readonly progressTimeoutMs: number;
     /** Consecutive failures after which an endpoint is ejected. */
@@ -76,6 +82,8 @@
     idleReturnMs: 30_000,
     holderFenceMs: 110 * 60_000,
     billWaitMs: 300,
+    billWaitLimitMs: 10 * 60_000,
+    witnessSettleMs: 5_000,
     heartbeatIntervalMs: 1_000,
     heartbeatFanout: 6,
     heartbeatEntries: 6,
@@ -84,6 +92,7 @@
     peerForgottenMs: 120_000,
     configurationPollMs: 2_000,
     probeIntervalMs: 1_000,
+    reportLifetimeMs: 2_500,
     progressTimeoutMs: 5_000,
     ejectionFailures: 2,
     ejectionMs: 2_000,
--- a/packages/core/src/systems/answers.ts
+++ b/packages/core/src/systems/answers.ts
@@ -11,8 +11,9 @@
 import { noteServiceTime } from "./queue.js";
 import { bill, completeRun, refuseRun, seekEndpoint, serveQueue } from "./runs.js";
 import { nextOffset, restartStream, takeRetry, undispatch } from "./streams.js";
-import { witnessOf } from "./witness.js";
+import { isKeptWell, needsLedger, reofferBill } from "./witness.js";
 
+const GROUP_COMMIT_MS = 20;
 const RETRY_PAUSE_MS = 40;
 const FAILED_RETRY_MS = 1_000;
 const BUSY_RETRY_MS = 500;
@@ -34,8 +35,8 @@
     bill(world, run, run.target.kind === "model" ? end.promptTokens + end.outputTokens : run.worst, now);
     recordClaimOutcome(world, run, "ran", end.status, now);
     schedule(world.due, now + world.policy.billWaitMs, { kind: "bill-wait", run: run.id });
-    if (witnessOf(world, now) === undefined) {
-        requestWrite(world, accountRow(world, run.arrival.account), now);
+    if (needsLedger(world, now)) {
+        requestWrite(world, accountRow(world, run.arrival.account), now + GROUP_COMMIT_MS);
     }
     serveQueue(world, serverOf(run.target), now);
 }
@@ -47,6 +48,22 @@
     }
 }
 
+/** Offers the bill of a run in state billing again, to whoever is a witness now. */
+export function waitForBill(world: World, run: Run, now: number): void {
+    if (run.state !== "billing") {
+        return;
+    }
+    if (isKeptWell(world, run.keyDigest) || now - run.lastProgress > world.policy.billWaitLimitMs) {
+        completeRun(world, run, now);
+        return;
+    }
+    reofferBill(world, run.keyDigest);
+    if (needsLedger(world, now)) {
+        requestWrite(world, accountRow(world, run.arrival.account), now);
+    }
+    schedule(world.due, now + world.policy.billWaitMs, { kind: "bill-wait", run: run.id });
+}
+
 /** Decides what becomes of a run whose call to an endpoint failed. */
 export function handleFailure(
     world: World,
--- a/packages/core/src/systems/budgets.ts
+++ b/packages/core/src/systems/budgets.ts
@@ -10,14 +10,14 @@
         return 0;
     }
     const open = row.reserved + row.unsettled;
-    const reserve = reserveIsOpen(world, account.id, account.witness, account.epoch) ? row.reserve : 0;
+    const reserve = reserveIsOpen(world, account.id, account.witnesses, account.epoch) ? row.reserve : 0;
     const withoutWrite = row.held + reserve + row.borrowed - row.lent - open;
     const write = account.write;
     const holding = write?.holdings.get(row.id);
     if (write === undefined || holding === undefined) {
         return withoutWrite;
     }
-    const newReserve = reserveIsOpen(world, account.id, write.witness, write.epoch) ? holding.reserve : 0;
+    const newReserve = reserveIsOpen(world, account.id, write.witnesses, write.epoch) ? holding.reserve : 0;
     const settled = sumTokens(write.settlements.filter((settlement) => settlement.budget === row.id));
     const counted = write.transfers.filter((transfer) => account.transfers.includes(transfer));
     const lent = sumTokens(counted.filter((transfer) => isLent(world, account, row, transfer)));
@@ -68,14 +68,13 @@
 function reserveIsOpen(
     world: World,
     account: AccountRow["id"],
-    witness: AccountRow["witness"],
+    witnesses: AccountRow["witnesses"],
     epoch: number,
 ): boolean {
-    const opened = world.opened;
-    if (opened === undefined || witness === undefined || opened.witness !== witness || epoch > opened.epoch) {
-        return false;
-    }
-    return epoch > (opened.closed.get(account) ?? -1);
+    return witnesses.some((witness) => {
+        const opened = world.opened.get(witness);
+        return opened !== undefined && epoch <= opened.epoch && epoch > (opened.closed.get(account) ?? -1);
+    });
 }
 
 /** Reserves the worst case of a request. Returns false when it is not at hand. */
--- a/packages/core/src/systems/endpoints.ts
+++ b/packages/core/src/systems/endpoints.ts
@@ -10,6 +10,7 @@
 const OTHER_DOMAIN_LOAD = 0.15;
 const OTHER_REGION_LOAD = 0.6;
 const USED_LATELY_MS = 60_000;
+const REFRESH_MS = 500;
 
 /** Returns the name under which endpoints that can take a target are indexed. */
 export function serverOf(target: Target): string {
@@ -32,6 +33,19 @@
     return !row.leaving && now >= row.ejectedUntil && world.configuration.endpoints.has(row.id);
 }
 
+// An endpoint whose report is old may be leaving; it is asked before it gets work.
+function isFresh(world: World, row: EndpointRow, now: number): boolean {
+    return now - row.reportedAt <= world.policy.reportLifetimeMs;
+}
+
+function refreshReports(world: World, rows: readonly EndpointRow[], now: number): void {
+    for (const row of rows) {
+        if (isUsable(world, row, now) && !isFresh(world, row, now) && now - row.probedAt >= REFRESH_MS) {
+            probe(world, row, now);
+        }
+    }
+}
+
 /** Returns the load of an endpoint as a share of its slots: its report, corrected by what was sent since. */
 export function loadOf(row: EndpointRow, declaration: EndpointDeclaration): number {
     const report = row.report;
@@ -44,9 +58,14 @@
 
 /** Chooses an endpoint for a run: the prefix holder if it has room, else the better of two random ones. */
 export function chooseEndpoint(world: World, run: Run, now: number): EndpointId | undefined {
-    const usable = candidatesOf(world, serverOf(run.target)).filter((id) =>
-        isUsable(world, endpointRow(world, id), now)
+    const candidates = candidatesOf(world, serverOf(run.target)).map((id) => endpointRow(world, id));
+    const usable = candidates.filter((row) => isUsable(world, row, now) && isFresh(world, row, now)).map((row) =>
+        row.id
     );
+    if (usable.length === 0) {
+        refreshReports(world, candidates, now);
+        return undefined;
+    }
     const untried = usable.filter((id) => !run.tried.includes(id));
     const room = (untried.length > 0 ? untried : usable).filter((id) => loadOfId(world, id) < FULL_LOAD);
     if (room.length === 0) {
@@ -127,16 +146,17 @@
             continue;
         }
         for (const id of candidatesOf(world, server)) {
-            probe(world, endpointRow(world, id), now);
+            const row = endpointRow(world, id);
+            if (now - row.probedAt >= world.policy.probeIntervalMs) {
+                probe(world, row, now);
+            }
         }
     }
 }
 
 function probe(world: World, row: EndpointRow, now: number): void {
-    if (now - row.probedAt >= world.policy.probeIntervalMs) {
-        row.probedAt = now;
-        world.effects.push({ kind: "probe", endpoint: row.id });
-    }
+    row.probedAt = now;
+    world.effects.push({ kind: "probe", endpoint: row.id });
 }
 
 /** Returns the slots of the usable endpoints of a model or service. */
--- a/packages/core/src/systems/ledger.ts
+++ b/packages/core/src/systems/ledger.ts
@@ -7,7 +7,7 @@
 import { type AccountRow, accountRow, type LedgerWrite, nextOperation, type World } from "../world.js";
 import { holderName, sumTokens, wantOf } from "./budgets.js";
 import { readKey, swapKey } from "./key-value.js";
-import { reclaimSilentHolders, witnessedSettlements, witnessOf } from "./witness.js";
+import { closeBills, reclaimSilentHolders, witnessedSettlements, witnessesOf } from "./witness.js";
 
 const CONFLICT_JITTER_MS = 20;
 
@@ -83,7 +83,7 @@
         operation: nextOperation(world),
         holder,
         now,
-        witness: witnessOf(world, now),
+        witnesses: witnessesOf(world, now),
         epoch: ++world.epoch,
         settlements: [...account.settlements],
         transfers: [...account.transfers, ...account.writtenTransfers],
@@ -102,7 +102,7 @@
         expected: stored.version,
         value: formatRecord(record),
         epoch: change.epoch,
-        witness: change.witness,
+        witnesses: change.witnesses,
         settlements: change.settlements,
         transfers: change.transfers,
         witnessed: change.witnessed,
@@ -202,7 +202,7 @@
     account.write = undefined;
     account.stored = current;
     account.epoch = write.epoch;
-    account.witness = write.witness;
+    account.witnesses = write.witnesses;
     account.committedAt = now;
     const settled = new Set(write.settlements);
     account.settlements = account.settlements.filter((settlement) => !settled.has(settlement));
@@ -276,6 +276,7 @@
 
 function fence(world: World, account: AccountRow, now: number): void {
     account.fenced = true;
+    closeBills(world, account.settlements.map((settlement) => settlement.key));
     account.settlements = [];
     account.transfers = [];
     account.writtenTransfers = [];
--- a/packages/core/src/systems/lending.ts
+++ b/packages/core/src/systems/lending.ts
@@ -48,8 +48,9 @@
         sendToPeer(world, from, { kind: "borrow-refused", account: request.account });
         return;
     }
-    const spendable = Math.max(0, spendableTokens(world, account, row, now));
-    const tokens = Math.min(request.tokens, spendable);
+    // Borrowed tokens are not lent on: the ledger may not show them as this router's yet.
+    const lendable = Math.max(0, spendableTokens(world, account, row, now) - row.borrowed);
+    const tokens = Math.min(request.tokens, lendable);
     if (tokens > 0) {
         sendTransfer(world, account, from, { ...request, tokens }, now);
     }
--- a/packages/core/src/systems/membership.ts
+++ b/packages/core/src/systems/membership.ts
@@ -8,7 +8,7 @@
 import { adoptSuspicion, isConvict, isSuspect } from "./lanes.js";
 import { requestPacedWrite } from "./ledger.js";
 import { livePeers, sendToPeer } from "./peers.js";
-import { accountsToSettle, askToOpenReserve } from "./witness.js";
+import { accountsToSettle, askToOpenReserve, dropSettledBills, oldestBillAt } from "./witness.js";
 
 const BROADCAST_LIMIT = 32;
 const WIDTH_STEP = 16;
@@ -30,7 +30,7 @@
 
 /** Sends this router's heartbeat to some of its peers. */
 export function sendHeartbeats(world: World, now: number): void {
-    const own = ownHeartbeat(world);
+    const own = ownHeartbeat(world, now);
     const message: PeerMessage = {
         kind: "heartbeat",
         own,
@@ -44,7 +44,7 @@
     }
 }
 
-function ownHeartbeat(world: World): Heartbeat {
+function ownHeartbeat(world: World, now: number): Heartbeat {
     world.heartbeatSequence++;
     return {
         incarnation: world.self.incarnation,
@@ -53,6 +53,7 @@
         sequence: world.heartbeatSequence,
         draining: world.drainingSince !== undefined,
         configurationVersion: world.configuration.version,
+        oldestBillAt: oldestBillAt(world, now),
     };
 }
 
@@ -83,9 +84,11 @@
     while (all.length > 0 && targets.length < world.policy.heartbeatFanout) {
         targets.push(all.splice(randomBelow(world.random, all.length), 1)[0]!);
     }
-    const witness = world.peers.get(world.witness ?? world.self.incarnation);
-    if (witness !== undefined && !targets.includes(witness.heartbeat.address)) {
-        targets.push(witness.heartbeat.address);
+    for (const witness of world.witnesses) {
+        const address = world.peers.get(witness)?.heartbeat.address;
+        if (address !== undefined && !targets.includes(address)) {
+            targets.push(address);
+        }
     }
     return targets;
 }
@@ -123,6 +126,7 @@
         return;
     }
     world.peers.set(heartbeat.incarnation, { heartbeat, heardAt: now });
+    dropSettledBills(world, heartbeat);
 }
 
 function forgetPeers(world: World, now: number): void {
@@ -143,7 +147,7 @@
 export function spreadSuspicion(world: World, body: BodyDigest, now: number): void {
     const message: PeerMessage = {
         kind: "heartbeat",
-        own: ownHeartbeat(world),
+        own: ownHeartbeat(world, now),
         heard: [],
         leavingEndpoints: [],
         suspects: [body],
--- a/packages/core/src/systems/runs.ts
+++ b/packages/core/src/systems/runs.ts
@@ -5,7 +5,7 @@
 import type { Arrival, Target } from "../types/messages.js";
 import type { Outcome, RefusalReason } from "../types/outcomes.js";
 import { type AccountRow, accountRow, budgetRow, type Call, type Run, trace, type World } from "../world.js";
-import { releaseTokens, reserveTokens, spendableTokens, useTokens } from "./budgets.js";
+import { holderName, releaseTokens, reserveTokens, spendableTokens, useTokens } from "./budgets.js";
 import { recordClaimOutcome, startClaim } from "./claims.js";
 import { chooseEndpoint, serverOf } from "./endpoints.js";
 import { askForLane, isConvict, isSuspect, leaveLane } from "./lanes.js";
@@ -13,7 +13,7 @@
 import { askToLend } from "./lending.js";
 import { leaveQueue, nextQueued, queueRun } from "./queue.js";
 import { dispatchRun, nextOffset, replayChunks, undispatch } from "./streams.js";
-import { askToOpenReserve } from "./witness.js";
+import { askToOpenReserve, openBill } from "./witness.js";
 
 const EXHAUSTED_RETRY_MS = 60_000;
 const LEDGER_RETRY_MS = 2_000;
@@ -347,7 +347,7 @@
     }
 }
 
-/** Bills a use once, and has the witness keep the bill. */
+/** Bills a use once, and has the witnesses keep the bill. */
 export function bill(world: World, run: Run, used: number, now: number): void {
     const account = accountRow(world, run.arrival.account);
     const row = budgetRow(account, run.arrival.budget, now);
@@ -359,7 +359,7 @@
     }
     const settlement = { key: run.keyDigest, budget: row.id, tokens };
     account.settlements.push(settlement);
-    world.unkeptBills.push({ ...settlement, account: account.id });
+    openBill(world, { ...settlement, account: account.id, holder: holderName(world, account), at: now });
     requestPacedWrite(world, account, now);
     trace(world, now, run.arrival, "billed", { tokens });
 }
@@ -403,6 +403,20 @@
     endRun(world, run, now);
 }
 
+/** Tells the callers of a whole answer whose bill is still to be kept that their deadline has passed. */
+export function refuseBilled(world: World, run: Run, now: number): void {
+    for (const id of [...run.calls]) {
+        const refusal = { reason: "deadline-exceeded", outcome: "ran", retryAfterMs: SHORT_RETRY_MS } as const;
+        world.effects.push({
+            kind: "caller-refused",
+            call: id,
+            refusal: { ...refusal, detail: detailOf("deadline-exceeded") },
+        });
+        removeCall(world, id);
+    }
+    trace(world, now, run.arrival, "refused", { reason: "deadline-exceeded", outcome: "ran" });
+}
+
 /** Ends an answer for all callers, once its bill cannot be lost. */
 export function completeRun(world: World, run: Run, now: number): void {
     run.state = "done";
--- a/packages/core/src/systems/witness.ts
+++ b/packages/core/src/systems/witness.ts
@@ -1,67 +1,151 @@
-import type { Settlement, WitnessedSettlements } from "../ledger/reconcile.js";
-import type { Holder, Holding, LedgerRecord } from "../ledger/record.js";
+import { LONGEST_REQUEST_MS, type WitnessedSettlements } from "../ledger/reconcile.js";
+import { type Holder, type Holding, type LedgerRecord, parseRecord } from "../ledger/record.js";
 import { rendezvousOrder } from "../support/rendezvous.js";
 import type { AccountId, Incarnation, KeyDigest } from "../types/ids.js";
-import type { ClosedReserve, WitnessedBill } from "../types/messages.js";
+import type { ClosedReserve, Heartbeat, WitnessedBill } from "../types/messages.js";
 import type { AccountRow, WitnessRow, World } from "../world.js";
-import { accountRow } from "../world.js";
 import { holderIncarnation, holderName } from "./budgets.js";
 import { isLive, isLost, livePeers, sendToPeer } from "./peers.js";
 
 const OPEN_RETRY_MS = 500;
+const WITNESSES = 2;
+const KEPT_BILL_LIMIT_MS = LONGEST_REQUEST_MS * 0.75;
 
-/** Returns the peer that witnesses this router's bills and reserve; it stays while it lives. */
-export function witnessOf(world: World, now: number): Incarnation | undefined {
-    const current = world.witness;
-    if (current !== undefined && isLive(world, current, now) && !world.peers.get(current)!.heartbeat.draining) {
-        return current;
+/** Returns the peers that witness this router's bills and reserves; they stay while they live. */
+export function witnessesOf(world: World, now: number): readonly Incarnation[] {
+    const kept = world.witnesses.filter((peer) =>
+        isLive(world, peer, now) && !world.peers.get(peer)!.heartbeat.draining
+    );
+    if (kept.length < WITNESSES) {
+        const others = preferredPeers(world, now).filter((peer) => !kept.includes(peer));
+        world.witnesses = [...kept, ...others.slice(0, WITNESSES - kept.length)];
     }
-    const live = livePeers(world, now);
-    const elsewhere = live.filter((peer) => world.peers.get(peer)!.heartbeat.domain !== world.self.domain);
+    return world.witnesses;
+}
+
+// Peers in other failure domains of the region come first: near, but not lost together with this router.
+function preferredPeers(world: World, now: number): Incarnation[] {
     const region = world.self.domain.split("/")[0]!;
-    const near = elsewhere.filter((peer) => world.peers.get(peer)!.heartbeat.domain.startsWith(`${region}/`));
-    const candidates = [near, elsewhere, live].find((peers) => peers.length > 0) ?? [];
-    world.witness = rendezvousOrder(world.self.incarnation, candidates)[0];
-    return world.witness;
+    const rank = (peer: Incarnation): number => {
+        const domain = world.peers.get(peer)!.heartbeat.domain;
+        if (domain === world.self.domain) {
+            return 2;
+        }
+        return domain.startsWith(`${region}/`) ? 0 : 1;
+    };
+    return rendezvousOrder(world.self.incarnation, livePeers(world, now)).sort((first, second) =>
+        rank(first) - rank(second)
+    );
+}
+
+/** Adds a bill that must not be lost with this router. */
+export function openBill(world: World, bill: WitnessedBill): void {
+    world.openBills.set(bill.key, { bill, offeredTo: new Set(), keptBy: new Set() });
+    world.unkeptBills.push(bill);
+}
+
+/** Offers a bill again to witnesses that do not keep it. */
+export function reofferBill(world: World, key: KeyDigest): void {
+    const open = world.openBills.get(key);
+    if (open !== undefined) {
+        world.unkeptBills.push(open.bill);
+    }
 }
 
-/** Offers the bills of this tick to the witness, in one message. */
+/** Offers the bills of this tick to the witnesses, in one message each. */
 export function offerBills(world: World, now: number): void {
     if (world.unkeptBills.length === 0) {
         return;
     }
     const bills = world.unkeptBills;
     world.unkeptBills = [];
-    const witness = witnessOf(world, now);
-    if (witness === undefined) {
+    for (const witness of witnessesOf(world, now)) {
+        offerTo(world, witness, bills.filter((bill) => !world.openBills.get(bill.key)?.keptBy.has(witness)));
+    }
+}
+
+function offerTo(world: World, witness: Incarnation, bills: readonly WitnessedBill[]): void {
+    if (bills.length === 0) {
         return;
     }
     const batch = world.nextBatch++;
     world.billBatches.set(batch, bills.map((bill) => bill.key));
+    for (const bill of bills) {
+        world.openBills.get(bill.key)?.offeredTo.add(witness);
+    }
     sendToPeer(world, witness, { kind: "witness-bills", bills, batch });
 }
 
 /** Keeps a peer's bills until the ledger has them. */
-export function keepBills(world: World, from: Incarnation, bills: readonly WitnessedBill[], batch: number): void {
+export function keepBills(
+    world: World,
+    from: Incarnation,
+    bills: readonly WitnessedBill[],
+    batch: number,
+    now: number,
+): void {
     const row = witnessRow(world, from);
     for (const bill of bills) {
-        row.bills.set(bill.key, bill);
+        row.bills.set(bill.key, { ...bill, keptAt: now });
     }
     sendToPeer(world, from, { kind: "witness-bills-kept", batch });
 }
 
-/** Takes the keys of a batch that the witness keeps now. */
-export function takeKeptBatch(world: World, batch: number): readonly KeyDigest[] {
+/** Notes that a witness keeps a batch. Returns the bills that are now kept well enough. */
+export function noteKept(world: World, from: Incarnation, batch: number): KeyDigest[] {
     const keys = world.billBatches.get(batch) ?? [];
     world.billBatches.delete(batch);
-    return keys;
+    for (const key of keys) {
+        world.openBills.get(key)?.keptBy.add(from);
+    }
+    return keys.filter((key) => isKeptWell(world, key));
 }
 
-/** Tells the witness which bills the ledger has. */
-export function announceSettled(world: World, keys: readonly KeyDigest[], now: number): void {
-    const witness = witnessOf(world, now);
-    if (witness !== undefined && keys.length > 0) {
-        sendToPeer(world, witness, { kind: "witness-bills-settled", keys });
+/**
+ * Returns true when a bill outlives the loss of two routers, or of one while the key-value service
+ * does not answer.
+ */
+export function isKeptWell(world: World, key: KeyDigest): boolean {
+    const open = world.openBills.get(key);
+    const wanted = world.keyValueFailingSince === undefined ? WITNESSES : 1;
+    return open !== undefined && open.keptBy.size >= wanted;
+}
+
+/** Returns true when there are too few witnesses to end answers without the ledger. */
+export function needsLedger(world: World, now: number): boolean {
+    return witnessesOf(world, now).length < WITNESSES && world.keyValueFailingSince === undefined;
+}
+
+/** Forgets bills that the ledger has, here and at the witnesses. */
+export function closeBills(world: World, keys: readonly KeyDigest[]): void {
+    const byWitness = new Map<Incarnation, KeyDigest[]>();
+    for (const key of keys) {
+        for (const witness of world.openBills.get(key)?.offeredTo ?? []) {
+            byWitness.set(witness, [...byWitness.get(witness) ?? [], key]);
+        }
+        world.openBills.delete(key);
+    }
+    for (const [witness, settled] of byWitness) {
+        sendToPeer(world, witness, { kind: "witness-bills-settled", keys: settled });
+    }
+}
+
+/** Returns the time of the oldest bill that the ledger does not have, or now. */
+export function oldestBillAt(world: World, now: number): number {
+    // Bills are added in order of time.
+    for (const { bill } of world.openBills.values()) {
+        return bill.at;
+    }
+    return now;
+}
+
+/** Forgets bills of a peer that the ledger has by its own word, should the message about them be lost. */
+export function dropSettledBills(world: World, heartbeat: Heartbeat): void {
+    const row = world.witnessed.get(heartbeat.incarnation);
+    for (const bill of row?.bills.values() ?? []) {
+        if (bill.at < heartbeat.oldestBillAt) {
+            row!.bills.delete(bill.key);
+        }
     }
 }
 
@@ -73,53 +157,74 @@
     }
 }
 
-/** Returns the accounts for which this router keeps bills of lost peers. */
+/** Returns the accounts for which this router keeps bills that their router seems unable to write. */
 export function accountsToSettle(world: World, now: number): Set<AccountId> {
     const accounts = new Set<AccountId>();
     for (const [peer, row] of world.witnessed) {
-        if (row.bills.size === 0 || !isLost(world, peer, now)) {
-            continue;
-        }
+        dropOldBills(row, now);
         for (const bill of row.bills.values()) {
-            accounts.add(bill.account);
+            if (isOverdue(world, peer, bill, now)) {
+                accounts.add(bill.account);
+            }
         }
     }
     return accounts;
 }
 
-/** Returns the bills of lost peers for an account, to be written on their behalf. */
+// The ledger forgets bills after a while; a bill as old as that could be written a second time.
+function dropOldBills(row: WitnessRow, now: number): void {
+    for (const bill of row.bills.values()) {
+        if (now - bill.keptAt > KEPT_BILL_LIMIT_MS) {
+            row.bills.delete(bill.key);
+        }
+    }
+}
+
+// The ledger takes a bill once, so it does no harm when both its router and a witness write it.
+function isOverdue(world: World, peer: Incarnation, bill: { readonly keptAt: number; }, now: number): boolean {
+    return isLost(world, peer, now) || now - bill.keptAt > world.policy.witnessSettleMs;
+}
+
+/** Returns the overdue bills of peers for an account, to be written on their behalf. */
 export function witnessedSettlements(world: World, account: AccountId, now: number): WitnessedSettlements[] {
     const all: WitnessedSettlements[] = [];
-    for (const [holder, row] of world.witnessed) {
-        if (row.bills.size === 0 || !isLost(world, holder, now)) {
-            continue;
-        }
-        const settlements: Settlement[] = [...row.bills.values()].filter((bill) => bill.account === account);
-        if (settlements.length > 0) {
-            all.push({ holder, settlements });
+    for (const [peer, row] of world.witnessed) {
+        dropOldBills(row, now);
+        for (const bill of row.bills.values()) {
+            if (bill.account === account && isOverdue(world, peer, bill, now)) {
+                addWitnessed(all, bill);
+            }
         }
     }
     return all;
 }
 
+function addWitnessed(all: WitnessedSettlements[], bill: WitnessedBill): void {
+    const known = all.find((entry) => entry.holder === bill.holder);
+    if (known === undefined) {
+        all.push({ holder: bill.holder, settlements: [bill] });
+        return;
+    }
+    known.settlements.push(bill);
+}
+
 /** Forgets bills that were written on behalf of lost peers. */
 export function dropWitnessed(world: World, written: readonly WitnessedSettlements[]): void {
     for (const { holder, settlements } of written) {
-        forgetBills(world, holder, settlements.map((settlement) => settlement.key));
+        forgetBills(world, holderIncarnation(holder), settlements.map((settlement) => settlement.key));
     }
 }
 
-/** Asks the witness to open the reserves, once the key-value service fails. */
+/** Asks the witnesses to open the reserves, once the key-value service fails. */
 export function askToOpenReserve(world: World, now: number): void {
     if (now - world.openAskedAt < OPEN_RETRY_MS) {
         return;
     }
-    const witness = witnessOf(world, now);
-    if (witness === undefined) {
-        return;
-    }
     world.openAskedAt = now;
-    sendToPeer(world, witness, { kind: "reserve-open", epoch: world.epoch });
+    const recorded = [...world.accounts.values()].flatMap((account) => account.witnesses);
+    for (const witness of new Set([...recorded, ...witnessesOf(world, now)])) {
+        sendToPeer(world, witness, { kind: "reserve-open", epoch: world.epoch });
+    }
 }
 
 /** Opens a peer's reserves up to an epoch, but for those already closed. */
@@ -130,12 +235,12 @@
     sendToPeer(world, from, { kind: "reserve-opened", epoch, closed });
 }
 
-/** Notes that the witness opened the reserves. */
+/** Notes that a witness opened the reserves. */
 export function noteOpened(world: World, from: Incarnation, epoch: number, closed: readonly ClosedReserve[]): void {
-    if (world.witness !== from || (world.opened?.witness === from && world.opened.epoch > epoch)) {
-        return;
+    const known = world.opened.get(from);
+    if (known === undefined || known.epoch <= epoch) {
+        world.opened.set(from, { epoch, closed: new Map(closed.map((entry) => [entry.account, entry.epoch])) });
     }
-    world.opened = { witness: from, epoch, closed: new Map(closed.map((entry) => [entry.account, entry.epoch])) };
 }
 
 /** Closes a holder's reserve unless it was opened. Returns true when it can no longer be opened. */
@@ -160,15 +265,24 @@
 }
 
 function reclaimHolder(world: World, account: AccountRow, name: Incarnation, holder: Holder, now: number): void {
-    const witness = holder.witness;
-    const closable = witness === undefined
-        || (witness === world.self.incarnation && closeReserve(world, name, account.id, holder.epoch));
-    if (closable) {
-        account.reclaims.push({ holder: name, epoch: holder.epoch });
+    const { epoch } = holder;
+    if (holder.witnesses.length === 0) {
+        addReclaim(account, name, epoch);
         return;
     }
-    if (witness !== world.self.incarnation && isLive(world, witness, now)) {
-        sendToPeer(world, witness, { kind: "reserve-close", holder: name, epoch: holder.epoch, account: account.id });
+    for (const witness of holder.witnesses) {
+        if (witness !== world.self.incarnation) {
+            sendToPeer(world, witness, { kind: "reserve-close", holder: name, epoch, account: account.id });
+        }
+        else if (closeReserve(world, name, account.id, epoch)) {
+            noteClosed(world, account, name, epoch, witness);
+        }
+    }
+}
+
+function addReclaim(account: AccountRow, holder: Incarnation, epoch: number): void {
+    if (!account.reclaims.some((reclaim) => reclaim.holder === holder && reclaim.epoch === epoch)) {
+        account.reclaims.push({ holder, epoch });
     }
 }
 
@@ -176,13 +290,28 @@
     return Object.values<Holding>(holder.budgets).some((holding) => holding.reserve > 0);
 }
 
-/** Notes that a lost holder's reserve was closed and may be returned. */
-export function noteClosed(world: World, account: AccountId, holder: Incarnation, epoch: number): AccountRow {
-    const row = accountRow(world, account);
-    if (!row.reclaims.some((reclaim) => reclaim.holder === holder && reclaim.epoch === epoch)) {
-        row.reclaims.push({ holder, epoch });
+/** Notes that a witness closed a lost holder's reserve. Returns true once all of them did. */
+export function noteClosed(
+    world: World,
+    account: AccountRow,
+    holder: Incarnation,
+    epoch: number,
+    witness: Incarnation,
+): boolean {
+    const entry = parseRecord(account.stored?.value).holders[holder];
+    if (entry === undefined || entry.epoch !== epoch) {
+        return false;
     }
-    return row;
+    const key = `${holder} ${epoch}`;
+    const closedBy = account.closedBy.get(key) ?? new Set();
+    account.closedBy.set(key, closedBy);
+    closedBy.add(witness);
+    if (!entry.witnesses.every((other) => closedBy.has(other))) {
+        return false;
+    }
+    account.closedBy.delete(key);
+    addReclaim(account, holder, epoch);
+    return true;
 }
 
 function witnessRow(world: World, peer: Incarnation): WitnessRow {
--- a/packages/core/src/tick.ts
+++ b/packages/core/src/tick.ts
@@ -1,5 +1,5 @@
 import { earliestDue, takeDue } from "./support/due-queue.js";
-import { checkProgress, continueRetry, endBilling, handleFailure, receiveEnd } from "./systems/answers.js";
+import { checkProgress, continueRetry, endBilling, handleFailure, receiveEnd, waitForBill } from "./systems/answers.js";
 import { handleClaimReply, handleOutcomeReply, writeOutcome } from "./systems/claims.js";
 import { adoptSnapshot, pollConfiguration, receiveHead, receivePart } from "./systems/configuration.js";
 import { checkDrain, startDrain } from "./systems/drain.js";
@@ -19,6 +19,7 @@
     forgetRun,
     handleCallerGone,
     judgeWaiting,
+    refuseBilled,
     refuseClaimed,
     refuseRun,
     seekEndpoint,
@@ -28,16 +29,16 @@
 } from "./systems/runs.js";
 import { receiveChunk } from "./systems/streams.js";
 import {
-    announceSettled,
+    closeBills,
     closeReserve,
     dropWitnessed,
     forgetBills,
     keepBills,
     noteClosed,
+    noteKept,
     noteOpened,
     offerBills,
     openReserve,
-    takeKeptBatch,
 } from "./systems/witness.js";
 import type { Incarnation, KeyDigest, KeyValueCallId } from "./types/ids.js";
 import type { Effect, KeyValueResult, Message, PeerMessage } from "./types/messages.js";
@@ -151,7 +152,7 @@
 const ledgerListener: LedgerListener = {
     committed(world: World, account: AccountRow, write: LedgerWrite, now: number): void {
         const keys = write.settlements.map((settlement) => settlement.key);
-        announceSettled(world, keys, now);
+        closeBills(world, keys);
         dropWitnessed(world, write.witnessed);
         endBills(world, keys, now);
         announceReturned(world, account);
@@ -204,9 +205,9 @@
         case "configuration":
             return adoptSnapshot(world, message.snapshot);
         case "witness-bills":
-            return keepBills(world, from, message.bills, message.batch);
+            return keepBills(world, from, message.bills, message.batch, now);
         case "witness-bills-kept":
-            return endBills(world, takeKeptBatch(world, message.batch), now);
+            return endBills(world, noteKept(world, from, message.batch), now);
         case "witness-bills-settled":
             return forgetBills(world, from, message.keys);
         case "reserve-open":
@@ -217,10 +218,7 @@
         case "reserve-close":
             return answerClose(world, from, message);
         case "reserve-closed":
-            if (message.closed) {
-                requestWrite(world, noteClosed(world, message.account, message.holder, message.epoch), now);
-            }
-            return;
+            return handleClosed(world, from, message, now);
         case "borrow":
             return lend(world, from, message, now);
         case "lend":
@@ -246,6 +244,18 @@
     sendToPeer(world, from, { kind: "reserve-closed", holder, epoch, account, closed });
 }
 
+function handleClosed(
+    world: World,
+    from: Incarnation,
+    message: Extract<PeerMessage, { kind: "reserve-closed"; }>,
+    now: number,
+): void {
+    const account = accountRow(world, message.account);
+    if (message.closed && noteClosed(world, account, message.holder, message.epoch, from)) {
+        requestWrite(world, account, now);
+    }
+}
+
 function serveAllWaiting(world: World, now: number): void {
     for (const account of world.accounts.values()) {
         if (account.waiting.length > 0) {
@@ -292,6 +302,12 @@
     }
 }
 
+function endAtDeadline(world: World, run: Run, now: number): void {
+    if (run.state !== "done") {
+        refuseRun(world, run, "deadline-exceeded", OVERDUE_RETRY_MS, now);
+    }
+}
+
 function tendQueue(world: World, server: string, now: number): void {
     serveQueue(world, server, now);
     for (const run of unservable(world, server, now)) {
@@ -308,14 +324,11 @@
         case "budget-wait":
             return endBudgetWait(world, run, now);
         case "deadline":
-            if (run.state !== "done" && run.state !== "billing") {
-                refuseRun(world, run, "deadline-exceeded", OVERDUE_RETRY_MS, now);
-            }
-            return;
+            return run.state === "billing" ? refuseBilled(world, run, now) : endAtDeadline(world, run, now);
         case "progress":
             return checkProgress(world, run, task.dispatch, now);
         case "bill-wait":
-            return endBilling(world, run, now);
+            return waitForBill(world, run, now);
         case "forget-run":
             return forgetRun(world, run);
         case "orphan":
--- a/packages/core/src/types/messages.ts
+++ b/packages/core/src/types/messages.ts
@@ -97,10 +97,14 @@
 
 /** A bill that a witness keeps until the ledger has it. */
 export type WitnessedBill = {
+    /** Name of the holder in the ledger whose allowance pays. */
+    readonly holder: Incarnation;
     readonly account: AccountId;
     readonly budget: BudgetId;
     readonly key: KeyDigest;
     readonly tokens: number;
+    /** Time in ms, by the clock of the router that owes the bill. */
+    readonly at: number;
 };
 
 /** A reserve of one account that its witness closed, up to a write's epoch. */
@@ -114,6 +118,8 @@
     readonly sequence: number;
     readonly draining: boolean;
     readonly configurationVersion: number;
+    /** Time in ms, by this router's clock, of its oldest bill that the ledger does not have. */
+    readonly oldestBillAt: number;
 };
 
 /** A message between two routers. */
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -67,7 +67,7 @@
     readonly expected: number;
     readonly value: string;
     readonly epoch: number;
-    readonly witness: Incarnation | undefined;
+    readonly witnesses: readonly Incarnation[];
     readonly settlements: readonly Settlement[];
     readonly transfers: readonly LedgerTransfer[];
     readonly witnessed: readonly WitnessedSettlements[];
@@ -93,9 +93,9 @@
     /** Transfers taken in, so that a repeated one counts once. */
     readonly receivedTransfers: Set<TransferId>;
     reclaims: Reclaim[];
-    /** Epoch and witness of the last applied write. */
+    /** Epoch and witnesses of the last applied write. */
     epoch: number;
-    witness: Incarnation | undefined;
+    witnesses: readonly Incarnation[];
     committedAt: number;
     writtenAt: number;
     dueAt: number;
@@ -114,7 +114,8 @@
     /** Time until which nothing beyond the open reservations is held. */
     recalledUntil: number;
     runningRuns: number;
-    closing: Set<Incarnation>;
+    /** Witnesses that closed a lost holder's reserve, by holder and epoch. */
+    readonly closedBy: Map<string, Set<Incarnation>>;
 };
 
 /** Where a run stands. */
@@ -185,11 +186,18 @@
 
 /** What a router keeps as the witness of a peer. */
 export type WitnessRow = {
-    bills: Map<KeyDigest, WitnessedBill>;
+    bills: Map<KeyDigest, WitnessedBill & { readonly keptAt: number; }>;
     openedEpoch: number;
     closed: Map<AccountId, number>;
 };
 
+/** A bill that only this router and its witnesses have. */
+export type OpenBill = {
+    readonly bill: WitnessedBill;
+    readonly offeredTo: Set<Incarnation>;
+    readonly keptBy: Set<Incarnation>;
+};
+
 /** A request for the lane in which suspects run alone. */
 export type LaneRow = {
     holder: { incarnation: Incarnation; body: BodyDigest; until: number; } | undefined;
@@ -260,14 +268,17 @@
     /** Addresses of routers that the instance list names. */
     readonly instances: Map<string, { leaving: boolean; }>;
     readonly witnessed: Map<Incarnation, WitnessRow>;
-    /** Bills to offer to the witness at the end of the tick. */
+    /** Bills to offer to the witnesses at the end of the tick. */
     unkeptBills: WitnessedBill[];
+    /** Bills that the ledger does not have, with the peers that were offered them and that keep them. */
+    readonly openBills: Map<KeyDigest, OpenBill>;
     readonly billBatches: Map<number, readonly KeyDigest[]>;
     nextBatch: number;
-    /** What the witness opened: rows written by it up to this epoch, but for the closed ones. */
-    opened: { witness: Incarnation; epoch: number; closed: ReadonlyMap<AccountId, number>; } | undefined;
+    /** What each witness opened: rows written up to an epoch, but for the closed ones. */
+    readonly opened: Map<Incarnation, { epoch: number; closed: ReadonlyMap<AccountId, number>; }>;
     openAskedAt: number;
-    witness: Incarnation | undefined;
+    /** Peers that witness this router's bills and reserves. */
+    witnesses: readonly Incarnation[];
     readonly lends: Map<TransferId, LendRow>;
     readonly lanes: Map<string, LaneRow>;
     readonly suspects: Map<BodyDigest, { crashes: number; at: number; }>;
@@ -320,11 +331,12 @@
         instances: new Map(),
         witnessed: new Map(),
         unkeptBills: [],
+        openBills: new Map(),
         billBatches: new Map(),
         nextBatch: 1,
-        opened: undefined,
+        opened: new Map(),
         openAskedAt: -Infinity,
-        witness: undefined,
+        witnesses: [],
         lends: new Map(),
         lanes: new Map(),
         suspects: new Map(),
@@ -366,7 +378,7 @@
         receivedTransfers: new Set(),
         reclaims: [],
         epoch: 0,
-        witness: undefined,
+        witnesses: [],
         committedAt: -Infinity,
         writtenAt: -Infinity,
         dueAt: Infinity,
@@ -379,7 +391,7 @@
         borrowers: new Set(),
         recalledUntil: -Infinity,
         runningRuns: 0,
-        closing: new Set(),
+        closedBy: new Map(),
     };
     world.accounts.set(id, row);
     return row;
--- /dev/null
+++ b/packages/standins/src/fuzz/main.ts
@@ -0,0 +1,52 @@
+import { type FleetEvent, runSchedule, type Schedule, schedules } from "@gooseberrybend/core/mocks";
+import fc from "fast-check";
+import { parseArgs } from "node:util";
+
+const { values } = parseArgs({
+    options: {
+        seed: { type: "string", default: "1" },
+        runs: { type: "string", default: "1000" },
+        replay: { type: "string" },
+    },
+});
+
+process.exitCode = values.replay === undefined ? search() : replay(JSON.parse(values.replay) as Schedule);
+
+function search(): number {
+    const startedAt = Date.now();
+    const property = fc.property(schedules, (schedule) => runSchedule(schedule).violations.length === 0);
+    const result = fc.check(property, { seed: Number(values.seed), numRuns: Number(values.runs), endOnFailure: true });
+    const seconds = ((Date.now() - startedAt) / 1000).toFixed(1);
+    process.stdout.write(`${result.numRuns} schedules with seed ${values.seed} in ${seconds} s\n`);
+    const example = result.counterexample?.[0];
+    if (example === undefined) {
+        process.stdout.write("no rule was broken\n");
+        return 0;
+    }
+    process.stdout.write(`${JSON.stringify(minimize(example))}\n`);
+    return replay(example);
+}
+
+// Leaves out events one by one while a rule stays broken.
+function minimize(schedule: Schedule): Schedule {
+    let events: readonly FleetEvent[] = schedule.events;
+    for (let index = 0; index < events.length;) {
+        const fewer = events.filter((unused, other) => other !== index);
+        if (runSchedule({ seed: schedule.seed, events: fewer }).violations.length > 0) {
+            events = fewer;
+        }
+        else {
+            index++;
+        }
+    }
+    return { seed: schedule.seed, events };
+}
+
+function replay(schedule: Schedule): number {
+    const result = runSchedule(schedule);
+    for (const violation of result.violations) {
+        process.stdout.write(`broken: ${violation}\n`);
+    }
+    process.stdout.write(`${JSON.stringify(result.verdict)}\n`);
+    return result.violations.length === 0 ? 0 : 1;
+}
--- /dev/null
+++ b/packages/standins/src/measure/main.ts
@@ -0,0 +1,116 @@
+import type { FleetOptions } from "@gooseberrybend/core/mocks";
+import { parseArgs } from "node:util";
+import { CheckThenBillBrain, StaticSplitBrain } from "./baselines.js";
+import { runScenario, type Scenario, type ScenarioFigures, scenarios } from "./scenarios.js";
+
+/** One row of the measurement. */
+type Row = {
+    readonly scenario: string;
+    readonly policy: string;
+    readonly overspentTokens: number;
+    readonly billsMissing: number;
+    readonly billsDoubled: number;
+    readonly nonIdempotentDoubles: number;
+    readonly dishonestRefusals: number;
+    readonly brokenAnswers: number;
+    readonly falseRefusals: number;
+    readonly requests: number;
+    readonly strandedTokens: number;
+    readonly keyValueCallsPerSecond: number;
+    readonly keyValueWritesPerSecond: number;
+    readonly peerMessagesPerSecond: number;
+    readonly crashes: number;
+    readonly strandedLimit: number;
+};
+
+const { values } = parseArgs({
+    options: {
+        json: { type: "boolean", default: false },
+        seed: { type: "string", default: "1" },
+        scenario: { type: "string" },
+        policy: { type: "string" },
+    },
+});
+
+const policies: Readonly<Record<string, (scenario: Scenario) => FleetOptions["createBrain"]>> = {
+    "fleet": () => undefined,
+    "check-then-bill": ({ options }) => (world, routers) => new CheckThenBillBrain(world, routers, options),
+    "static-split": ({ options }) => (world, routers) => new StaticSplitBrain(world, routers, options),
+};
+
+const rows: Row[] = [];
+for (const scenario of scenarios.filter((entry) => values.scenario === undefined || entry.name === values.scenario)) {
+    for (const [policy, createBrain] of Object.entries(policies)) {
+        if (values.policy === undefined || values.policy === policy) {
+            rows.push(rowOf(scenario.name, policy, runScenario(scenario, Number(values.seed), createBrain(scenario))));
+        }
+    }
+}
+process.stdout.write(values.json ? `${JSON.stringify(rows)}\n` : tableOf(rows));
+
+function rowOf(scenario: string, policy: string, figures: ScenarioFigures): Row {
+    const perSecond = (count: number): number => Math.round(count / figures.seconds * 10) / 10;
+    return {
+        scenario,
+        policy,
+        overspentTokens: figures.overspentTokens,
+        billsMissing: figures.billsMissing,
+        billsDoubled: figures.billsDoubled,
+        nonIdempotentDoubles: figures.nonIdempotentDoubles,
+        dishonestRefusals: figures.dishonestRefusals,
+        brokenAnswers: figures.brokenAnswers,
+        falseRefusals: figures.falseRefusals,
+        requests: figures.requests,
+        strandedTokens: figures.strandedTokens,
+        keyValueCallsPerSecond: perSecond(figures.keyValueCalls),
+        keyValueWritesPerSecond: perSecond(figures.keyValueWrites),
+        peerMessagesPerSecond: perSecond(figures.peerMessages),
+        crashes: figures.crashes,
+        strandedLimit: figures.strandedLimit,
+    };
+}
+
+function tableOf(entries: readonly Row[]): string {
+    const headings = [
+        "scenario",
+        "policy",
+        "over",
+        "miss",
+        "dbl",
+        "twice",
+        "lie",
+        "broken",
+        "false",
+        "of",
+        "strand",
+        "limit",
+        "kv/s",
+        "wr/s",
+        "peer/s",
+        "crash",
+    ];
+    const lines = entries.map((row) =>
+        [
+            row.scenario,
+            row.policy,
+            row.overspentTokens,
+            row.billsMissing,
+            row.billsDoubled,
+            row.nonIdempotentDoubles,
+            row.dishonestRefusals,
+            row.brokenAnswers,
+            row.falseRefusals,
+            row.requests,
+            row.strandedTokens,
+            row.strandedLimit,
+            row.keyValueCallsPerSecond,
+            row.keyValueWritesPerSecond,
+            row.peerMessagesPerSecond,
+            row.crashes,
+        ].map(String)
+    );
+    const all = [headings, ...lines];
+    const widths = headings.map((unused, column) => Math.max(...all.map((line) => line[column]!.length)));
+    return all.map((line) => line.map((cell, column) => cell.padEnd(widths[column]!)).join(" ").trimEnd()).join("\n")
+        + "\n";
+}
