Move older bills out of the ledger record into pages

Cause: a record kept all bills of the dedupe window, so its size grew with the rate: a partition scenario of 6,600 requests took minutes, nearly all of it in reading and writing records.

--- a/packages/cli/src/commands/budget.ts
+++ b/packages/cli/src/commands/budget.ts
@@ -1,7 +1,7 @@
 import type { Holder, TopUp } from "@gooseberrybend/core";
 import { err, ok } from "neverthrow";
 import { parseArgs } from "node:util";
-import { figuresOf, readLedger, releaseHolder } from "../operations/budgets.js";
+import { figuresOf, readBills, readLedger, releaseHolder } from "../operations/budgets.js";
 import { sharedHelp, sharedOptions, storeOf } from "../options.js";
 import { type Command, formatTable } from "./command.js";
 
@@ -48,7 +48,8 @@
         ];
         if (values.history) {
             sections.push(formatTable(["TOP-UP", "BUDGET", "TOKENS", "AT"], topUpRows(record.topUps)));
-            const bills = Object.entries(record.bills).map((
+            const known = await readBills(store.value, account, record);
+            const bills = [...known].map((
                 [key, bill],
             ) => [key, bill.tokens, new Date(bill.at).toISOString()]);
             sections.push(formatTable(["BILL", "TOKENS", "AT"], bills));
--- a/packages/cli/src/operations/budgets.ts
+++ b/packages/cli/src/operations/budgets.ts
@@ -1,9 +1,13 @@
 import {
+    type Bill,
     freeTokens,
     heldTokens,
     type Incarnation,
+    type KeyDigest,
     ledgerKey,
     type LedgerRecord,
+    pageKey,
+    parsePage,
     parseRecord,
     retireHolder,
 } from "@gooseberrybend/core";
@@ -33,6 +37,24 @@
     return ok(new Map(entries.map((entry) => [entry.key.slice(ledgerKey("").length), parseRecord(entry.value)])));
 }
 
+/** Reads all bills of an account that the ledger still remembers, those of its pages included. */
+export async function readBills(
+    store: KeyValueStore,
+    account: string,
+    record: LedgerRecord,
+): Promise<Map<KeyDigest, Bill>> {
+    const bills = new Map<KeyDigest, Bill>();
+    for (const page of record.pages) {
+        const result = await store.get(pageKey(account, page.id));
+        const entries = result.kind === "value" ? parsePage(result.current.value) : new Map<KeyDigest, Bill>();
+        entries.forEach((bill, key) => bills.set(key, bill));
+    }
+    for (const [key, bill] of Object.entries<Bill>(record.bills)) {
+        bills.set(key as KeyDigest, bill);
+    }
+    return bills;
+}
+
 /** Returns the figures of an account's budgets. */
 export function figuresOf(account: string, record: LedgerRecord): BudgetFigures[] {
     return Object.entries(record.budgets).map(([id, totals]) => {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,7 @@
 export * from "./configuration/publication.js";
 export * from "./configuration/schema.js";
 export * from "./configuration/snapshot.js";
+export * from "./ledger/pages.js";
 export * from "./ledger/reconcile.js";
 export * from "./ledger/record.js";
 export * from "./policy.js";
--- a/packages/core/src/ledger/reconcile.ts
+++ b/packages/core/src/ledger/reconcile.ts
@@ -1,5 +1,6 @@
 import type { BudgetId, Incarnation, KeyDigest, OperationId, TransferId } from "../types/ids.js";
 import { brand } from "../types/ids.js";
+import { applySeal, findBill, type PageCache, type SealedPage } from "./pages.js";
 import { type Bill, freeTokens, type Holder, type Holding, type LedgerRecord, type Transfer } from "./record.js";
 
 /** A bill to write. */
@@ -48,6 +49,10 @@
     readonly witnessed: readonly WitnessedSettlements[];
     /** Reserves of silent holders whose witnesses closed them. */
     readonly reclaims: readonly Reclaim[];
+    /** A page that was stored and may now stand for its bills. */
+    readonly seal: SealedPage | undefined;
+    /** Bills of all pages of the record. */
+    readonly pages: PageCache;
     /** True when the holder had an entry before this write. */
     readonly known: boolean;
 };
@@ -79,18 +84,21 @@
         applyTransfer(record, transfer, change.holder, change.now);
     }
     for (const { holder: id, settlements } of change.witnessed) {
-        settleForPeer(record, id, settlements, change.now);
+        settleForPeer(record, change, id, settlements);
     }
     for (const reclaim of change.reclaims) {
         reclaimReserve(record, reclaim);
     }
     const duplicates = change.settlements
-        .filter((settlement) => !settle(record, holder, settlement, change.now))
+        .filter((settlement) => !settle(record, change, holder, settlement))
         .map((settlement) => settlement.key);
     const holdings = new Map<BudgetId, Holding>();
     for (const want of change.wants) {
         holdings.set(want.budget, { ...resize(record, holder, want) });
     }
+    if (change.seal !== undefined) {
+        applySeal(record, change.seal);
+    }
     dropEmptyHoldings(holder);
     prune(record, change.now);
     return { fenced: false, duplicates, holdings };
@@ -109,13 +117,18 @@
     return holder;
 }
 
-function settleForPeer(record: LedgerRecord, id: Incarnation, settlements: readonly Settlement[], now: number): void {
+function settleForPeer(
+    record: LedgerRecord,
+    change: Reconciliation,
+    id: Incarnation,
+    settlements: readonly Settlement[],
+): void {
     const holder = record.holders[id];
     if (holder === undefined) {
         return;
     }
     for (const settlement of settlements) {
-        settle(record, holder, settlement, now);
+        settle(record, change, holder, settlement);
     }
 }
 
@@ -148,12 +161,12 @@
     holding.allowance += transfer.tokens;
 }
 
-/** Writes a bill against a holder's allowance. Returns false when the key was billed before. */
-export function settle(record: LedgerRecord, holder: Holder, settlement: Settlement, now: number): boolean {
-    if (record.bills[settlement.key] !== undefined) {
+// Writes a bill against a holder's allowance. Returns false when the key was billed before.
+function settle(record: LedgerRecord, change: Reconciliation, holder: Holder, settlement: Settlement): boolean {
+    if (findBill(record, change.pages, settlement.key) !== undefined) {
         return false;
     }
-    record.bills[settlement.key] = { tokens: settlement.tokens, at: now };
+    record.bills[settlement.key] = { tokens: settlement.tokens, at: change.now };
     const totals = record.budgets[settlement.budget] ??= { granted: 0, billed: 0 };
     const holding = holder.budgets[settlement.budget] ??= { allowance: 0, reserve: 0 };
     totals.billed += settlement.tokens;
@@ -226,6 +239,7 @@
 }
 
 function pruneBills(record: LedgerRecord, before: number): void {
+    record.pages = record.pages.filter((page) => page.newest >= before);
     for (const [key, bill] of Object.entries<Bill>(record.bills)) {
         if (bill.at < before) {
             delete record.bills[key as KeyDigest];
--- a/packages/core/src/ledger/record.ts
+++ b/packages/core/src/ledger/record.ts
@@ -33,12 +33,22 @@
 /** A bill of the dedupe window. */
 export type Bill = { tokens: number; at: number; };
 
+/** A page of older bills, stored under a key of its own. */
+export type BillPage = {
+    readonly id: string;
+    /** Time in ms of its newest bill. */
+    readonly newest: number;
+    readonly count: number;
+};
+
 /** The ledger record of one client account. */
 export type LedgerRecord = {
     budgets: Record<BudgetId, BudgetTotals>;
     topUps: Record<string, TopUp>;
     holders: Record<Incarnation, Holder>;
+    /** The latest bills; older ones stand in the pages. */
     bills: Record<KeyDigest, Bill>;
+    pages: BillPage[];
     transfers: Record<TransferId, Transfer>;
     /** Tokens by budget that routers took with them and nobody can prove unspent. */
     stranded: Record<BudgetId, number>;
@@ -46,7 +56,7 @@
 
 /** Creates the record of an account without budgets. */
 export function emptyRecord(): LedgerRecord {
-    return { budgets: {}, topUps: {}, holders: {}, bills: {}, transfers: {}, stranded: {} };
+    return { budgets: {}, topUps: {}, holders: {}, bills: {}, pages: [], transfers: {}, stranded: {} };
 }
 
 /** Reads a stored record; an absent value is an empty record. */
--- a/packages/core/src/mocks/fake-fleet.ts
+++ b/packages/core/src/mocks/fake-fleet.ts
@@ -1,6 +1,8 @@
 import { CONFIGURATION_HEAD_KEY, mergePublication, parseHead, partKey } from "../configuration/publication.js";
+import { pageKey, parsePage } from "../ledger/pages.js";
 import {
     applyTopUp,
+    type Bill,
     formatRecord,
     type Holder,
     type Holding,
@@ -151,6 +153,7 @@
     }
 
     private readonly dead: FakeRouter[] = [];
+    private readonly pages = new Map<string, ReadonlyMap<KeyDigest, Bill>>();
 
     /** Sends a request of the usual kinds. */
     send(plan: Omit<Partial<RequestPlan>, "account"> & { account: string; }): RequestRecord {
@@ -207,6 +210,20 @@
         return parseRecord(this.keyValue.values.get(ledgerKey(account))?.value);
     }
 
+    /** Returns all bills of an account, those of its pages included. */
+    bills(account: string): Map<KeyDigest, Bill> {
+        const record = this.record(account);
+        const pages = record.pages.flatMap((page) => [...this.page(account, page.id)]);
+        return new Map([...pages, ...Object.entries<Bill>(record.bills) as [KeyDigest, Bill][]]);
+    }
+
+    private page(account: string, id: string): ReadonlyMap<KeyDigest, Bill> {
+        const known = this.pages.get(id);
+        const page = known ?? parsePage(this.keyValue.values.get(pageKey(account, id))?.value);
+        this.pages.set(id, page);
+        return page;
+    }
+
     private instances(): { address: string; leaving: boolean; }[] {
         return Array.from({ length: this.options.routers }, (unused, index) => ({
             address: `http://10.0.0.${index + 1}:7000`,
@@ -414,7 +431,7 @@
     // Billed, to be billed and reserved anywhere must fit in what was granted.
     private checkPromised(key: string, record: LedgerRecord): void {
         const account = key.slice(ledgerKey("").length) as AccountId;
-        const seen = new Set<KeyDigest>(Object.keys(record.bills) as KeyDigest[]);
+        const seen = new Set(this.bills(account).keys());
         const totals = record.budgets[MAIN] ?? { granted: 0, billed: 0 };
         let promised = totals.billed;
         for (const router of this.routers) {
@@ -460,7 +477,7 @@
     }
 
     private isBilled(record: RequestRecord): boolean {
-        return this.record(record.plan.account).bills[record.keyDigest] !== undefined;
+        return this.bills(record.plan.account).has(record.keyDigest);
     }
 
     // The case allowed: all three routers that had the bill died before one could write it, or both of two while
@@ -483,9 +500,8 @@
     }
 
     private hasDoubledBills(account: string): boolean {
-        const record = this.record(account);
-        const bills = Object.values(record.bills).reduce((sum, bill) => sum + bill.tokens, 0);
-        return (record.budgets[MAIN]?.billed ?? 0) !== bills;
+        const bills = [...this.bills(account).values()].reduce((sum, bill) => sum + bill.tokens, 0);
+        return (this.record(account).budgets[MAIN]?.billed ?? 0) !== bills;
     }
 
     // A refusal is false when the budget truly had the tokens at the time.
--- a/packages/core/src/systems/key-value.ts
+++ b/packages/core/src/systems/key-value.ts
@@ -8,8 +8,15 @@
 }
 
 /** Asks the key-value service to replace a value if its version is the expected one. */
-export function swapKey(world: World, key: string, expected: number, value: string, purpose: KeyValuePurpose): void {
-    world.effects.push({ kind: "key-value-swap", call: register(world, purpose), key, expected, value });
+export function swapKey(
+    world: World,
+    key: string,
+    expected: number,
+    value: string,
+    purpose: KeyValuePurpose,
+    lifetimeMs?: number,
+): void {
+    world.effects.push({ kind: "key-value-swap", call: register(world, purpose), key, expected, value, lifetimeMs });
 }
 
 function register(world: World, purpose: KeyValuePurpose): KeyValueCallId {
--- a/packages/core/src/systems/ledger.ts
+++ b/packages/core/src/systems/ledger.ts
@@ -1,3 +1,4 @@
+import { PAGE_LIFETIME_MS, pageKey, pageToSeal, parsePage, type SealedPage } from "../ledger/pages.js";
 import { type LedgerTransfer, reconcile, type Want } from "../ledger/reconcile.js";
 import { formatRecord, type Holder, ledgerKey, type LedgerRecord, parseRecord } from "../ledger/record.js";
 import { schedule } from "../support/due-queue.js";
@@ -77,6 +78,9 @@
         requestWrite(world, account, now + world.policy.reconcileIntervalMs);
         return;
     }
+    if (readMissingPages(world, account, record)) {
+        return;
+    }
     reclaimSilentHolders(world, account, record, now);
     const holder = holderName(world, account);
     const change = {
@@ -90,6 +94,8 @@
         wants: wantsOf(world, account, now),
         witnessed: witnessedSettlements(world, account.id, now),
         reclaims: [...account.reclaims],
+        seal: account.seal,
+        pages: account.pages,
         known: holdsTokens(account),
     };
     const result = reconcile(record, change);
@@ -107,6 +113,7 @@
         transfers: change.transfers,
         witnessed: change.witnessed,
         reclaims: change.reclaims,
+        seal: change.seal,
         duplicates: new Set(result.duplicates),
         holdings: result.holdings,
     };
@@ -138,6 +145,73 @@
     return [...account.budgets.values()].map((row) => wantOf(world, account, row, needed.get(row.id) ?? 0, now));
 }
 
+// A key can only be told to be new when all pages of the record are at hand.
+function readMissingPages(world: World, account: AccountRow, record: LedgerRecord): boolean {
+    const missing = record.pages.filter((page) => !account.pages.has(page.id));
+    for (const page of missing) {
+        account.busy = true;
+        readKey(world, pageKey(account.id, page.id), { kind: "page-read", account: account.id, page: page.id });
+    }
+    return missing.length > 0;
+}
+
+/** Takes in a page; with the last one that was missing the write goes on. */
+export function receivePage(
+    world: World,
+    id: AccountId,
+    page: string,
+    result: KeyValueResult,
+    listener: LedgerListener,
+    now: number,
+): void {
+    const account = accountRow(world, id);
+    if (result.kind !== "value") {
+        account.busy = false;
+        account.failures++;
+        retryLater(world, account, now);
+        listener.failed(world, account, now);
+        return;
+    }
+    account.pages.set(page, parsePage(result.current.value));
+    const record = parseRecord(account.stored?.value);
+    if (account.busy && record.pages.every((entry) => account.pages.has(entry.id))) {
+        account.busy = false;
+        requestWrite(world, account, now);
+    }
+}
+
+function sealBills(world: World, account: AccountRow, record: LedgerRecord, write: LedgerWrite): void {
+    if (account.seal === write.seal) {
+        account.seal = undefined;
+    }
+    dropOldPages(account, record);
+    const page = account.seal === undefined && !account.sealing ? pageToSeal(record) : undefined;
+    if (page === undefined) {
+        return;
+    }
+    account.sealing = true;
+    const purpose = { kind: "page-write", account: account.id, page } as const;
+    swapKey(world, pageKey(account.id, page.id), 0, page.text, purpose, PAGE_LIFETIME_MS);
+}
+
+function dropOldPages(account: AccountRow, record: LedgerRecord): void {
+    for (const id of account.pages.keys()) {
+        if (id !== account.seal?.id && !record.pages.some((page) => page.id === id)) {
+            account.pages.delete(id);
+        }
+    }
+}
+
+/** Notes that a page is stored; a conflict shows that the same page was stored before. */
+export function noteSealed(world: World, id: AccountId, page: SealedPage, result: KeyValueResult): void {
+    const account = accountRow(world, id);
+    account.sealing = false;
+    if (result.kind === "applied" || result.kind === "conflict") {
+        account.seal = page;
+        account.pages.set(page.id, page.bills);
+    }
+}
+
 /** Continues an account's read or write with the service's answer. */
 export function handleLedgerReply(
     world: World,
@@ -213,6 +287,7 @@
         row.unsettled -= sumTokens(write.settlements.filter((settlement) => settlement.budget === row.id));
     }
     adoptHoldings(account, record.holders[holderName(world, account)]);
+    sealBills(world, account, record, write);
     listener.committed(world, account, write, now);
     scheduleNext(world, account, record, now);
 }
--- a/packages/core/src/tick.ts
+++ b/packages/core/src/tick.ts
@@ -6,7 +6,14 @@
 import { noteReport, probeEndpoints } from "./systems/endpoints.js";
 import { takePurpose } from "./systems/key-value.js";
 import { enterLane, freeLane, grantLane, queueForLane } from "./systems/lanes.js";
-import { handleLedgerReply, type LedgerListener, requestWrite, runDueWrite } from "./systems/ledger.js";
+import {
+    handleLedgerReply,
+    type LedgerListener,
+    noteSealed,
+    receivePage,
+    requestWrite,
+    runDueWrite,
+} from "./systems/ledger.js";
 import { announceReturned, lend, noteReceived, receiveTransfer, resendTransfer } from "./systems/lending.js";
 import { beat, receiveHeartbeat } from "./systems/membership.js";
 import { sendToPeer } from "./systems/peers.js";
@@ -138,6 +145,10 @@
         case "ledger-read":
         case "ledger-write":
             return handleLedgerReply(world, purpose.account, result, ledgerListener, now);
+        case "page-read":
+            return receivePage(world, purpose.account, purpose.page, result, ledgerListener, now);
+        case "page-write":
+            return noteSealed(world, purpose.account, purpose.page, result);
         case "claim":
             return handleClaim(world, purpose.run, result, now);
         case "claim-outcome":
--- a/packages/core/src/types/messages.ts
+++ b/packages/core/src/types/messages.ts
@@ -239,6 +239,8 @@
         readonly key: string;
         readonly expected: number;
         readonly value: string;
+        /** Time in ms after which the service may drop the key; undefined to keep it. */
+        readonly lifetimeMs: number | undefined;
     }
     | {
         readonly kind: "peer-send";
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -5,6 +5,7 @@
     emptyConfiguration,
     type Snapshot,
 } from "./configuration/snapshot.js";
+import type { PageCache, SealedPage } from "./ledger/pages.js";
 import type { LedgerTransfer, Reclaim, Settlement, WitnessedSettlements } from "./ledger/reconcile.js";
 import type { Holding } from "./ledger/record.js";
 import { defaultPolicy, type Policy } from "./policy.js";
@@ -72,6 +73,7 @@
     readonly transfers: readonly LedgerTransfer[];
     readonly witnessed: readonly WitnessedSettlements[];
     readonly reclaims: readonly Reclaim[];
+    readonly seal: SealedPage | undefined;
     readonly duplicates: ReadonlySet<KeyDigest>;
     readonly holdings: ReadonlyMap<BudgetId, Holding>;
 };
@@ -85,6 +87,11 @@
     /** A read or write is on its way. */
     busy: boolean;
     write: LedgerWrite | undefined;
+    /** Pages of the record that were read. */
+    readonly pages: PageCache;
+    /** A page that is stored and not yet referred to. */
+    seal: SealedPage | undefined;
+    sealing: boolean;
     settlements: Settlement[];
     /** Transfers that this router's figures count and the ledger may not. */
     transfers: LedgerTransfer[];
@@ -208,6 +215,8 @@
 export type KeyValuePurpose =
     | { readonly kind: "ledger-read"; readonly account: AccountId; }
     | { readonly kind: "ledger-write"; readonly account: AccountId; }
+    | { readonly kind: "page-read"; readonly account: AccountId; readonly page: string; }
+    | { readonly kind: "page-write"; readonly account: AccountId; readonly page: SealedPage; }
     | { readonly kind: "claim"; readonly run: number; }
     | { readonly kind: "claim-outcome"; readonly key: string; readonly value: string; readonly expected: number; }
     | { readonly kind: "configuration-head"; }
@@ -372,6 +381,9 @@
         stored: undefined,
         busy: false,
         write: undefined,
+        pages: new Map(),
+        seal: undefined,
+        sealing: false,
         settlements: [],
         transfers: [],
         writtenTransfers: [],
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -7,6 +7,7 @@
     type EndpointDeclaration,
     type FailureDomain,
     type Incarnation,
+    type KeyValueResult,
     type Policy,
     type World,
 } from "@gooseberrybend/core";
@@ -248,12 +249,23 @@
     private async callStore(effect: Extract<Effect, { kind: "key-value-get" | "key-value-swap"; }>): Promise<void> {
         const result = effect.kind === "key-value-get"
             ? await this.store.get(effect.key)
-            : await this.store.compareAndSwap(effect.key, effect.expected, effect.value);
+            : await this.swap(effect);
         const operation = effect.kind === "key-value-get" ? "get" : "swap";
         this.metrics.keyValueCalls.inc({ operation, result: result.kind });
         this.host.deliver({ kind: "key-value-reply", call: effect.call, result });
     }
 
+    private async swap(effect: Extract<Effect, { kind: "key-value-swap"; }>): Promise<KeyValueResult> {
+        if (effect.lifetimeMs === undefined) {
+            return this.store.compareAndSwap(effect.key, effect.expected, effect.value);
+        }
+        const lease = await this.store.grantLease(Math.ceil(effect.lifetimeMs / 1000));
+        if (lease === undefined) {
+            return { kind: "unavailable" };
+        }
+        return this.store.compareAndSwap(effect.key, effect.expected, effect.value, lease);
+    }
+
     private declarationOf(endpoint: Extract<Effect, { kind: "probe"; }>["endpoint"]): EndpointDeclaration | undefined {
         return this.world.configuration.endpoints.get(endpoint);
     }
--- a/packages/standins/src/demo/main.ts
+++ b/packages/standins/src/demo/main.ts
@@ -1,6 +1,6 @@
-import { collectFiles, publish, readLedger, RouterCalls, topUp } from "@gooseberrybend/cli";
+import { collectFiles, publish, readBills, readLedger, RouterCalls, topUp } from "@gooseberrybend/cli";
 import { GooseberrybendClient } from "@gooseberrybend/client";
-import type { BudgetId } from "@gooseberrybend/core";
+import type { BudgetId, LedgerRecord } from "@gooseberrybend/core";
 import { EtcdStore } from "@gooseberrybend/router";
 import { fileURLToPath } from "node:url";
 import { parseArgs } from "node:util";
@@ -144,11 +144,14 @@
     await setFaults(keyValue, { lostReplies: 0 });
     say("Load has ended; the routers settle.");
     const live = await settled(store, load.records.filter((record) => record.result === "whole").length);
+    const ledger = (await readLedger(store))._unsafeUnwrap();
+    const bills = await billsOf(store, ledger);
     const verdict = judge({
         records: load.records,
         engines: await countsOf<EngineCounts>(engines),
         services: await countsOf<ServiceCounts>(services),
-        ledger: (await readLedger(store))._unsafeUnwrap(),
+        ledger,
+        bills,
         liveRouters: live,
         cutByDrain: cutByDrain + (routers[2]!.exitCode === 0 ? 0 : 1),
         callCosts,
@@ -260,7 +263,8 @@
             0,
         );
         const ledger = (await readLedger(store)).unwrapOr(new Map());
-        const bills = [...ledger.values()].reduce((sum, record) => sum + Object.keys(record.bills).length, 0);
+        const counts = [...(await billsOf(store, ledger)).values()].map((entries) => entries.size);
+        const bills = counts.reduce((sum, count) => sum + count, 0);
         if (unsettled === 0 && bills >= answers) {
             break;
         }
@@ -270,6 +274,17 @@
     return live;
 }
 
+async function billsOf(
+    store: EtcdStore,
+    ledger: ReadonlyMap<string, LedgerRecord>,
+): Promise<Map<string, Awaited<ReturnType<typeof readBills>>>> {
+    const bills = new Map<string, Awaited<ReturnType<typeof readBills>>>();
+    for (const [account, record] of ledger) {
+        bills.set(account, await readBills(store, account, record));
+    }
+    return bills;
+}
+
 async function countsOf<Counts>(running: readonly RunningProcess[]): Promise<Counts[]> {
     const counts: Counts[] = [];
     for (const entry of running) {
--- a/packages/standins/src/demo/truth.ts
+++ b/packages/standins/src/demo/truth.ts
@@ -1,4 +1,11 @@
-import { type AccountId, digestKey, type LedgerRecord, type RequestKey } from "@gooseberrybend/core";
+import {
+    type AccountId,
+    type Bill,
+    digestKey,
+    type KeyDigest,
+    type LedgerRecord,
+    type RequestKey,
+} from "@gooseberrybend/core";
 import type { CallRecord } from "../load/load.js";
 import type { EngineCounts } from "../model-engine/engine.js";
 import type { ServiceCounts } from "../plain-service/service.js";
@@ -9,6 +16,8 @@
     readonly engines: readonly EngineCounts[];
     readonly services: readonly ServiceCounts[];
     readonly ledger: ReadonlyMap<string, LedgerRecord>;
+    /** Bills by account, those of pages included. */
+    readonly bills: ReadonlyMap<string, ReadonlyMap<KeyDigest, Bill>>;
     readonly liveRouters: ReadonlySet<string>;
     readonly cutByDrain: number;
     readonly callCosts: Readonly<Record<"lookup" | "action", Readonly<Record<string, number>>>>;
@@ -66,7 +75,7 @@
 
 function billOf(evidence: Evidence, record: CallRecord): number | undefined {
     const digest = digestKey(record.account as AccountId, record.key as RequestKey);
-    return evidence.ledger.get(record.account)?.bills[digest]?.tokens;
+    return evidence.bills.get(record.account)?.get(digest)?.tokens;
 }
 
 function runsOf(evidence: Evidence, key: string): number {
@@ -106,9 +115,9 @@
         return billed !== undefined && !trueCost(evidence, record).includes(billed);
     }).length;
     let unexplained = 0;
-    for (const record of evidence.ledger.values()) {
+    for (const [account, record] of evidence.ledger) {
         const billed = Object.values(record.budgets).reduce((sum, budget) => sum + budget.billed, 0);
-        const bills = Object.values(record.bills).reduce((sum, bill) => sum + bill.tokens, 0);
+        const bills = [...evidence.bills.get(account)!.values()].reduce((sum, bill) => sum + bill.tokens, 0);
         unexplained += billed === bills ? 0 : 1;
     }
     return wrong + unexplained;
--- a/packages/standins/src/measure/baselines.ts
+++ b/packages/standins/src/measure/baselines.ts
@@ -189,6 +189,7 @@
                 key: ledgerKey(arrival.account),
                 expected: version,
                 value,
+                lifetimeMs: undefined,
             });
         });
     }
