--- a/packages/cli/src/commands/budget.ts
+++ b/packages/cli/src/commands/budget.ts
@@ -44,7 +44,7 @@
                 ["BUDGET", "GRANTED", "BILLED", "HELD", "STRANDED", "FREE"],
                 figures.map((row) => [row.budget, row.granted, row.billed, row.held, row.stranded, row.free]),
             ),
-            formatTable(["HOLDER", "BUDGET", "ALLOWANCE", "RESERVE", "WRITTEN"], holderRows(record.holders)),
+            formatTable(["HOLDER", "BUDGET", "ALLOWANCE", "WRITTEN"], holderRows(record.holders)),
         ];
         if (values.history) {
             sections.push(formatTable(["TOP-UP", "BUDGET", "TOKENS", "AT"], topUpRows(record.topUps)));
@@ -64,7 +64,6 @@
             id,
             budget,
             holding.allowance,
-            holding.reserve,
             new Date(holder.at).toISOString(),
         ])
     );
--- a/packages/core/src/ledger/reconcile.ts
+++ b/packages/core/src/ledger/reconcile.ts
@@ -1,7 +1,15 @@
 import type { BudgetId, Incarnation, KeyDigest, OperationId, TransferId } from "../types/ids.js";
 import { brand } from "../types/ids.js";
 import { applySeal, findBill, type PageCache, type SealedPage } from "./pages.js";
-import { type Bill, freeTokens, type Holder, type Holding, type LedgerRecord, type Transfer } from "./record.js";
+import {
+    type Bill,
+    freeTokens,
+    type Holder,
+    type Holding,
+    type LedgerRecord,
+    type OpenUse,
+    type Transfer,
+} from "./record.js";
 
 /** A bill to write. */
 export type Settlement = { readonly key: KeyDigest; readonly budget: BudgetId; readonly tokens: number; };
@@ -18,8 +26,13 @@
 /** Bills that a witness writes for another holder. */
 export type WitnessedSettlements = { readonly holder: Incarnation; readonly settlements: Settlement[]; };
 
-/** A reserve that its holder can no longer open. */
-export type Reclaim = { readonly holder: Incarnation; readonly epoch: number; };
+/** A lost holder's allowance that all its witnesses have closed, and what they know of it. */
+export type Recovery = {
+    readonly holder: Incarnation;
+    readonly epoch: number;
+    readonly uses: readonly (OpenUse & { readonly key: string; })[];
+    readonly settlements: readonly Settlement[];
+};
 
 /** What a holder wants of one budget. */
 export type Want = {
@@ -30,8 +43,6 @@
     readonly needed: number;
     /** Tokens to keep at hand beyond those. */
     readonly slack: number;
-    /** Tokens to keep for an outage. */
-    readonly reserve: number;
 };
 
 /** One write of a holder to the record of an account. */
@@ -47,8 +58,8 @@
     readonly wants: readonly Want[];
     /** Bills that this holder keeps for silent peers. */
     readonly witnessed: readonly WitnessedSettlements[];
-    /** Reserves of silent holders whose witnesses closed them. */
-    readonly reclaims: readonly Reclaim[];
+    /** Allowances of lost holders that are returned but for what was used. */
+    readonly recoveries: readonly Recovery[];
     /** A page that was stored and may now stand for its bills. */
     readonly seal: SealedPage | undefined;
     /** Bills of all pages of the record. */
@@ -63,6 +74,8 @@
     readonly fenced: boolean;
     /** Settlements whose key was billed before. */
     readonly duplicates: readonly KeyDigest[];
+    /** Bills of peers that could not be written yet. */
+    readonly postponed: readonly KeyDigest[];
     readonly holdings: ReadonlyMap<BudgetId, Holding>;
 };
 
@@ -71,23 +84,22 @@
 /** Time in ms after which a silent holder's tokens become stranded and its entry is closed. */
 export const HOLDER_RETIREMENT_MS = 2 * 60 * 60_000;
 const EMPTY_HOLDER_RETENTION_MS = 60_000;
-const MAX_FREE_SHARE = 0.25;
-const MAX_RESERVE_SHARE = 0.15;
+const MAX_FREE_SHARE = 0.5;
 
 /** Applies a holder's write to the record in place. Total tokens are conserved. */
 export function reconcile(record: LedgerRecord, change: Reconciliation): ReconciliationResult {
     if (change.known && record.holders[change.holder] === undefined) {
-        return { fenced: true, duplicates: [], holdings: new Map() };
+        return { fenced: true, duplicates: [], postponed: [], holdings: new Map() };
     }
     const holder = holderOf(record, change);
     for (const transfer of change.transfers) {
         applyTransfer(record, transfer, change.holder, change.now);
     }
-    for (const { holder: id, settlements } of change.witnessed) {
-        settleForPeer(record, change, id, settlements);
-    }
-    for (const reclaim of change.reclaims) {
-        reclaimReserve(record, reclaim);
+    const postponed = change.witnessed.flatMap((entry) =>
+        settleForPeer(record, change, entry.holder, entry.settlements)
+    );
+    for (const recovery of change.recoveries) {
+        recover(record, change, recovery);
     }
     const duplicates = change.settlements
         .filter((settlement) => !settle(record, change, holder, settlement))
@@ -99,9 +111,10 @@
     if (change.seal !== undefined) {
         applySeal(record, change.seal);
     }
+    closeSettledUses(record, change.pages);
     dropEmptyHoldings(holder);
     prune(record, change.now);
-    return { fenced: false, duplicates, holdings };
+    return { fenced: false, duplicates, postponed, holdings };
 }
 
 function newHolder(now: number): Holder {
@@ -111,35 +124,78 @@
 function holderOf(record: LedgerRecord, change: Reconciliation): Holder {
     const holder = record.holders[change.holder] ??= newHolder(change.now);
     holder.witnesses = [...change.witnesses];
+    holder.uses = undefined;
     holder.epoch = change.epoch;
     holder.operation = change.operation;
     holder.at = change.now;
     return holder;
 }
 
+// A bill that was paid with borrowed tokens waits until their transfer is written. Returns the keys that wait.
 function settleForPeer(
     record: LedgerRecord,
     change: Reconciliation,
     id: Incarnation,
     settlements: readonly Settlement[],
-): void {
+): KeyDigest[] {
     const holder = record.holders[id];
-    if (holder === undefined) {
+    const postponed: KeyDigest[] = [];
+    for (const settlement of holder === undefined ? [] : settlements) {
+        const isBilled = findBill(record, change.pages, settlement.key) !== undefined;
+        if (!isBilled && (holder!.budgets[settlement.budget]?.allowance ?? 0) < settlement.tokens) {
+            postponed.push(settlement.key);
+            continue;
+        }
+        settle(record, change, holder!, settlement);
+    }
+    return postponed;
+}
+
+// Returns a lost holder's allowance but for its open uses, unless it has written since it was closed.
+function recover(record: LedgerRecord, change: Reconciliation, recovery: Recovery): void {
+    const holder = record.holders[recovery.holder];
+    if (holder === undefined || holder.epoch !== recovery.epoch || holder.uses !== undefined) {
         return;
     }
-    for (const settlement of settlements) {
-        settle(record, change, holder, settlement);
+    settleForPeer(record, change, recovery.holder, recovery.settlements);
+    const open = recovery.uses.filter((use) => !isSettled(record, change.pages, use.key));
+    holder.uses = Object.fromEntries(open.map(({ key, budget, tokens }) => [key, { budget, tokens }]));
+    for (const [budget, holding] of Object.entries<Holding>(holder.budgets)) {
+        const used = open.filter((use) => use.budget === budget).reduce((sum, use) => sum + use.tokens, 0);
+        holding.allowance = Math.min(holding.allowance, used);
     }
 }
 
-/** Returns a reserve to its budget unless the holder wrote again since it was closed. */
-export function reclaimReserve(record: LedgerRecord, reclaim: Reclaim): void {
-    const holder = record.holders[reclaim.holder];
-    if (holder === undefined || holder.epoch !== reclaim.epoch) {
-        return;
+function isSettled(record: LedgerRecord, pages: PageCache, key: string): boolean {
+    const transferred = record.transfers[brand<TransferId>(key)] !== undefined;
+    return transferred || findBill(record, pages, brand<KeyDigest>(key)) !== undefined;
+}
+
+// A use that was billed by another router, or moved to one, needs no allowance any more.
+function closeSettledUses(record: LedgerRecord, pages: PageCache): void {
+    for (const [id, holder] of Object.entries<Holder>(record.holders)) {
+        for (const [key, use] of Object.entries<OpenUse>(holder.uses ?? {})) {
+            if (isSettled(record, pages, key)) {
+                dropUse(holder, key, use);
+            }
+        }
+        if (holder.uses !== undefined && Object.keys(holder.uses).length === 0) {
+            dropRecovered(record, id as Incarnation, holder);
+        }
     }
-    for (const holding of Object.values<Holding>(holder.budgets)) {
-        holding.reserve = 0;
+}
+
+function dropUse(holder: Holder, key: string, use: OpenUse): void {
+    delete holder.uses![key];
+    const holding = holder.budgets[use.budget];
+    if (holding !== undefined) {
+        holding.allowance = Math.max(Math.min(0, holding.allowance), holding.allowance - use.tokens);
+    }
+}
+
+function dropRecovered(record: LedgerRecord, id: Incarnation, holder: Holder): void {
+    if (Object.values<Holding>(holder.budgets).every((holding) => holding.allowance === 0)) {
+        delete record.holders[id];
     }
 }
 
@@ -156,8 +212,9 @@
         return;
     }
     const target = record.holders[transfer.to] ??= newHolder(now);
-    const holding = target.budgets[transfer.budget] ??= { allowance: 0, reserve: 0 };
-    drawAllowance(source, transfer.tokens);
+    const holding = target.budgets[transfer.budget] ??= { allowance: 0 };
+    delete record.holders[transfer.from]?.uses?.[transfer.id];
+    source.allowance -= transfer.tokens;
     holding.allowance += transfer.tokens;
 }
 
@@ -168,39 +225,33 @@
     }
     record.bills[settlement.key] = { tokens: settlement.tokens, at: change.now };
     const totals = record.budgets[settlement.budget] ??= { granted: 0, billed: 0 };
-    const holding = holder.budgets[settlement.budget] ??= { allowance: 0, reserve: 0 };
+    const holding = holder.budgets[settlement.budget] ??= { allowance: 0 };
     totals.billed += settlement.tokens;
-    drawAllowance(holding, settlement.tokens);
-    return true;
-}
-
-// A holder that used more than its allowance had its reserve opened.
-function drawAllowance(holding: Holding, tokens: number): void {
-    if (holding.allowance < tokens) {
-        holding.allowance += holding.reserve;
-        holding.reserve = 0;
+    holding.allowance -= settlement.tokens;
+    const use = holder.uses?.[settlement.key];
+    if (use !== undefined) {
+        // What the use did not need goes back to the budget.
+        delete holder.uses![settlement.key];
+        holding.allowance -= use.tokens - settlement.tokens;
     }
-    holding.allowance -= tokens;
+    return true;
 }
 
 function resize(record: LedgerRecord, holder: Holder, want: Want): Holding {
-    const holding = holder.budgets[want.budget] ??= { allowance: 0, reserve: 0 };
-    const total = freeTokens(record, want.budget) + holding.reserve + holding.allowance;
-    const available = total - want.committed;
+    const holding = holder.budgets[want.budget] ??= { allowance: 0 };
+    const available = freeTokens(record, want.budget) + holding.allowance - want.committed;
     if (available < 0) {
         return holding;
     }
     const needed = Math.min(want.needed, available);
     const slack = Math.min(want.slack, Math.floor((available - needed) * MAX_FREE_SHARE));
     holding.allowance = want.committed + needed + slack;
-    const left = available - needed - slack;
-    holding.reserve = Math.min(want.reserve, Math.floor(left * MAX_RESERVE_SHARE));
     return holding;
 }
 
 function dropEmptyHoldings(holder: Holder): void {
     for (const [budget, holding] of Object.entries<Holding>(holder.budgets)) {
-        if (holding.allowance === 0 && holding.reserve === 0) {
+        if (holding.allowance === 0) {
             delete holder.budgets[budget as BudgetId];
         }
     }
@@ -233,7 +284,7 @@
 export function retireHolder(record: LedgerRecord, id: Incarnation): void {
     for (const [budget, holding] of Object.entries<Holding>(record.holders[id]?.budgets ?? {})) {
         const stranded = record.stranded[budget as BudgetId] ?? 0;
-        record.stranded[budget as BudgetId] = stranded + holding.allowance + holding.reserve;
+        record.stranded[budget as BudgetId] = stranded + holding.allowance;
     }
     delete record.holders[id];
 }
--- a/packages/core/src/ledger/record.ts
+++ b/packages/core/src/ledger/record.ts
@@ -5,20 +5,23 @@
 
 /** Tokens of one budget that one router holds. */
 export type Holding = {
-    /** Tokens that the holder may spend without asking anybody. */
+    /** Tokens that the holder may use; each use is first made known to one of its witnesses. */
     allowance: number;
-    /** Tokens that the holder may spend only once a witness has opened them. */
-    reserve: number;
 };
 
+/** A use of allowance that a lost holder may still be at. */
+export type OpenUse = { budget: BudgetId; tokens: number; };
+
 /** One router's entry in the record of an account. */
 export type Holder = {
     /** The last write of this holder, to recognise it after a lost reply. */
     operation: OperationId;
     /** Time in ms of that write. */
     at: number;
-    /** Peers that open the reserve: any one can, and all must agree to close it. */
+    /** Peers that know each use: one is enough to use tokens, all have to agree to return the rest. */
     witnesses: Incarnation[];
+    /** Uses that were open when the rest of the allowance was returned; undefined while it was not. */
+    uses?: Record<string, OpenUse> | undefined;
     /** Order of that write among the holder's writes to all records. */
     epoch: number;
     budgets: Record<BudgetId, Holding>;
@@ -80,7 +83,7 @@
     for (const holder of Object.values<Holder>(record.holders)) {
         const holding = holder.budgets[budget];
         if (holding !== undefined) {
-            held += holding.allowance + holding.reserve;
+            held += holding.allowance;
         }
     }
     return held;
--- a/packages/core/src/mocks/fake-callers.ts
+++ b/packages/core/src/mocks/fake-callers.ts
@@ -31,7 +31,7 @@
     attempts: number;
     result: "open" | "whole" | "refused" | "lost";
     broken: boolean;
-    refusals: { refusal: Refusal; attempt: number; at: number; }[];
+    refusals: { refusal: Refusal; attempt: number; at: number; hadRoom: boolean; }[];
     /** Attempts whose end, as not run, binds the fleet. */
     notRunUpTo: number;
     dishonest: boolean;
@@ -68,6 +68,7 @@
         private readonly random: Random,
         private readonly routers: () => readonly FakeRouter[],
         private readonly wasStarted: (key: string) => boolean,
+        private readonly hasRoom: (kind: "model" | "service") => boolean,
     ) {}
 
     /** Sends a request. */
@@ -214,7 +215,8 @@
     private refuse(call: CallId, open: OpenCall, refusal: Refusal): void {
         this.close(call);
         const { record } = open;
-        record.refusals.push({ refusal, attempt: open.attempt, at: this.clock.now });
+        const hadRoom = this.hasRoom(record.plan.target.kind);
+        record.refusals.push({ refusal, attempt: open.attempt, at: this.clock.now, hadRoom });
         if (refusal.outcome === "not-run") {
             record.notRunUpTo = Math.max(record.notRunUpTo, open.attempt);
             record.dishonest ||= open.attempt === 1 && record.attempts === 1 && this.wasStarted(record.key);
--- a/packages/core/src/mocks/fake-endpoints.ts
+++ b/packages/core/src/mocks/fake-endpoints.ts
@@ -112,6 +112,12 @@
         }
     }
 
+    /** Returns true when it could run one more request at once. */
+    hasRoom(): boolean {
+        const running = [...this.streams.values()].filter((stream) => !stream.done).length;
+        return this.up && this.leavingSince === undefined && running < this.slots;
+    }
+
     /** Announces that it leaves. */
     leave(): void {
         this.leavingSince ??= this.clock.now;
--- a/packages/core/src/mocks/fake-fleet.ts
+++ b/packages/core/src/mocks/fake-fleet.ts
@@ -94,6 +94,7 @@
             this.random,
             () => this.routers,
             (key) => this.truth.starts.has(key),
+            (kind) => this.hasRoom(kind),
         );
         this.addEndpoints();
         this.publish("base", this.declaration());
@@ -153,6 +154,7 @@
     }
 
     private readonly dead: FakeRouter[] = [];
+    private readonly grants = new Map<string, { id: string; tokens: number; at: number; }[]>();
     private readonly pages = new Map<string, ReadonlyMap<KeyDigest, Bill>>();
 
     /** Sends a request of the usual kinds. */
@@ -181,6 +183,11 @@
 
     /** Adds tokens to an account's budget, once per id. */
     topUp(account: string, id: string, tokens: number): void {
+        const grants = this.grants.get(account) ?? [];
+        if (!grants.some((grant) => grant.id === id)) {
+            grants.push({ id, tokens, at: this.clock.now });
+        }
+        this.grants.set(account, grants);
         this.keyValue.change(ledgerKey(account), (value) => {
             const record = parseRecord(value);
             applyTopUp(record, id, { budget: MAIN, tokens, at: this.clock.now });
@@ -217,6 +224,11 @@
         return new Map([...pages, ...Object.entries<Bill>(record.bills) as [KeyDigest, Bill][]]);
     }
 
+    private hasRoom(kind: "model" | "service"): boolean {
+        const prefix = kind === "model" ? "engine" : "service";
+        return [...this.endpoints].some(([id, endpoint]) => id.startsWith(prefix) && endpoint.hasRoom());
+    }
+
     private page(account: string, id: string): ReadonlyMap<KeyDigest, Bill> {
         const known = this.pages.get(id);
         const page = known ?? parsePage(this.keyValue.values.get(pageKey(account, id))?.value);
@@ -440,13 +452,25 @@
                 promised += seen.has(settlement.key) ? 0 : settlement.tokens;
                 seen.add(settlement.key);
             }
-            promised += row?.budgets.get(MAIN)?.reserved ?? 0;
+            promised += this.reservedTokens(router, account, seen);
         }
         if (promised > totals.granted) {
             this.violations.push(`${key}: ${promised} promised of ${totals.granted} granted`);
         }
     }
 
+    // A key that two routers run is billed once, so its reservation counts once.
+    private reservedTokens(router: FakeRouter, account: AccountId, seen: Set<KeyDigest>): number {
+        let reserved = 0;
+        for (const run of router.state === "dead" ? [] : router.brain.world?.runs.values() ?? []) {
+            if (run.arrival.account === account && run.reserved > 0 && !seen.has(run.keyDigest)) {
+                seen.add(run.keyDigest);
+                reserved += run.reserved;
+            }
+        }
+        return reserved;
+    }
+
     /** Judges the run so far by the fakes' own truth. */
     verdict(): FleetVerdict {
         const records = this.callers.records;
@@ -516,7 +540,7 @@
         if (last.refusal.reason === "claimed-elsewhere" || this.startsOf(record) > 0 && !record.plan.idempotent) {
             return false;
         }
-        return this.hadTokens(record, last.at);
+        return last.hadRoom && this.hadTokens(record, last.at);
     }
 
     private hadTokens(record: RequestRecord, at: number): boolean {
@@ -525,11 +549,15 @@
             .filter((other) => other.plan.account === account && other.sentAt <= at)
             .filter((other) => other.result === "whole" && other !== record)
             .reduce((sum, other) => sum + (other.endedAt! <= at ? costOf(other) : worstOf(other)), 0);
-        const topUps = Object.values(this.record(account).topUps).filter((topUp) => topUp.at <= at);
-        const granted = topUps.reduce((sum, topUp) => sum + topUp.tokens, 0);
+        const granted = this.grantedBy(account, at);
         return granted - spent >= worstOf(record);
     }
 
+    private grantedBy(account: string, at: number): number {
+        const granted = this.grants.get(account) ?? [];
+        return granted.filter((grant) => grant.at <= at).reduce((sum, grant) => sum + grant.tokens, 0);
+    }
+
     private stranded(account: string): number {
         const record = this.record(account);
         let sum = Object.values(record.stranded).reduce<number>((total, tokens) => total + (tokens as number), 0);
@@ -551,7 +579,7 @@
 }
 
 function tokensOf(holding: Holding | undefined): number {
-    return holding === undefined ? 0 : holding.allowance + holding.reserve;
+    return holding?.allowance ?? 0;
 }
 
 function costOf(record: RequestRecord): number {
--- a/packages/core/src/policy.ts
+++ b/packages/core/src/policy.ts
@@ -4,12 +4,12 @@
     readonly reconcileIntervalMs: number;
     /** Ledger writes per second that all routers together may make. */
     readonly fleetWritesPerSecond: number;
-    /** Time of use that the allowance at hand should cover beyond open reservations. */
-    readonly slackMs: number;
-    /** Time of use that the reserve for an outage should cover. */
-    readonly outageReserveMs: number;
+    /** Time of use that the allowance at hand should cover, to last through an outage. */
+    readonly allowanceMs: number;
     /** Longest time that a request waits for tokens. */
     readonly budgetWaitMs: number;
+    /** Time after which a use is offered to its witnesses again. */
+    readonly witnessRetryMs: number;
     /** Time after which an unused allowance is returned. */
     readonly idleReturnMs: number;
     /** Time after which a holder that could not write stops spending. */
@@ -28,7 +28,7 @@
     readonly heartbeatEntries: number;
     /** Silence after which a peer is not named to callers. */
     readonly peerSilentMs: number;
-    /** Silence after which a peer's bills are written and its reserve is reclaimed. */
+    /** Silence after which a peer's bills are written and its allowance is recovered. */
     readonly peerLostMs: number;
     /** Silence after which a peer is forgotten. */
     readonly peerForgottenMs: number;
@@ -76,9 +76,9 @@
 export const defaultPolicy: Policy = {
     reconcileIntervalMs: 1_000,
     fleetWritesPerSecond: 90,
-    slackMs: 2_000,
-    outageReserveMs: 400_000,
+    allowanceMs: 600_000,
     budgetWaitMs: 1_500,
+    witnessRetryMs: 250,
     idleReturnMs: 30_000,
     holderFenceMs: 110 * 60_000,
     billWaitMs: 300,
--- a/packages/core/src/systems/budgets.ts
+++ b/packages/core/src/systems/budgets.ts
@@ -3,6 +3,7 @@
 
 const RATE_WINDOW_MS = 30_000;
 const WORST_CASE_WEIGHT = 0.1;
+const FEWEST_REQUESTS = 4;
 
 /** Returns the tokens that may be spent now, whichever way a write on its way ends. */
 export function spendableTokens(world: World, account: AccountRow, row: BudgetRow, now: number): number {
@@ -10,19 +11,17 @@
         return 0;
     }
     const open = row.reserved + row.unsettled;
-    const reserve = reserveIsOpen(world, account.id, account.witnesses, account.epoch) ? row.reserve : 0;
-    const withoutWrite = row.held + reserve + row.borrowed - row.lent - open;
+    const withoutWrite = row.held + row.borrowed - row.lent - open;
     const write = account.write;
     const holding = write?.holdings.get(row.id);
     if (write === undefined || holding === undefined) {
         return withoutWrite;
     }
-    const newReserve = reserveIsOpen(world, account.id, write.witnesses, write.epoch) ? holding.reserve : 0;
     const settled = sumTokens(write.settlements.filter((settlement) => settlement.budget === row.id));
     const counted = write.transfers.filter((transfer) => account.transfers.includes(transfer));
     const lent = sumTokens(counted.filter((transfer) => isLent(world, account, row, transfer)));
     const borrowed = sumTokens(counted.filter((transfer) => isBorrowed(world, account, row, transfer)));
-    const withWrite = holding.allowance + newReserve + (row.borrowed - borrowed) - (row.lent - lent)
+    const withWrite = holding.allowance + (row.borrowed - borrowed) - (row.lent - lent)
         - row.reserved - (row.unsettled - settled);
     return Math.min(withoutWrite, withWrite);
 }
@@ -65,18 +64,6 @@
     return sum;
 }
 
-function reserveIsOpen(
-    world: World,
-    account: AccountRow["id"],
-    witnesses: AccountRow["witnesses"],
-    epoch: number,
-): boolean {
-    return witnesses.some((witness) => {
-        const opened = world.opened.get(witness);
-        return opened !== undefined && epoch <= opened.epoch && epoch > (opened.closed.get(account) ?? -1);
-    });
-}
-
 /** Reserves the worst case of a request. Returns false when it is not at hand. */
 export function reserveTokens(
     world: World,
@@ -114,8 +101,11 @@
     if (elapsed <= 0) {
         return;
     }
-    const weight = 1 - Math.exp(-elapsed / RATE_WINDOW_MS);
+    // A young average counts only as much as it has seen, so that it is not too low at first.
+    const seen = 1 - (1 - row.rateSeen) * Math.exp(-elapsed / RATE_WINDOW_MS);
+    const weight = (1 - Math.exp(-elapsed / RATE_WINDOW_MS)) / seen;
     row.rate += (row.used / elapsed - row.rate) * weight;
+    row.rateSeen = seen;
     row.used = 0;
     row.rateAt = now;
 }
@@ -128,11 +118,8 @@
     const idle = now - row.lastUsedAt > world.policy.idleReturnMs;
     const drained = world.drainingSince !== undefined && account.runningRuns === 0;
     if (idle || drained || now < account.recalledUntil) {
-        return { budget: row.id, committed, needed, slack: 0, reserve: 0 };
+        return { budget: row.id, committed, needed, slack: 0 };
     }
-    const expected = row.rate * world.policy.slackMs;
-    const bound = Math.max(1, row.openRuns) * row.typicalWorst;
-    const slack = Math.ceil(Math.min(Math.max(expected, row.typicalWorst), bound));
-    const reserve = Math.ceil(Math.max(row.rate * world.policy.outageReserveMs, row.typicalWorst));
-    return { budget: row.id, committed, needed, slack, reserve };
+    const slack = Math.ceil(Math.max(row.rate * world.policy.allowanceMs, FEWEST_REQUESTS * row.typicalWorst));
+    return { budget: row.id, committed, needed, slack };
 }
--- a/packages/core/src/systems/drain.ts
+++ b/packages/core/src/systems/drain.ts
@@ -27,7 +27,7 @@
     }
     let left = 0;
     for (const account of world.accounts.values()) {
-        const holds = [...account.budgets.values()].some((row) => row.held > 0 || row.reserve > 0);
+        const holds = [...account.budgets.values()].some((row) => row.held > 0);
         if (holds || hasUnwritten(account) || account.write !== undefined) {
             left++;
             requestWrite(world, account, now);
--- a/packages/core/src/systems/endpoints.ts
+++ b/packages/core/src/systems/endpoints.ts
@@ -46,14 +46,14 @@
     }
 }
 
-/** Returns the load of an endpoint as a share of its slots: its report, corrected by what was sent since. */
+/** Returns the load of an endpoint as a share of its slots: what others run by its report, and what this router runs. */
 export function loadOf(row: EndpointRow, declaration: EndpointDeclaration): number {
     const report = row.report;
     if (report === undefined) {
         return row.running.size / declaration.slots;
     }
-    const reported = report.running + report.queued + row.sinceReport;
-    return Math.max(reported, row.running.size) / Math.max(1, report.slots);
+    const others = Math.max(0, report.running + report.queued - row.ownAtReport);
+    return (others + row.running.size) / Math.max(1, report.slots);
 }
 
 /** Chooses an endpoint for a run: the prefix holder if it has room, else the better of two random ones. */
@@ -106,7 +106,7 @@
     }
     row.report = report;
     row.reportedAt = now;
-    row.sinceReport = 0;
+    row.ownAtReport = row.running.size;
     noteSuccess(row);
     if (report.leaving) {
         markLeaving(world, id);
--- a/packages/core/src/systems/ledger.ts
+++ b/packages/core/src/systems/ledger.ts
@@ -1,14 +1,15 @@
 import { PAGE_LIFETIME_MS, pageKey, pageToSeal, parsePage, type SealedPage } from "../ledger/pages.js";
-import { type LedgerTransfer, reconcile, type Want } from "../ledger/reconcile.js";
+import { type LedgerTransfer, reconcile, type Want, type WitnessedSettlements } from "../ledger/reconcile.js";
 import { formatRecord, type Holder, ledgerKey, type LedgerRecord, parseRecord } from "../ledger/record.js";
 import { schedule } from "../support/due-queue.js";
 import { randomBelow } from "../support/random.js";
-import type { AccountId, Incarnation } from "../types/ids.js";
+import type { AccountId, Incarnation, KeyDigest } from "../types/ids.js";
 import type { KeyValueResult, Versioned } from "../types/messages.js";
 import { type AccountRow, accountRow, type LedgerWrite, nextOperation, type World } from "../world.js";
 import { holderName, sumTokens, wantOf } from "./budgets.js";
 import { readKey, swapKey } from "./key-value.js";
-import { closeBills, reclaimSilentHolders, witnessedSettlements, witnessesOf } from "./witness.js";
+import { recoverLostHolders } from "./recovery.js";
+import { closeBills, closeUse, witnessedSettlements, witnessesFor } from "./witness.js";
 
 const CONFLICT_JITTER_MS = 20;
 
@@ -81,19 +82,19 @@
     if (readMissingPages(world, account, record)) {
         return;
     }
-    reclaimSilentHolders(world, account, record, now);
+    recoverLostHolders(world, account, record, now);
     const holder = holderName(world, account);
     const change = {
         operation: nextOperation(world),
         holder,
         now,
-        witnesses: witnessesOf(world, now),
+        witnesses: witnessesFor(world, account, now),
         epoch: ++world.epoch,
         settlements: [...account.settlements],
         transfers: [...account.transfers, ...account.writtenTransfers],
         wants: wantsOf(world, account, now),
         witnessed: witnessedSettlements(world, account.id, now),
-        reclaims: [...account.reclaims],
+        recoveries: [...account.recoveries],
         seal: account.seal,
         pages: account.pages,
         known: holdsTokens(account),
@@ -111,8 +112,8 @@
         witnesses: change.witnesses,
         settlements: change.settlements,
         transfers: change.transfers,
-        witnessed: change.witnessed,
-        reclaims: change.reclaims,
+        witnessed: withoutPostponed(change.witnessed, result.postponed),
+        recoveries: change.recoveries,
         seal: change.seal,
         duplicates: new Set(result.duplicates),
         holdings: result.holdings,
@@ -120,6 +121,16 @@
     sendWrite(world, account, now);
 }
 
+function withoutPostponed(
+    witnessed: readonly WitnessedSettlements[],
+    postponed: readonly KeyDigest[],
+): WitnessedSettlements[] {
+    return witnessed.map(({ holder, settlements }) => ({
+        holder,
+        settlements: settlements.filter((settlement) => !postponed.includes(settlement.key)),
+    }));
+}
+
 function sendWrite(world: World, account: AccountRow, now: number): void {
     const write = account.write!;
     account.busy = true;
@@ -129,7 +140,7 @@
 
 function holdsTokens(account: AccountRow): boolean {
     for (const row of account.budgets.values()) {
-        if (row.held > 0 || row.reserve > 0) {
+        if (row.held > 0) {
             return true;
         }
     }
@@ -282,7 +293,7 @@
     account.settlements = account.settlements.filter((settlement) => !settled.has(settlement));
     dropTransfers(world, account, write.transfers);
     countWrittenTransfers(world, account, record);
-    account.reclaims = account.reclaims.filter((reclaim) => !write.reclaims.includes(reclaim));
+    account.recoveries = account.recoveries.filter((recovery) => !write.recoveries.includes(recovery));
     for (const row of account.budgets.values()) {
         row.unsettled -= sumTokens(write.settlements.filter((settlement) => settlement.budget === row.id));
     }
@@ -296,7 +307,6 @@
     for (const row of account.budgets.values()) {
         const holding = holder?.budgets[row.id];
         row.held = holding?.allowance ?? 0;
-        row.reserve = holding?.reserve ?? 0;
     }
 }
 
@@ -321,6 +331,7 @@
 }
 
 function uncountTransfer(world: World, account: AccountRow, transfer: LedgerTransfer): void {
+    closeUse(world, transfer.id);
     const row = account.budgets.get(transfer.budget);
     if (row === undefined) {
         return;
@@ -346,7 +357,7 @@
 /** Returns true when something of the account is to be written. */
 export function hasUnwritten(account: AccountRow): boolean {
     return account.settlements.length + account.transfers.length + account.writtenTransfers.length
-            + account.reclaims.length > 0;
+            + account.recoveries.length > 0;
 }
 
 function fence(world: World, account: AccountRow, now: number): void {
@@ -355,7 +366,7 @@
     account.settlements = [];
     account.transfers = [];
     account.writtenTransfers = [];
-    account.reclaims = [];
+    account.recoveries = [];
     requestWrite(world, account, now + world.policy.reconcileIntervalMs);
 }
 
--- a/packages/core/src/systems/lending.ts
+++ b/packages/core/src/systems/lending.ts
@@ -2,16 +2,19 @@
 import { schedule } from "../support/due-queue.js";
 import { rendezvousOrder } from "../support/rendezvous.js";
 import type { AccountId, BudgetId, Incarnation, TransferId } from "../types/ids.js";
-import { type AccountRow, accountRow, budgetRow, type World } from "../world.js";
+import { type AccountRow, accountRow, budgetRow, type LendRow, type World } from "../world.js";
 import { holderIncarnation, holderName, spendableTokens } from "./budgets.js";
 import { otherHolders, requestPacedWrite, requestWrite } from "./ledger.js";
 import { isLive, livePeers, sendToPeer } from "./peers.js";
-import { askToOpenReserve } from "./witness.js";
+import { allowUse, closeUse, openUse, reofferUse } from "./witness.js";
 
 const BORROW_INTERVAL_MS = 300;
 const LEND_RETRY_MS = 500;
 const RECALL_MS = 10_000;
+const SPARE_REQUESTS = 8;
+const SPARE_MS = 5_000;
 const MOST_LENDERS = 6;
+const WITNESS_WAIT_MS = 1_200;
 
 /** Asks the other holders of a budget for tokens. Returns false when there is nobody to ask. */
 export function askToLend(world: World, account: AccountRow, budget: BudgetId, tokens: number, now: number): boolean {
@@ -24,8 +27,11 @@
     account.lenders = new Set(lenders);
     account.lentAskedAt = now;
     const holder = holderName(world, account);
+    const row = budgetRow(account, budget, now);
+    const wanted = tokens
+        + Math.ceil(Math.max(SPARE_REQUESTS * Math.max(tokens, row.typicalWorst), row.rate * SPARE_MS));
     for (const lender of lenders) {
-        sendToPeer(world, lender, { kind: "borrow", holder, account: account.id, budget, tokens });
+        sendToPeer(world, lender, { kind: "borrow", holder, account: account.id, budget, tokens, wanted });
     }
     return lenders.length > 0;
 }
@@ -39,6 +45,7 @@
         readonly account: AccountId;
         readonly budget: BudgetId;
         readonly tokens: number;
+        readonly wanted: number;
     },
     now: number,
 ): void {
@@ -50,15 +57,14 @@
     }
     // Borrowed tokens are not lent on: the ledger may not show them as this router's yet.
     const lendable = Math.max(0, spendableTokens(world, account, row, now) - row.borrowed);
-    const tokens = Math.min(request.tokens, lendable);
+    const tokens = Math.min(request.wanted, Math.max(Math.min(request.tokens, lendable), Math.floor(lendable / 2)));
     if (tokens > 0) {
         sendTransfer(world, account, from, { ...request, tokens }, now);
     }
-    if (tokens === request.tokens) {
+    if (tokens >= request.tokens) {
         return;
     }
-    if (world.keyValueFailingSince !== undefined || (row.reserve === 0 && row.held <= row.reserved + row.unsettled)) {
-        openOwnReserve(world, row.reserve, now);
+    if (world.keyValueFailingSince !== undefined || row.held <= row.reserved + row.unsettled) {
         sendToPeer(world, from, { kind: "borrow-refused", account: request.account });
         return;
     }
@@ -67,12 +73,6 @@
     requestWrite(world, account, now);
 }
 
-function openOwnReserve(world: World, reserve: number, now: number): void {
-    if (world.keyValueFailingSince !== undefined && reserve > 0) {
-        askToOpenReserve(world, now);
-    }
-}
-
 function sendTransfer(
     world: World,
     account: AccountRow,
@@ -88,20 +88,50 @@
         tokens: request.tokens,
     };
     budgetRow(account, request.budget, now).lent += request.tokens;
-    world.lends.set(transfer.id, { to, account: account.id, transfer });
+    world.lends.set(transfer.id, { to, account: account.id, transfer, since: now, sent: false });
+    const { id: key, budget, tokens } = transfer;
+    const use = { holder: transfer.from, account: account.id, budget, key, tokens, epoch: account.epoch };
+    openUse(world, account, use, now);
     resendTransfer(world, transfer.id, now);
 }
 
-/** Sends a transfer again until its receiver has acknowledged it. */
+/** Sends a transfer once it is witnessed, and again until its receiver has acknowledged it. */
 export function resendTransfer(world: World, id: TransferId, now: number): void {
     const row = world.lends.get(id);
     if (row === undefined) {
         return;
     }
-    sendToPeer(world, row.to, { kind: "lend", account: row.account, transfer: row.transfer });
+    const account = accountRow(world, row.account);
+    if (!allowUse(world, account, id) && now - row.since > WITNESS_WAIT_MS) {
+        cancelTransfer(world, account, row, now);
+        return;
+    }
+    if (allowUse(world, account, id)) {
+        row.sent = true;
+        sendToPeer(world, row.to, { kind: "lend", account: row.account, transfer: row.transfer });
+    }
+    else {
+        reofferUse(world, account, id);
+    }
     schedule(world.due, now + LEND_RETRY_MS, { kind: "lend", transfer: id });
 }
 
+/** Sends a transfer that waited for a witness. */
+export function continueTransfer(world: World, id: TransferId): void {
+    const row = world.lends.get(id);
+    if (row !== undefined && !row.sent && allowUse(world, accountRow(world, row.account), id)) {
+        row.sent = true;
+        sendToPeer(world, row.to, { kind: "lend", account: row.account, transfer: row.transfer });
+    }
+}
+
+function cancelTransfer(world: World, account: AccountRow, row: LendRow, now: number): void {
+    world.lends.delete(row.transfer.id);
+    closeUse(world, row.transfer.id);
+    budgetRow(account, row.transfer.budget, now).lent -= row.transfer.tokens;
+    sendToPeer(world, row.to, { kind: "borrow-refused", account: row.account });
+}
+
 /** Takes in a transfer, once. */
 export function receiveTransfer(
     world: World,
@@ -117,6 +147,9 @@
     }
     account.receivedTransfers.add(transfer.id);
     account.transfers.push(transfer);
+    if (account.committedAt === -Infinity) {
+        account.committedAt = now;
+    }
     budgetRow(account, transfer.budget, now).borrowed += transfer.tokens;
     account.lenders.delete(from);
     requestPacedWrite(world, account, now);
--- a/packages/core/src/systems/membership.ts
+++ b/packages/core/src/systems/membership.ts
@@ -8,10 +8,12 @@
 import { adoptSuspicion, isConvict, isSuspect } from "./lanes.js";
 import { requestPacedWrite } from "./ledger.js";
 import { livePeers, sendToPeer } from "./peers.js";
-import { accountsToSettle, askToOpenReserve, dropSettledBills, oldestBillAt } from "./witness.js";
+import { hasLostHolder } from "./recovery.js";
+import { accountsToSettle, dropSettled, oldestOpenAt } from "./witness.js";
 
 const BROADCAST_LIMIT = 32;
 const WIDTH_STEP = 16;
+const NARROWEST = 2;
 const WIDEST = 4;
 
 /** An address that callers may use. */
@@ -22,9 +24,6 @@
     sendHeartbeats(world, now);
     forgetPeers(world, now);
     settleForLostPeers(world, now);
-    if (world.keyValueFailingSince !== undefined) {
-        askToOpenReserve(world, now);
-    }
     schedule(world.due, now + world.policy.heartbeatIntervalMs, { kind: "heartbeat" });
 }
 
@@ -53,7 +52,7 @@
         sequence: world.heartbeatSequence,
         draining: world.drainingSince !== undefined,
         configurationVersion: world.configuration.version,
-        oldestBillAt: oldestBillAt(world, now),
+        oldestOpenAt: oldestOpenAt(world, now),
     };
 }
 
@@ -126,7 +125,7 @@
         return;
     }
     world.peers.set(heartbeat.incarnation, { heartbeat, heardAt: now });
-    dropSettledBills(world, heartbeat);
+    dropSettled(world, heartbeat);
 }
 
 function forgetPeers(world: World, now: number): void {
@@ -141,6 +140,11 @@
     for (const account of accountsToSettle(world, now)) {
         requestPacedWrite(world, accountRow(world, account), now);
     }
+    for (const account of world.accounts.values()) {
+        if (hasLostHolder(world, account, now)) {
+            requestPacedWrite(world, account, now);
+        }
+    }
 }
 
 /** Tells all peers at once that a body is suspected or convicted of crashing endpoints. */
@@ -172,14 +176,28 @@
     }
     // Addresses stay in place over restarts, incarnations do not.
     const byAddress = new Map([...routers.values()].map((router) => [router.address, router]));
+    if (isCutOff(world, routers.size)) {
+        return [...otherAddresses(world), ...byAddress.values()];
+    }
     const order = rendezvousOrder(account, byAddress.keys()).map((address) => byAddress.get(address)!);
     const width = Math.min(order.length, widthOf(world, account));
     const turn = randomBelow(world.random, width);
     return [...order.slice(turn, width), ...order.slice(0, turn), ...order.slice(width)];
 }
 
-// Few routers per account keep allowances few; a busy account is spread over more of them.
+// A router that hears nobody cannot use tokens; its callers are better off anywhere else.
+function isCutOff(world: World, routers: number): boolean {
+    return routers <= 1 && world.keyValueFailingSince !== undefined && otherAddresses(world).length > 0;
+}
+
+function otherAddresses(world: World): RouterAddress[] {
+    const others = [...world.instances].filter(([address, entry]) => address !== world.self.address && !entry.leaving);
+    return others.map(([address]) => ({ address, domain: "" }));
+}
+
+// Few routers per account keep allowances few. Two at least have some, should one be lost in an outage of
+// the key-value service; a busy account is spread over more.
 function widthOf(world: World, account: AccountId): number {
     const running = world.accounts.get(account)?.runningRuns ?? 0;
-    return Math.min(WIDEST, 1 + Math.floor(running / WIDTH_STEP));
+    return Math.min(WIDEST, NARROWEST + Math.floor(running / WIDTH_STEP));
 }
--- a/packages/core/src/systems/queue.ts
+++ b/packages/core/src/systems/queue.ts
@@ -22,7 +22,7 @@
     }
     run.state = "queue";
     queue.push(run.id);
-    schedule(world.due, now + QUEUE_TICK_MS, { kind: "queue", server });
+    tendLater(world, server, now);
     if (queue.length <= world.policy.queueLimit) {
         return [];
     }
@@ -115,8 +115,16 @@
     const expired = runs.filter((run) =>
         !hasUsableEndpoint(world, run.target, now) && now - run.arrivedAt > UNUSABLE_WAIT_MS
     );
+    world.tendedQueues.delete(server);
     if (queue.length > 0) {
-        schedule(world.due, now + QUEUE_TICK_MS, { kind: "queue", server });
+        tendLater(world, server, now);
     }
     return expired;
 }
+
+function tendLater(world: World, server: string, now: number): void {
+    if (!world.tendedQueues.has(server)) {
+        world.tendedQueues.add(server);
+        schedule(world.due, now + QUEUE_TICK_MS, { kind: "queue", server });
+    }
+}
--- /dev/null
+++ b/packages/core/src/systems/recovery.ts
@@ -0,0 +1,106 @@
+import type { Settlement } from "../ledger/reconcile.js";
+import { type Holder, type Holding, type LedgerRecord, parseRecord } from "../ledger/record.js";
+import type { AccountId, Incarnation } from "../types/ids.js";
+import type { PeerMessage, WitnessedUse } from "../types/messages.js";
+import type { AccountRow, World } from "../world.js";
+import { holderIncarnation, holderName } from "./budgets.js";
+import { isLost, sendToPeer } from "./peers.js";
+import { witnessRow } from "./witness.js";
+
+/** What a witness knows of a lost holder's allowance once it has closed it. */
+export type Testimony = Pick<Extract<PeerMessage, { kind: "allowance-closed"; }>, "uses" | "bills">;
+
+const ASK_INTERVAL_MS = 1_000;
+
+/** Asks the witnesses of lost holders to close their allowances, so that what is unused can be returned. */
+export function recoverLostHolders(world: World, account: AccountRow, record: LedgerRecord, now: number): void {
+    if (now - account.recoveryAskedAt < ASK_INTERVAL_MS) {
+        return;
+    }
+    account.recoveryAskedAt = now;
+    for (const [id, holder] of Object.entries<Holder>(record.holders)) {
+        const name = id as Incarnation;
+        if (name !== holderName(world, account) && isLost(world, name, now) && isRecoverable(holder)) {
+            askWitnesses(world, account, name, holder);
+        }
+    }
+}
+
+/** Returns true when a record shows a lost holder whose tokens may be returned. */
+export function hasLostHolder(world: World, account: AccountRow, now: number): boolean {
+    if (account.stored === undefined) {
+        return false;
+    }
+    const record = parseRecord(account.stored.value);
+    return Object.entries<Holder>(record.holders).some(([id, holder]) =>
+        id !== holderName(world, account) && isLost(world, id as Incarnation, now) && isRecoverable(holder)
+    );
+}
+
+// Without witnesses nobody can tell what was used; what was recovered before is not asked for again.
+function isRecoverable(holder: Holder): boolean {
+    const holds = Object.values<Holding>(holder.budgets).some((holding) => holding.allowance > 0);
+    return holder.witnesses.length > 0 && holder.uses === undefined && holds;
+}
+
+function askWitnesses(world: World, account: AccountRow, name: Incarnation, holder: Holder): void {
+    const { epoch } = holder;
+    for (const witness of holder.witnesses) {
+        if (witness === world.self.incarnation) {
+            const testimony = closeAllowance(world, name, account.id, epoch);
+            noteTestimony(account, name, epoch, witness, testimony);
+        }
+        else {
+            sendToPeer(world, witness, { kind: "allowance-close", holder: name, epoch, account: account.id });
+        }
+    }
+}
+
+/** Closes a holder's allowance: no use of it is witnessed any more. Returns what is known of it. */
+export function closeAllowance(world: World, holder: Incarnation, account: AccountId, epoch: number): Testimony {
+    const row = witnessRow(world, holderIncarnation(holder));
+    row.closed.set(account, Math.max(epoch, row.closed.get(account) ?? 0));
+    const ofHolder = (entry: { readonly account: AccountId; readonly holder: Incarnation; }): boolean =>
+        entry.account === account && entry.holder === holder;
+    return {
+        uses: [...row.uses.values()].filter(ofHolder),
+        bills: [...row.bills.values()].filter(ofHolder),
+    };
+}
+
+/** Notes a witness's testimony. Returns true once all witnesses of the holder's entry have given theirs. */
+export function noteTestimony(
+    account: AccountRow,
+    holder: Incarnation,
+    epoch: number,
+    witness: Incarnation,
+    testimony: Testimony,
+): boolean {
+    const entry = parseRecord(account.stored?.value).holders[holder];
+    if (entry === undefined || entry.epoch !== epoch) {
+        return false;
+    }
+    const key = `${holder} ${epoch}`;
+    const testimonies = account.testimonies.get(key) ?? new Map<Incarnation, Testimony>();
+    account.testimonies.set(key, testimonies);
+    testimonies.set(witness, testimony);
+    if (!entry.witnesses.every((other) => testimonies.has(other))) {
+        return false;
+    }
+    account.testimonies.delete(key);
+    addRecovery(account, holder, epoch, [...testimonies.values()]);
+    return true;
+}
+
+function addRecovery(account: AccountRow, holder: Incarnation, epoch: number, testimonies: readonly Testimony[]): void {
+    if (account.recoveries.some((recovery) => recovery.holder === holder && recovery.epoch === epoch)) {
+        return;
+    }
+    const uses = new Map<string, WitnessedUse>();
+    const settlements = new Map<string, Settlement>();
+    for (const testimony of testimonies) {
+        testimony.uses.forEach((use) => uses.set(use.key, use));
+        testimony.bills.forEach((bill) => settlements.set(bill.key, bill));
+    }
+    account.recoveries.push({ holder, epoch, uses: [...uses.values()], settlements: [...settlements.values()] });
+}
--- a/packages/core/src/systems/runs.ts
+++ b/packages/core/src/systems/runs.ts
@@ -13,7 +13,7 @@
 import { askToLend } from "./lending.js";
 import { leaveQueue, nextQueued, queueRun } from "./queue.js";
 import { dispatchRun, nextOffset, replayChunks, undispatch } from "./streams.js";
-import { askToOpenReserve, openBill } from "./witness.js";
+import { allowUse, closeUse, hasLiveWitness, openBill, openUse, reofferUse } from "./witness.js";
 
 const EXHAUSTED_RETRY_MS = 60_000;
 const LEDGER_RETRY_MS = 2_000;
@@ -226,7 +226,54 @@
     if (left < row.typicalWorst) {
         requestPacedWrite(world, account, now);
     }
-    seekEndpoint(world, run, now);
+    seekWitness(world, account, run, now);
+}
+
+// No byte leaves for an endpoint before a witness knows of the use: else it could be returned as unused.
+function seekWitness(world: World, account: AccountRow, run: Run, now: number): void {
+    run.state = "witness";
+    const use = {
+        holder: holderName(world, account),
+        account: account.id,
+        budget: run.arrival.budget,
+        key: run.keyDigest,
+        tokens: run.worst,
+        epoch: account.epoch,
+    };
+    if (openUse(world, account, use, now)) {
+        seekEndpoint(world, run, now);
+        return;
+    }
+    const wait = { kind: "witness-wait", run: run.id, since: now } as const;
+    schedule(world.due, now + world.policy.witnessRetryMs, wait);
+    if (!hasLiveWitness(world, account, now)) {
+        requestWrite(world, account, now);
+    }
+}
+
+/** Lets a run go ahead if a witness knows of its use now. */
+export function continueWitnessed(world: World, run: Run, now: number): void {
+    const account = accountRow(world, run.arrival.account);
+    if (run.state === "witness" && allowUse(world, account, run.keyDigest)) {
+        seekEndpoint(world, run, now);
+    }
+}
+
+/** Asks the witnesses of a waiting run again, or refuses it. */
+export function retryWitness(world: World, run: Run, since: number, now: number): void {
+    if (run.state !== "witness") {
+        return;
+    }
+    if (now - since > world.policy.budgetWaitMs) {
+        refuseRun(world, run, "witness-unavailable", SHORT_RETRY_MS, now);
+        return;
+    }
+    const account = accountRow(world, run.arrival.account);
+    reofferUse(world, account, run.keyDigest);
+    if (!hasLiveWitness(world, account, now)) {
+        requestWrite(world, account, now);
+    }
+    schedule(world.due, now + world.policy.witnessRetryMs, { kind: "witness-wait", run: run.id, since });
 }
 
 /** Gives waiting runs the tokens that came in. */
@@ -269,10 +316,6 @@
 
 /** Looks for tokens outside the ledger while the key-value service fails. */
 export function seekTokensInOutage(world: World, account: AccountRow, run: Run, now: number): void {
-    const row = budgetRow(account, run.arrival.budget, now);
-    if (row.reserve > 0) {
-        askToOpenReserve(world, now);
-    }
     askToLend(world, account, run.arrival.budget, run.worst, now);
 }
 
@@ -355,6 +398,7 @@
     useTokens(row, run.reserved, tokens);
     run.reserved = 0;
     if (account.fenced) {
+        closeUse(world, run.keyDigest);
         return;
     }
     const settlement = { key: run.keyDigest, budget: row.id, tokens };
@@ -435,6 +479,7 @@
     if (run.reserved > 0) {
         releaseTokens(budgetRow(account, run.arrival.budget, now), run.reserved);
         run.reserved = 0;
+        closeUse(world, run.keyDigest);
     }
     leaveLane(world, run, now);
     for (const id of [...run.calls]) {
@@ -474,4 +519,5 @@
     "overloaded": "All endpoints are busy for longer than the deadline allows. Try again later.",
     "poison-request": "This body crashed endpoints repeatedly. It is not run again for a while.",
     "retry-budget-spent": "Too many requests are being retried. Try again later.",
+    "witness-unavailable": "This router reaches no other router to vouch for the tokens. Use another address.",
 };
--- a/packages/core/src/systems/streams.ts
+++ b/packages/core/src/systems/streams.ts
@@ -17,7 +17,6 @@
         run.attempts++;
         run.tried.push(endpoint);
         run.stream = `${run.keyDigest}.${world.self.incarnation}.${run.id}.${run.dispatch}`;
-        row.sinceReport++;
     }
     row.running.add(run.id);
     schedule(world.due, now + world.policy.progressTimeoutMs, {
--- a/packages/core/src/systems/witness.ts
+++ b/packages/core/src/systems/witness.ts
@@ -1,17 +1,16 @@
-import { LONGEST_REQUEST_MS, type WitnessedSettlements } from "../ledger/reconcile.js";
-import { type Holder, type Holding, type LedgerRecord, parseRecord } from "../ledger/record.js";
+import { HOLDER_RETIREMENT_MS, LONGEST_REQUEST_MS, type WitnessedSettlements } from "../ledger/reconcile.js";
 import { rendezvousOrder } from "../support/rendezvous.js";
 import type { AccountId, Incarnation, KeyDigest } from "../types/ids.js";
-import type { ClosedReserve, Heartbeat, WitnessedBill } from "../types/messages.js";
-import type { AccountRow, WitnessRow, World } from "../world.js";
-import { holderIncarnation, holderName } from "./budgets.js";
+import type { ClosedUse, Heartbeat, WitnessedBill, WitnessedUse } from "../types/messages.js";
+import type { AccountRow, OpenUseRow, WitnessRow, World } from "../world.js";
+import { holderIncarnation } from "./budgets.js";
 import { isLive, isLost, livePeers, sendToPeer } from "./peers.js";
 
-const OPEN_RETRY_MS = 500;
 const WITNESSES = 2;
+const LEAST_TIME_STEP_MS = 0.001;
 const KEPT_BILL_LIMIT_MS = LONGEST_REQUEST_MS * 0.75;
 
-/** Returns the peers that witness this router's bills and reserves; they stay while they live. */
+/** Returns the peers that witness this router's uses and bills; they stay while they live. */
 export function witnessesOf(world: World, now: number): readonly Incarnation[] {
     const kept = world.witnesses.filter((peer) =>
         isLive(world, peer, now) && !world.peers.get(peer)!.heartbeat.draining
@@ -38,8 +37,85 @@
     );
 }
 
-/** Adds a bill that must not be lost with this router. */
+/**
+ * Returns the witnesses to write into an account's record: the preferred ones if, for each use that is
+ * allowed, one of them knows of it; else those of the record, until the preferred ones were told.
+ */
+export function witnessesFor(world: World, account: AccountRow, now: number): readonly Incarnation[] {
+    const preferred = witnessesOf(world, now);
+    let known = true;
+    for (const open of world.openUses.values()) {
+        const isOwn = open.use.account === account.id && open.allowed;
+        if (isOwn && !preferred.some((witness) => open.witnessedBy.has(witness))) {
+            known = false;
+            world.unsentUses.push(open.use);
+        }
+    }
+    return known ? preferred : account.witnesses;
+}
+
+/** Has a use of allowance witnessed. Returns true when it may go ahead at once. */
+export function openUse(world: World, account: AccountRow, use: Omit<WitnessedUse, "at">, now: number): boolean {
+    // Times differ, so that a late message about an earlier use of a key is told apart.
+    world.lastUseAt = Math.max(now, world.lastUseAt + LEAST_TIME_STEP_MS);
+    const open: OpenUseRow = { use: { ...use, at: world.lastUseAt }, witnessedBy: new Set(), allowed: false };
+    world.openUses.set(use.key, open);
+    world.unsentUses.push(open.use);
+    return allowUse(world, account, use.key);
+}
+
+/** Offers a use again to the witnesses of the record as it is now. */
+export function reofferUse(world: World, account: AccountRow, key: string): void {
+    const open = world.openUses.get(key);
+    if (open !== undefined) {
+        open.use = { ...open.use, epoch: account.epoch };
+        world.unsentUses.push(open.use);
+    }
+}
+
+/**
+ * Allows a use that is known to a witness of the record, whichever way a write on its way ends.
+ * All witnesses have to agree before a lost router's tokens are returned, so that one is enough.
+ */
+export function allowUse(world: World, account: AccountRow, key: string): boolean {
+    const open = world.openUses.get(key);
+    if (open === undefined) {
+        return false;
+    }
+    const knows = (witnesses: readonly Incarnation[]): boolean =>
+        witnesses.length === 0 || witnesses.some((witness) => open.witnessedBy.has(witness));
+    open.allowed ||= knows(account.witnesses) && (account.write === undefined || knows(account.write.witnesses));
+    return open.allowed;
+}
+
+/** Returns the keys of an account's uses that wait for a witness. */
+export function waitingUses(world: World, account: AccountRow): string[] {
+    const keys: string[] = [];
+    for (const [key, open] of world.openUses) {
+        if (!open.allowed && open.use.account === account.id) {
+            keys.push(key);
+        }
+    }
+    return keys;
+}
+
+/** Returns true when some witness of the record can be asked. */
+export function hasLiveWitness(world: World, account: AccountRow, now: number): boolean {
+    return account.witnesses.length === 0 || account.witnesses.some((witness) => isLive(world, witness, now));
+}
+
+/** Forgets a use of which nothing came, here and at the witnesses. */
+export function closeUse(world: World, key: string): void {
+    const open = world.openUses.get(key);
+    if (open !== undefined) {
+        world.openUses.delete(key);
+        world.closedUses.push({ key, at: open.use.at });
+    }
+}
+
+/** Adds a bill that must not be lost with this router; it takes the place of its use. */
 export function openBill(world: World, bill: WitnessedBill): void {
+    world.openUses.delete(bill.key);
     world.openBills.set(bill.key, { bill, offeredTo: new Set(), keptBy: new Set() });
     world.unkeptBills.push(bill);
 }
@@ -52,8 +128,38 @@
     }
 }
 
-/** Offers the bills of this tick to the witnesses, in one message each. */
-export function offerBills(world: World, now: number): void {
+/** Sends the uses and bills of this tick to the witnesses, in one message each. */
+export function informWitnesses(world: World, now: number): void {
+    offerUses(world, now);
+    offerBills(world, now);
+    const closed = world.closedUses;
+    world.closedUses = [];
+    if (closed.length > 0) {
+        const witnesses = new Set([...world.accounts.values()].flatMap((account) => account.witnesses));
+        witnesses.forEach((witness) => sendToPeer(world, witness, { kind: "uses-closed", uses: closed }));
+    }
+}
+
+function offerUses(world: World, now: number): void {
+    const uses = world.unsentUses;
+    world.unsentUses = [];
+    if (uses.length === 0) {
+        return;
+    }
+    const preferred = witnessesOf(world, now);
+    const byWitness = new Map<Incarnation, WitnessedUse[]>();
+    for (const use of uses) {
+        const account = world.accounts.get(use.account)!;
+        for (const witness of new Set([...account.witnesses, ...account.write?.witnesses ?? [], ...preferred])) {
+            byWitness.set(witness, [...byWitness.get(witness) ?? [], use]);
+        }
+    }
+    for (const [witness, offered] of byWitness) {
+        sendToPeer(world, witness, { kind: "uses-open", uses: offered });
+    }
+}
+
+function offerBills(world: World, now: number): void {
     if (world.unkeptBills.length === 0) {
         return;
     }
@@ -76,6 +182,45 @@
     sendToPeer(world, witness, { kind: "witness-bills", bills, batch });
 }
 
+/** Takes in a peer's uses, but for those of allowances that were closed, and tells which. */
+export function witnessUses(world: World, from: Incarnation, uses: readonly WitnessedUse[], now: number): void {
+    const row = witnessRow(world, from);
+    const accepted: string[] = [];
+    const refused: string[] = [];
+    for (const use of uses) {
+        if (use.epoch <= (row.closed.get(use.account) ?? -1)) {
+            refused.push(use.key);
+            continue;
+        }
+        accepted.push(use.key);
+        row.uses.set(use.key, { ...use, keptAt: now });
+    }
+    sendToPeer(world, from, { kind: "uses-witnessed", accepted, refused });
+}
+
+/** Notes which uses a witness knows. Returns those that were waited for. */
+export function noteWitnessed(world: World, from: Incarnation, accepted: readonly string[]): WitnessedUse[] {
+    const uses: WitnessedUse[] = [];
+    for (const key of accepted) {
+        const open = world.openUses.get(key);
+        if (open !== undefined) {
+            open.witnessedBy.add(from);
+            uses.push(open.use);
+        }
+    }
+    return uses;
+}
+
+/** Forgets uses of a peer of which nothing came. */
+export function forgetUses(world: World, from: Incarnation, closed: readonly ClosedUse[]): void {
+    const row = world.witnessed.get(from);
+    for (const { key, at } of closed) {
+        if ((row?.uses.get(key)?.at ?? Infinity) <= at) {
+            row!.uses.delete(key);
+        }
+    }
+}
+
 /** Keeps a peer's bills until the ledger has them. */
 export function keepBills(
     world: World,
@@ -86,6 +231,7 @@
 ): void {
     const row = witnessRow(world, from);
     for (const bill of bills) {
+        row.uses.delete(bill.key);
         row.bills.set(bill.key, { ...bill, keptAt: now });
     }
     sendToPeer(world, from, { kind: "witness-bills-kept", batch });
@@ -130,21 +276,31 @@
     }
 }
 
-/** Returns the time of the oldest bill that the ledger does not have, or now. */
-export function oldestBillAt(world: World, now: number): number {
-    // Bills are added in order of time.
+/** Returns the time of the oldest use or bill that the ledger does not have, or now. */
+export function oldestOpenAt(world: World, now: number): number {
+    let oldest = now;
+    // Entries are added in order of time.
     for (const { bill } of world.openBills.values()) {
-        return bill.at;
+        oldest = Math.min(oldest, bill.at);
+        break;
     }
-    return now;
+    for (const { use } of world.openUses.values()) {
+        oldest = Math.min(oldest, use.at);
+    }
+    return oldest;
 }
 
-/** Forgets bills of a peer that the ledger has by its own word, should the message about them be lost. */
-export function dropSettledBills(world: World, heartbeat: Heartbeat): void {
+/** Forgets what a peer has settled by its own word, should the message about it be lost. */
+export function dropSettled(world: World, heartbeat: Heartbeat): void {
     const row = world.witnessed.get(heartbeat.incarnation);
-    for (const bill of row?.bills.values() ?? []) {
-        if (bill.at < heartbeat.oldestBillAt) {
-            row!.bills.delete(bill.key);
+    if (row === undefined) {
+        return;
+    }
+    for (const entries of [row.bills, row.uses] as readonly Map<string, { readonly at: number; }>[]) {
+        for (const [key, entry] of entries) {
+            if (entry.at < heartbeat.oldestOpenAt) {
+                entries.delete(key);
+            }
         }
     }
 }
@@ -161,7 +317,7 @@
 export function accountsToSettle(world: World, now: number): Set<AccountId> {
     const accounts = new Set<AccountId>();
     for (const [peer, row] of world.witnessed) {
-        dropOldBills(row, now);
+        dropOldEntries(row, now);
         for (const bill of row.bills.values()) {
             if (isOverdue(world, peer, bill, now)) {
                 accounts.add(bill.account);
@@ -172,12 +328,17 @@
 }
 
 // The ledger forgets bills after a while; a bill as old as that could be written a second time.
-function dropOldBills(row: WitnessRow, now: number): void {
+function dropOldEntries(row: WitnessRow, now: number): void {
     for (const bill of row.bills.values()) {
         if (now - bill.keptAt > KEPT_BILL_LIMIT_MS) {
             row.bills.delete(bill.key);
         }
     }
+    for (const use of row.uses.values()) {
+        if (now - use.keptAt > HOLDER_RETIREMENT_MS) {
+            row.uses.delete(use.key);
+        }
+    }
 }
 
 // The ledger takes a bill once, so it does no harm when both its router and a witness write it.
@@ -189,7 +350,7 @@
 export function witnessedSettlements(world: World, account: AccountId, now: number): WitnessedSettlements[] {
     const all: WitnessedSettlements[] = [];
     for (const [peer, row] of world.witnessed) {
-        dropOldBills(row, now);
+        dropOldEntries(row, now);
         for (const bill of row.bills.values()) {
             if (bill.account === account && isOverdue(world, peer, bill, now)) {
                 addWitnessed(all, bill);
@@ -208,118 +369,20 @@
     known.settlements.push(bill);
 }
 
-/** Forgets bills that were written on behalf of lost peers. */
+/** Forgets bills that were written on behalf of peers. */
 export function dropWitnessed(world: World, written: readonly WitnessedSettlements[]): void {
     for (const { holder, settlements } of written) {
         forgetBills(world, holderIncarnation(holder), settlements.map((settlement) => settlement.key));
     }
 }
 
-/** Asks the witnesses to open the reserves, once the key-value service fails. */
-export function askToOpenReserve(world: World, now: number): void {
-    if (now - world.openAskedAt < OPEN_RETRY_MS) {
-        return;
-    }
-    world.openAskedAt = now;
-    const recorded = [...world.accounts.values()].flatMap((account) => account.witnesses);
-    for (const witness of new Set([...recorded, ...witnessesOf(world, now)])) {
-        sendToPeer(world, witness, { kind: "reserve-open", epoch: world.epoch });
-    }
-}
-
-/** Opens a peer's reserves up to an epoch, but for those already closed. */
-export function openReserve(world: World, from: Incarnation, epoch: number): void {
-    const row = witnessRow(world, from);
-    row.openedEpoch = Math.max(row.openedEpoch, epoch);
-    const closed: ClosedReserve[] = [...row.closed].map(([account, until]) => ({ account, epoch: until }));
-    sendToPeer(world, from, { kind: "reserve-opened", epoch, closed });
-}
-
-/** Notes that a witness opened the reserves. */
-export function noteOpened(world: World, from: Incarnation, epoch: number, closed: readonly ClosedReserve[]): void {
-    const known = world.opened.get(from);
-    if (known === undefined || known.epoch <= epoch) {
-        world.opened.set(from, { epoch, closed: new Map(closed.map((entry) => [entry.account, entry.epoch])) });
-    }
-}
-
-/** Closes a holder's reserve unless it was opened. Returns true when it can no longer be opened. */
-export function closeReserve(world: World, holder: Incarnation, account: AccountId, epoch: number): boolean {
-    const row = witnessRow(world, holderIncarnation(holder));
-    if (epoch <= row.openedEpoch) {
-        return false;
-    }
-    row.closed.set(account, Math.max(epoch, row.closed.get(account) ?? 0));
-    return true;
-}
-
-/** Starts the return of reserves whose holders are lost. */
-export function reclaimSilentHolders(world: World, account: AccountRow, record: LedgerRecord, now: number): void {
-    for (const [id, holder] of Object.entries<Holder>(record.holders)) {
-        const name = id as Incarnation;
-        if (name === holderName(world, account) || !isLost(world, name, now) || !hasReserve(holder)) {
-            continue;
-        }
-        reclaimHolder(world, account, name, holder, now);
-    }
-}
-
-function reclaimHolder(world: World, account: AccountRow, name: Incarnation, holder: Holder, now: number): void {
-    const { epoch } = holder;
-    if (holder.witnesses.length === 0) {
-        addReclaim(account, name, epoch);
-        return;
-    }
-    for (const witness of holder.witnesses) {
-        if (witness !== world.self.incarnation) {
-            sendToPeer(world, witness, { kind: "reserve-close", holder: name, epoch, account: account.id });
-        }
-        else if (closeReserve(world, name, account.id, epoch)) {
-            noteClosed(world, account, name, epoch, witness);
-        }
-    }
-}
-
-function addReclaim(account: AccountRow, holder: Incarnation, epoch: number): void {
-    if (!account.reclaims.some((reclaim) => reclaim.holder === holder && reclaim.epoch === epoch)) {
-        account.reclaims.push({ holder, epoch });
-    }
-}
-
-function hasReserve(holder: Holder): boolean {
-    return Object.values<Holding>(holder.budgets).some((holding) => holding.reserve > 0);
-}
-
-/** Notes that a witness closed a lost holder's reserve. Returns true once all of them did. */
-export function noteClosed(
-    world: World,
-    account: AccountRow,
-    holder: Incarnation,
-    epoch: number,
-    witness: Incarnation,
-): boolean {
-    const entry = parseRecord(account.stored?.value).holders[holder];
-    if (entry === undefined || entry.epoch !== epoch) {
-        return false;
-    }
-    const key = `${holder} ${epoch}`;
-    const closedBy = account.closedBy.get(key) ?? new Set();
-    account.closedBy.set(key, closedBy);
-    closedBy.add(witness);
-    if (!entry.witnesses.every((other) => closedBy.has(other))) {
-        return false;
-    }
-    account.closedBy.delete(key);
-    addReclaim(account, holder, epoch);
-    return true;
-}
-
-function witnessRow(world: World, peer: Incarnation): WitnessRow {
+/** Returns what this router witnesses of a peer, created on first use. */
+export function witnessRow(world: World, peer: Incarnation): WitnessRow {
     const known = world.witnessed.get(peer);
     if (known !== undefined) {
         return known;
     }
-    const row: WitnessRow = { bills: new Map(), openedEpoch: -1, closed: new Map() };
+    const row: WitnessRow = { bills: new Map(), uses: new Map(), closed: new Map() };
     world.witnessed.set(peer, row);
     return row;
 }
--- a/packages/core/src/tick.ts
+++ b/packages/core/src/tick.ts
@@ -14,13 +14,22 @@
     requestWrite,
     runDueWrite,
 } from "./systems/ledger.js";
-import { announceReturned, lend, noteReceived, receiveTransfer, resendTransfer } from "./systems/lending.js";
+import {
+    announceReturned,
+    continueTransfer,
+    lend,
+    noteReceived,
+    receiveTransfer,
+    resendTransfer,
+} from "./systems/lending.js";
 import { beat, receiveHeartbeat } from "./systems/membership.js";
 import { sendToPeer } from "./systems/peers.js";
 import { unservable } from "./systems/queue.js";
+import { closeAllowance, noteTestimony } from "./systems/recovery.js";
 import {
     arrive,
     continueClaimed,
+    continueWitnessed,
     endBudgetWait,
     endOrphan,
     forgetRun,
@@ -29,6 +38,7 @@
     refuseBilled,
     refuseClaimed,
     refuseRun,
+    retryWitness,
     seekEndpoint,
     seekTokensInOutage,
     serveQueue,
@@ -37,17 +47,18 @@
 import { receiveChunk } from "./systems/streams.js";
 import {
     closeBills,
-    closeReserve,
     dropWitnessed,
     forgetBills,
+    forgetUses,
+    informWitnesses,
     keepBills,
-    noteClosed,
     noteKept,
-    noteOpened,
-    offerBills,
-    openReserve,
+    noteWitnessed,
+    reofferUse,
+    waitingUses,
+    witnessUses,
 } from "./systems/witness.js";
-import type { Incarnation, KeyDigest, KeyValueCallId } from "./types/ids.js";
+import { brand, type Incarnation, type KeyDigest, type KeyValueCallId, type TransferId } from "./types/ids.js";
 import type { Effect, KeyValueResult, Message, PeerMessage } from "./types/messages.js";
 import { type AccountRow, accountRow, type LedgerWrite, type Run, type Task, type World } from "./world.js";
 
@@ -64,7 +75,7 @@
     for (let task = takeDue(world.due, now); task !== undefined; task = takeDue(world.due, now)) {
         runTask(world, task, now);
     }
-    offerBills(world, now);
+    informWitnesses(world, now);
     const effects = world.effects;
     world.effects = [];
     return effects;
@@ -167,6 +178,10 @@
         dropWitnessed(world, write.witnessed);
         endBills(world, keys, now);
         announceReturned(world, account);
+        for (const key of waitingUses(world, account)) {
+            reofferUse(world, account, key);
+            continueUse(world, key, now);
+        }
         serveWaiting(world, account, now);
         judgeWaiting(world, account, now);
     },
@@ -221,14 +236,15 @@
             return endBills(world, noteKept(world, from, message.batch), now);
         case "witness-bills-settled":
             return forgetBills(world, from, message.keys);
-        case "reserve-open":
-            return openReserve(world, from, message.epoch);
-        case "reserve-opened":
-            noteOpened(world, from, message.epoch, message.closed);
-            return serveAllWaiting(world, now);
-        case "reserve-close":
+        case "uses-open":
+            return witnessUses(world, from, message.uses, now);
+        case "uses-witnessed":
+            return handleWitnessed(world, from, message, now);
+        case "uses-closed":
+            return forgetUses(world, from, message.uses);
+        case "allowance-close":
             return answerClose(world, from, message);
-        case "reserve-closed":
+        case "allowance-closed":
             return handleClosed(world, from, message, now);
         case "borrow":
             return lend(world, from, message, now);
@@ -249,40 +265,61 @@
     }
 }
 
-function answerClose(world: World, from: Incarnation, message: Extract<PeerMessage, { kind: "reserve-close"; }>): void {
+function handleWitnessed(
+    world: World,
+    from: Incarnation,
+    message: Extract<PeerMessage, { kind: "uses-witnessed"; }>,
+    now: number,
+): void {
+    for (const use of noteWitnessed(world, from, message.accepted)) {
+        continueUse(world, use.key, now);
+    }
+    // Allowances that were closed are held anew with the next write.
+    for (const key of message.refused) {
+        const account = world.openUses.get(key)?.use.account;
+        if (account !== undefined) {
+            requestWrite(world, accountRow(world, account), now);
+        }
+    }
+}
+
+function continueUse(world: World, key: string, now: number): void {
+    const run = world.runs.get(world.runsByKey.get(brand<KeyDigest>(key)) ?? 0);
+    if (run !== undefined) {
+        continueWitnessed(world, run, now);
+    }
+    continueTransfer(world, brand<TransferId>(key));
+}
+
+function answerClose(
+    world: World,
+    from: Incarnation,
+    message: Extract<PeerMessage, { kind: "allowance-close"; }>,
+): void {
     const { holder, epoch, account } = message;
-    const closed = closeReserve(world, holder, account, epoch);
-    sendToPeer(world, from, { kind: "reserve-closed", holder, epoch, account, closed });
+    const testimony = closeAllowance(world, holder, account, epoch);
+    sendToPeer(world, from, { kind: "allowance-closed", holder, epoch, account, ...testimony });
 }
 
 function handleClosed(
     world: World,
     from: Incarnation,
-    message: Extract<PeerMessage, { kind: "reserve-closed"; }>,
+    message: Extract<PeerMessage, { kind: "allowance-closed"; }>,
     now: number,
 ): void {
     const account = accountRow(world, message.account);
-    if (message.closed && noteClosed(world, account, message.holder, message.epoch, from)) {
+    if (noteTestimony(account, message.holder, message.epoch, from, message)) {
         requestWrite(world, account, now);
     }
 }
 
-function serveAllWaiting(world: World, now: number): void {
-    for (const account of world.accounts.values()) {
-        if (account.waiting.length > 0) {
-            serveWaiting(world, account, now);
-        }
-    }
-}
-
 function noteBorrowRefused(world: World, from: Incarnation, account: AccountRow, now: number): void {
     if (!account.lenders.delete(from) || account.lenders.size > 0) {
         return;
     }
-    // In an outage the reserve may still be opened; otherwise nobody has the tokens.
-    const opening = world.keyValueFailingSince !== undefined;
-    for (const id of opening ? [] : [...account.waiting]) {
-        refuseRun(world, world.runs.get(id)!, "budget-held-elsewhere", OVERDUE_RETRY_MS, now);
+    const reason = world.keyValueFailingSince === undefined ? "budget-held-elsewhere" : "ledger-unavailable";
+    for (const id of [...account.waiting]) {
+        refuseRun(world, world.runs.get(id)!, reason, OVERDUE_RETRY_MS, now);
     }
 }
 
@@ -336,6 +373,8 @@
             return endBudgetWait(world, run, now);
         case "deadline":
             return run.state === "billing" ? refuseBilled(world, run, now) : endAtDeadline(world, run, now);
+        case "witness-wait":
+            return retryWitness(world, run, task.since, now);
         case "progress":
             return checkProgress(world, run, task.dispatch, now);
         case "bill-wait":
--- a/packages/core/src/types/messages.ts
+++ b/packages/core/src/types/messages.ts
@@ -107,8 +107,22 @@
     readonly at: number;
 };
 
-/** A reserve of one account that its witness closed, up to a write's epoch. */
-export type ClosedReserve = { readonly account: AccountId; readonly epoch: number; };
+/** A use of allowance that a witness knows of until it is billed or closed: a request or a transfer. */
+export type WitnessedUse = {
+    readonly holder: Incarnation;
+    readonly account: AccountId;
+    readonly budget: BudgetId;
+    /** The digest of the request key, or the id of the transfer. */
+    readonly key: string;
+    readonly tokens: number;
+    /** Epoch of the holder's write that the allowance comes from. */
+    readonly epoch: number;
+    /** Time in ms, by the clock of the router that uses the tokens. */
+    readonly at: number;
+};
+
+/** A use of which nothing came, with the time that tells it from a later use of its key. */
+export type ClosedUse = { readonly key: string; readonly at: number; };
 
 /** What a router tells its peers of itself with each heartbeat. */
 export type Heartbeat = {
@@ -118,8 +132,8 @@
     readonly sequence: number;
     readonly draining: boolean;
     readonly configurationVersion: number;
-    /** Time in ms, by this router's clock, of its oldest bill that the ledger does not have. */
-    readonly oldestBillAt: number;
+    /** Time in ms, by this router's clock, of its oldest use or bill that the ledger does not have. */
+    readonly oldestOpenAt: number;
 };
 
 /** A message between two routers. */
@@ -138,20 +152,22 @@
     | { readonly kind: "witness-bills"; readonly bills: readonly WitnessedBill[]; readonly batch: number; }
     | { readonly kind: "witness-bills-kept"; readonly batch: number; }
     | { readonly kind: "witness-bills-settled"; readonly keys: readonly KeyDigest[]; }
-    | { readonly kind: "reserve-open"; readonly epoch: number; }
-    | { readonly kind: "reserve-opened"; readonly epoch: number; readonly closed: readonly ClosedReserve[]; }
+    | { readonly kind: "uses-open"; readonly uses: readonly WitnessedUse[]; }
+    | { readonly kind: "uses-witnessed"; readonly accepted: readonly string[]; readonly refused: readonly string[]; }
+    | { readonly kind: "uses-closed"; readonly uses: readonly ClosedUse[]; }
     | {
-        readonly kind: "reserve-close";
+        readonly kind: "allowance-close";
         readonly holder: Incarnation;
         readonly epoch: number;
         readonly account: AccountId;
     }
     | {
-        readonly kind: "reserve-closed";
+        readonly kind: "allowance-closed";
         readonly holder: Incarnation;
         readonly epoch: number;
         readonly account: AccountId;
-        readonly closed: boolean;
+        readonly uses: readonly WitnessedUse[];
+        readonly bills: readonly WitnessedBill[];
     }
     | {
         readonly kind: "borrow";
@@ -159,6 +175,8 @@
         readonly account: AccountId;
         readonly budget: BudgetId;
         readonly tokens: number;
+        /** Tokens that would spare the borrower from asking again soon. */
+        readonly wanted: number;
     }
     | { readonly kind: "allowance-returned"; readonly account: AccountId; }
     | { readonly kind: "lend"; readonly account: AccountId; readonly transfer: LedgerTransfer; }
--- a/packages/core/src/types/outcomes.ts
+++ b/packages/core/src/types/outcomes.ts
@@ -18,6 +18,7 @@
     "overloaded",
     "poison-request",
     "retry-budget-spent",
+    "witness-unavailable",
 ] as const;
 /** Why a request was refused. */
 export type RefusalReason = typeof refusalReasons[number];
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -6,11 +6,12 @@
     type Snapshot,
 } from "./configuration/snapshot.js";
 import type { PageCache, SealedPage } from "./ledger/pages.js";
-import type { LedgerTransfer, Reclaim, Settlement, WitnessedSettlements } from "./ledger/reconcile.js";
+import type { LedgerTransfer, Recovery, Settlement, WitnessedSettlements } from "./ledger/reconcile.js";
 import type { Holding } from "./ledger/record.js";
 import { defaultPolicy, type Policy } from "./policy.js";
 import { createDueQueue, type DueQueue } from "./support/due-queue.js";
 import { createRandom, type Random } from "./support/random.js";
+import type { Testimony } from "./systems/recovery.js";
 import type {
     AccountId,
     BodyDigest,
@@ -29,11 +30,13 @@
     AnswerEnd,
     Arrival,
     Chunk,
+    ClosedUse,
     Effect,
     Heartbeat,
     LoadReport,
     Target,
     WitnessedBill,
+    WitnessedUse,
 } from "./types/messages.js";
 
 /** A budget as this router sees it. All figures in tokens. */
@@ -41,8 +44,6 @@
     readonly id: BudgetId;
     /** Allowance of the last write that is known to be applied. */
     held: number;
-    /** Reserve of that write. */
-    reserve: number;
     /** Worst case of the requests that run. */
     reserved: number;
     /** Used, but not yet billed in the ledger. */
@@ -56,6 +57,8 @@
     /** Tokens used per ms. */
     rate: number;
     rateAt: number;
+    /** Share of its window that the rate has seen. */
+    rateSeen: number;
     /** Moving average of the worst case of a request. */
     typicalWorst: number;
     lastUsedAt: number;
@@ -72,7 +75,7 @@
     readonly settlements: readonly Settlement[];
     readonly transfers: readonly LedgerTransfer[];
     readonly witnessed: readonly WitnessedSettlements[];
-    readonly reclaims: readonly Reclaim[];
+    readonly recoveries: readonly Recovery[];
     readonly seal: SealedPage | undefined;
     readonly duplicates: ReadonlySet<KeyDigest>;
     readonly holdings: ReadonlyMap<BudgetId, Holding>;
@@ -99,7 +102,7 @@
     writtenTransfers: LedgerTransfer[];
     /** Transfers taken in, so that a repeated one counts once. */
     readonly receivedTransfers: Set<TransferId>;
-    reclaims: Reclaim[];
+    recoveries: Recovery[];
     /** Epoch and witnesses of the last applied write. */
     epoch: number;
     witnesses: readonly Incarnation[];
@@ -121,12 +124,13 @@
     /** Time until which nothing beyond the open reservations is held. */
     recalledUntil: number;
     runningRuns: number;
-    /** Witnesses that closed a lost holder's reserve, by holder and epoch. */
-    readonly closedBy: Map<string, Set<Incarnation>>;
+    /** What witnesses said of a lost holder's allowance, by holder and epoch. */
+    readonly testimonies: Map<string, Map<Incarnation, Testimony>>;
+    recoveryAskedAt: number;
 };
 
 /** Where a run stands. */
-export type RunState = "budget" | "queue" | "lane" | "claim" | "running" | "billing" | "done";
+export type RunState = "budget" | "witness" | "queue" | "lane" | "claim" | "running" | "billing" | "done";
 
 /** One execution of a request key. Several callers may follow it. */
 export type Run = {
@@ -178,8 +182,8 @@
     readonly id: EndpointId;
     report: LoadReport | undefined;
     reportedAt: number;
-    /** Requests sent by this router since the last report. */
-    sinceReport: number;
+    /** Requests of this router that ran there at the time of the report. */
+    ownAtReport: number;
     running: Set<number>;
     failures: number;
     ejections: number;
@@ -193,9 +197,10 @@
 
 /** What a router keeps as the witness of a peer. */
 export type WitnessRow = {
-    bills: Map<KeyDigest, WitnessedBill & { readonly keptAt: number; }>;
-    openedEpoch: number;
-    closed: Map<AccountId, number>;
+    readonly bills: Map<KeyDigest, WitnessedBill & { readonly keptAt: number; }>;
+    readonly uses: Map<string, WitnessedUse & { readonly keptAt: number; }>;
+    /** Epoch up to which a peer's uses are refused, by account. */
+    readonly closed: Map<AccountId, number>;
 };
 
 /** A bill that only this router and its witnesses have. */
@@ -205,6 +210,14 @@
     readonly keptBy: Set<Incarnation>;
 };
 
+/** A use of allowance that is not billed yet. */
+export type OpenUseRow = {
+    use: WitnessedUse;
+    readonly witnessedBy: Set<Incarnation>;
+    /** True once the tokens may be in use. */
+    allowed: boolean;
+};
+
 /** A request for the lane in which suspects run alone. */
 export type LaneRow = {
     holder: { incarnation: Incarnation; body: BodyDigest; until: number; } | undefined;
@@ -226,6 +239,7 @@
 export type Task =
     | { readonly kind: "ledger"; readonly account: AccountId; readonly at: number; }
     | { readonly kind: "budget-wait"; readonly run: number; }
+    | { readonly kind: "witness-wait"; readonly run: number; readonly since: number; }
     | { readonly kind: "deadline"; readonly run: number; }
     | { readonly kind: "progress"; readonly run: number; readonly dispatch: number; }
     | { readonly kind: "bill-wait"; readonly run: number; }
@@ -243,7 +257,14 @@
     | { readonly kind: "drain"; };
 
 /** A transfer that its receiver has not acknowledged. */
-export type LendRow = { readonly to: Incarnation; readonly account: AccountId; readonly transfer: LedgerTransfer; };
+export type LendRow = {
+    readonly to: Incarnation;
+    readonly account: AccountId;
+    readonly transfer: LedgerTransfer;
+    readonly since: number;
+    /** True once it may have reached its receiver. */
+    sent: boolean;
+};
 
 /** Who a router is. */
 export type Identity = {
@@ -270,6 +291,8 @@
     readonly leavingEndpoints: Set<EndpointId>;
     /** Runs that wait for an endpoint, by what they need. */
     readonly queues: Map<string, number[]>;
+    /** Queues that a timer looks after. */
+    readonly tendedQueues: Set<string>;
     readonly serverUsedAt: Map<string, number>;
     /** Moving average of a request's time at an endpoint, by model or service. */
     readonly serviceTimes: Map<string, number>;
@@ -283,10 +306,12 @@
     readonly openBills: Map<KeyDigest, OpenBill>;
     readonly billBatches: Map<number, readonly KeyDigest[]>;
     nextBatch: number;
-    /** What each witness opened: rows written up to an epoch, but for the closed ones. */
-    readonly opened: Map<Incarnation, { epoch: number; closed: ReadonlyMap<AccountId, number>; }>;
-    openAskedAt: number;
-    /** Peers that witness this router's bills and reserves. */
+    /** Uses that may still be on their way, and the witnesses that know of them. */
+    readonly openUses: Map<string, OpenUseRow>;
+    lastUseAt: number;
+    unsentUses: WitnessedUse[];
+    closedUses: ClosedUse[];
+    /** Peers that witness this router's uses and bills. */
     witnesses: readonly Incarnation[];
     readonly lends: Map<TransferId, LendRow>;
     readonly lanes: Map<string, LaneRow>;
@@ -334,6 +359,7 @@
         endpoints: new Map(),
         leavingEndpoints: new Set(),
         queues: new Map(),
+        tendedQueues: new Set(),
         serverUsedAt: new Map(),
         serviceTimes: new Map(),
         peers: new Map(),
@@ -343,8 +369,10 @@
         openBills: new Map(),
         billBatches: new Map(),
         nextBatch: 1,
-        opened: new Map(),
-        openAskedAt: -Infinity,
+        openUses: new Map(),
+        lastUseAt: -Infinity,
+        unsentUses: [],
+        closedUses: [],
         witnesses: [],
         lends: new Map(),
         lanes: new Map(),
@@ -388,7 +416,7 @@
         transfers: [],
         writtenTransfers: [],
         receivedTransfers: new Set(),
-        reclaims: [],
+        recoveries: [],
         epoch: 0,
         witnesses: [],
         committedAt: -Infinity,
@@ -403,7 +431,8 @@
         borrowers: new Set(),
         recalledUntil: -Infinity,
         runningRuns: 0,
-        closedBy: new Map(),
+        testimonies: new Map(),
+        recoveryAskedAt: -Infinity,
     };
     world.accounts.set(id, row);
     return row;
@@ -418,7 +447,6 @@
     const row: BudgetRow = {
         id,
         held: 0,
-        reserve: 0,
         reserved: 0,
         unsettled: 0,
         lent: 0,
@@ -426,6 +454,7 @@
         used: 0,
         rate: 0,
         rateAt: now,
+        rateSeen: 0,
         typicalWorst: 0,
         lastUsedAt: now,
         openRuns: 0,
@@ -444,7 +473,7 @@
         id,
         report: undefined,
         reportedAt: -Infinity,
-        sinceReport: 0,
+        ownAtReport: 0,
         running: new Set(),
         failures: 0,
         ejections: 0,
--- a/packages/router/src/callers/responses.ts
+++ b/packages/router/src/callers/responses.ts
@@ -163,6 +163,7 @@
     "overloaded": 429,
     "poison-request": 422,
     "retry-budget-spent": 503,
+    "witness-unavailable": 503,
 };
 
 /** Returns the HTTP status of a refusal. */
--- a/packages/router/src/observability/metrics.ts
+++ b/packages/router/src/observability/metrics.ts
@@ -99,7 +99,6 @@
     gauge("peers", "Other routers known.", () => world.peers.size);
     gauge("configuration_version", "Version in force.", () => world.configuration.version);
     gauge("allowance_tokens", "Tokens held for spending.", () => sumRows(world, (row) => row.held));
-    gauge("outage_reserve_tokens", "Tokens held for an outage.", () => sumRows(world, (row) => row.reserve));
     gauge("reserved_tokens", "Worst case of running requests.", () => sumRows(world, (row) => row.reserved));
     gauge(
         "unsettled_tokens",
@@ -119,7 +118,6 @@
 
 type BudgetFigures = {
     readonly held: number;
-    readonly reserve: number;
     readonly reserved: number;
     readonly unsettled: number;
 };
--- a/packages/router/src/operators/router-report.ts
+++ b/packages/router/src/operators/router-report.ts
@@ -6,7 +6,6 @@
     readonly account: string;
     readonly budget: string;
     readonly held: number;
-    readonly reserve: number;
     readonly reserved: number;
     readonly unsettled: number;
 };
@@ -69,7 +68,6 @@
                 account: account.id,
                 budget: row.id,
                 held: row.held,
-                reserve: row.reserve,
                 reserved: row.reserved,
                 unsettled: row.unsettled,
             }))
--- a/packages/standins/src/demo/truth.ts
+++ b/packages/standins/src/demo/truth.ts
@@ -135,7 +135,7 @@
         for (const [router, holder] of Object.entries(record.holders)) {
             if (!evidence.liveRouters.has(router)) {
                 const holdings = Object.values(holder.budgets);
-                sum += holdings.reduce((total, holding) => total + holding.allowance + holding.reserve, 0);
+                sum += holdings.reduce((total, holding) => total + holding.allowance, 0);
             }
         }
     }
