--- a/packages/core/src/systems/ledger.ts
+++ b/packages/core/src/systems/ledger.ts
@@ -16,6 +16,8 @@
 /** What happens to runs and bills when a write of the ledger ends. */
 export type LedgerListener = {
     readonly committed: (world: World, account: AccountRow, write: LedgerWrite, now: number) => void;
+    /** The account's entry was closed by others. */
+    readonly fenced: (world: World, account: AccountRow, now: number) => void;
     readonly failed: (world: World, account: AccountRow, now: number) => void;
 };
 
@@ -46,7 +48,13 @@
 }
 
 /** Starts the write that is due, unless one is on its way. */
-export function runDueWrite(world: World, id: AccountId, at: number, now: number): void {
+export function runDueWrite(
+    world: World,
+    id: AccountId,
+    at: number,
+    listener: LedgerListener,
+    now: number,
+): void {
     const account = accountRow(world, id);
     if (account.dueAt !== at) {
         return;
@@ -64,7 +72,7 @@
         resendWrite(world, account);
         return;
     }
-    startWrite(world, account, now);
+    startWrite(world, account, listener, now);
 }
 
 function resendWrite(world: World, account: AccountRow): void {
@@ -72,7 +80,7 @@
     readKey(world, ledgerKey(account.id), { kind: "ledger-read", account: account.id });
 }
 
-function startWrite(world: World, account: AccountRow, now: number): void {
+function startWrite(world: World, account: AccountRow, listener: LedgerListener, now: number): void {
     const stored = account.stored!;
     const record = parseRecord(stored.value);
     if (account.fenced && !leaveFence(account)) {
@@ -101,7 +109,7 @@
     };
     const result = reconcile(record, change);
     if (result.fenced) {
-        fence(world, account, now);
+        fence(world, account, listener, now);
         return;
     }
     account.write = {
@@ -263,7 +271,7 @@
     const write = account.write;
     if (write === undefined) {
         account.stored = current;
-        startWrite(world, account, now);
+        startWrite(world, account, listener, now);
         return;
     }
     if (current.version === write.expected) {
@@ -360,13 +368,14 @@
             + account.recoveries.length > 0;
 }
 
-function fence(world: World, account: AccountRow, now: number): void {
+function fence(world: World, account: AccountRow, listener: LedgerListener, now: number): void {
     account.fenced = true;
     closeBills(world, account.settlements.map((settlement) => settlement.key));
     account.settlements = [];
     account.transfers = [];
     account.writtenTransfers = [];
     account.recoveries = [];
+    listener.fenced(world, account, now);
     requestWrite(world, account, now + world.policy.reconcileIntervalMs);
 }
 
--- a/packages/core/src/systems/lending.ts
+++ b/packages/core/src/systems/lending.ts
@@ -125,6 +125,15 @@
     }
 }
 
+/** Takes back the transfers of a closed entry that were not sent: nothing stands behind them any more. */
+export function cancelUnsentTransfers(world: World, account: AccountRow, now: number): void {
+    for (const row of [...world.lends.values()]) {
+        if (row.account === account.id && !row.sent) {
+            cancelTransfer(world, account, row, now);
+        }
+    }
+}
+
 function cancelTransfer(world: World, account: AccountRow, row: LendRow, now: number): void {
     world.lends.delete(row.transfer.id);
     closeUse(world, row.transfer.id);
--- a/packages/core/src/tick.ts
+++ b/packages/core/src/tick.ts
@@ -16,6 +16,7 @@
 } from "./systems/ledger.js";
 import {
     announceReturned,
+    cancelUnsentTransfers,
     continueTransfer,
     lend,
     noteReceived,
@@ -185,6 +186,9 @@
         serveWaiting(world, account, now);
         judgeWaiting(world, account, now);
     },
+    fenced(world: World, account: AccountRow, now: number): void {
+        cancelUnsentTransfers(world, account, now);
+    },
     failed(world: World, account: AccountRow, now: number): void {
         for (const id of [...account.waiting]) {
             seekTokensInOutage(world, account, world.runs.get(id)!, now);
@@ -326,7 +330,7 @@
 function runTask(world: World, task: Task, now: number): void {
     switch (task.kind) {
         case "ledger":
-            return runDueWrite(world, task.account, task.at, now);
+            return runDueWrite(world, task.account, task.at, ledgerListener, now);
         case "heartbeat":
             return beat(world, now);
         case "probe":
