Bill on behalf of a lost router what it paid with borrowed tokens

A bill now carries the transfers that its router had received.

A witness dropped a use whose bill it had not got, because a bill was dated later than its use; bills keep the time of their use.

--- /dev/null
+++ b/packages/core/src/fleet.test.ts
@@ -0,0 +1,342 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { counterexamples } from "./mocks/counterexamples.js";
+import { FakeFleet, type FleetEvent, runSchedule, schedules } from "./mocks/index.js";
+
+const SEED = 20_261;
+const RUNS = 150;
+
+function fleetOf(budget = 100_000, policy = {}): FakeFleet {
+    const fleet = new FakeFleet({
+        seed: 3,
+        routers: 3,
+        engines: 3,
+        services: 2,
+        slots: 16,
+        budgets: { a: budget },
+        policy,
+    });
+    fleet.run(3_000);
+    return fleet;
+}
+
+function expectSafe(fleet: FakeFleet): void {
+    expect(fleet.violations).toEqual([]);
+    expect(fleet.verdict()).toMatchObject({
+        overspentTokens: 0,
+        billsMissing: 0,
+        billsDoubled: 0,
+        nonIdempotentDoubles: 0,
+        dishonestRefusals: 0,
+        brokenAnswers: 0,
+        startsAfterLeaving: 0,
+    });
+}
+
+function outcomes(fleet: FakeFleet): string[] {
+    const refused = fleet.callers.records.flatMap((record) => record.refusals.map(({ refusal }) => refusal));
+    return [...new Set(refused.map((refusal) => `${refusal.reason} ${refusal.outcome}`))].sort();
+}
+
+describe("a fleet of routers", () => {
+    describe("under random schedules", () => {
+        it("keeps every promise", () => {
+            fc.assert(
+                fc.property(schedules, (schedule) => {
+                    expect(runSchedule(schedule).violations).toEqual([]);
+                }),
+                { seed: SEED, numRuns: RUNS, endOnFailure: true },
+            );
+        });
+
+        it.each(counterexamples)("holds in the schedule that once broke it: $name", ({ schedule }) => {
+            expect(runSchedule(schedule).violations).toEqual([]);
+        });
+
+        it("gives the same result for the same schedule", () => {
+            const schedule = fc.sample(schedules, { seed: SEED, numRuns: 1 })[0]!;
+            expect(runSchedule(schedule).verdict).toEqual(runSchedule(schedule).verdict);
+        });
+    });
+
+    describe("budgets", () => {
+        it("refuse what does not fit, as not run, and when to come back", () => {
+            const fleet = fleetOf(100);
+            fleet.send({ account: "a" });
+            fleet.run(2_000);
+            fleet.send({ account: "a" });
+            fleet.run(10_000);
+            const refused = fleet.callers.records[1]!;
+            expect(refused.result).toBe("refused");
+            expect(refused.refusals[0]!.refusal).toMatchObject({ reason: "budget-exhausted", outcome: "not-run" });
+            expect(refused.refusals[0]!.refusal.retryAfterMs).toBeGreaterThan(0);
+            expectSafe(fleet);
+        });
+
+        it("follow a top-up made in the middle of a partition", () => {
+            const fleet = fleetOf(200);
+            fleet.isolated.add(fleet.routers[0]!.address);
+            fleet.run(6_000);
+            fleet.topUp("a", "more", 5_000);
+            for (let index = 0; index < 30; index++) {
+                fleet.at(index * 50, () => void fleet.send({ account: "a" }));
+            }
+            fleet.run(30_000);
+            fleet.isolated.clear();
+            fleet.run(30_000);
+            expect(fleet.verdict().answeredWhole).toBe(30);
+            expectSafe(fleet);
+        });
+
+        it("leave nothing stranded after a router's death but what was open there", () => {
+            const fleet = fleetOf();
+            for (let index = 0; index < 60; index++) {
+                fleet.at(index * 20, () => void fleet.send({ account: "a" }));
+            }
+            fleet.run(600);
+            const router = [...fleet.routers].sort((first, second) =>
+                fleet.callers.openAt(second) - fleet.callers.openAt(first)
+            )[0]!;
+            const open = fleet.callers.openAt(router);
+            fleet.kill(router);
+            fleet.run(60_000);
+            expect(fleet.verdict().strandedTokens).toBeLessThanOrEqual(open * 80);
+            expectSafe(fleet);
+        });
+
+        it("are not spent twice by a router that wakes after its allowance was returned", () => {
+            const fleet = fleetOf(2_000);
+            for (let index = 0; index < 10; index++) {
+                fleet.send({ account: "a" });
+            }
+            fleet.run(1_000);
+            const router = fleet.routers[1]!;
+            router.pause();
+            for (let index = 0; index < 40; index++) {
+                fleet.at(index * 1_000, () => void fleet.send({ account: "a" }));
+            }
+            fleet.run(45_000);
+            router.resume();
+            for (let index = 0; index < 40; index++) {
+                fleet.at(index * 20, () => void fleet.send({ account: "a" }));
+            }
+            fleet.run(60_000);
+            expectSafe(fleet);
+        });
+
+        it("last through an outage of the key-value service", () => {
+            const fleet = fleetOf();
+            for (let index = 0; index < 600; index++) {
+                fleet.at(index * 200, () => void fleet.send({ account: "a" }));
+            }
+            fleet.run(20_000);
+            fleet.keyValue.faults.down = true;
+            fleet.run(90_000);
+            fleet.keyValue.faults.down = false;
+            fleet.run(60_000);
+            expect(fleet.verdict()).toMatchObject({ answeredWhole: 600, falseRefusals: 0 });
+            expectSafe(fleet);
+        });
+    });
+
+    describe("calls that may not be repeated", () => {
+        it("run once though their callers send them everywhere", () => {
+            const fleet = fleetOf();
+            fleet.keyValue.faults.lostReplies = 0.4;
+            for (let index = 0; index < 40; index++) {
+                fleet.at(index * 30, () => void fleet.sendAction("a", { impatientAfterMs: index % 7 }));
+            }
+            fleet.run(20_000);
+            fleet.keyValue.faults.lostReplies = 0;
+            fleet.run(30_000);
+            expectSafe(fleet);
+        });
+
+        it("are refused at once as not run while the key-value service is down", () => {
+            const fleet = fleetOf();
+            fleet.send({ account: "a" });
+            fleet.run(2_000);
+            fleet.keyValue.faults.down = true;
+            const record = fleet.sendAction("a", { mostAttempts: 1 });
+            fleet.run(2_000);
+            expect(record.refusals[0]!.refusal).toMatchObject({ reason: "ledger-unavailable", outcome: "not-run" });
+            expect(record.refusals[0]!.at - record.sentAt).toBeLessThan(500);
+        });
+    });
+
+    describe("refusals", () => {
+        it("of a second attempt never say not run", () => {
+            const fleet = fleetOf(60);
+            fleet.send({ account: "a", mostAttempts: 3, impatientAfterMs: 1 });
+            fleet.run(20_000);
+            expect(outcomes(fleet)).toContain("budget-exhausted may-have-run");
+            expectSafe(fleet);
+        });
+
+        it("after the request left for an endpoint say may have run", () => {
+            const fleet = fleetOf();
+            const record = fleet.sendAction("a", { mostAttempts: 1 });
+            fleet.run(12);
+            [...fleet.endpoints.values()].filter((endpoint) => endpoint.id.startsWith("service")).forEach((endpoint) =>
+                endpoint.crash(500)
+            );
+            fleet.run(5_000);
+            const started = fleet.truth.starts.has(record.key);
+            expect(record.refusals.every(({ refusal }) => !started || refusal.outcome !== "not-run")).toBe(true);
+        });
+    });
+
+    describe("answers", () => {
+        it("are whole though their connections go silent and their router dies", () => {
+            const fleet = fleetOf();
+            for (let index = 0; index < 20; index++) {
+                fleet.at(index * 5, () => void fleet.send({ account: "a", chunks: 12, outputTokens: 48 }));
+            }
+            fleet.run(200);
+            fleet.endpoints.forEach((endpoint) => endpoint.silence());
+            fleet.run(200);
+            fleet.kill(fleet.routers[0]!);
+            fleet.run(60_000);
+            expect(fleet.verdict()).toMatchObject({ answeredWhole: 20, brokenAnswers: 0 });
+            expectSafe(fleet);
+        });
+
+        it("are not cut by a drain", () => {
+            const fleet = fleetOf(100_000, { addressLifetimeMs: 1_000 });
+            for (let index = 0; index < 200; index++) {
+                fleet.at(index * 30, () => void fleet.send({ account: "a", chunks: 10 }));
+            }
+            fleet.run(1_000);
+            const router = fleet.routers[1]!;
+            router.deliver({ kind: "drain" });
+            fleet.run(60_000);
+            expect(router.state).toBe("dead");
+            expect(fleet.drainedCuts).toBe(0);
+            expect(fleet.record("a").holders[router.incarnation]?.budgets ?? {}).toEqual({});
+            expect(fleet.verdict().answeredWhole).toBe(200);
+            expectSafe(fleet);
+        });
+    });
+
+    describe("endpoints", () => {
+        it("lose at most two to a request that crashes them, and the others are answered", () => {
+            const fleet = fleetOf();
+            for (let index = 0; index < 100; index++) {
+                fleet.at(index * 20, () => void fleet.send({ account: "a", chunks: 8 }));
+            }
+            fleet.at(500, () => void fleet.send({ account: "a", poison: true, mostAttempts: 8 }));
+            fleet.at(9_000, () => void fleet.send({ account: "a", poison: true, mostAttempts: 8 }));
+            fleet.run(90_000);
+            expect(fleet.verdict().crashes).toBeLessThanOrEqual(2);
+            expect(fleet.verdict().answeredWhole).toBe(100);
+            expectSafe(fleet);
+        });
+
+        it("get no new work a few seconds after they announce that they leave", () => {
+            const fleet = fleetOf();
+            for (let index = 0; index < 300; index++) {
+                fleet.at(index * 40, () => void fleet.send({ account: "a" }));
+            }
+            fleet.run(2_000);
+            [...fleet.endpoints.values()][0]!.leave();
+            fleet.run(30_000);
+            expectSafe(fleet);
+        });
+    });
+
+    describe("limits", () => {
+        it("share full endpoints fairly and refuse the rest at once", () => {
+            const fleet = new FakeFleet({
+                seed: 3,
+                routers: 2,
+                engines: 1,
+                services: 1,
+                slots: 4,
+                budgets: { greedy: 1_000_000, modest: 100_000 },
+                policy: { queueLimit: 40 },
+            });
+            fleet.run(3_000);
+            for (let index = 0; index < 400; index++) {
+                fleet.at(index * 5, () => void fleet.send({ account: "greedy", timeoutMs: 4_000, mostAttempts: 1 }));
+            }
+            for (let index = 0; index < 10; index++) {
+                fleet.at(
+                    200 + index * 150,
+                    () => void fleet.send({ account: "modest", timeoutMs: 4_000, mostAttempts: 1 }),
+                );
+            }
+            fleet.run(30_000);
+            const modest = fleet.callers.records.filter((record) => record.plan.account === "modest");
+            expect(modest.filter((record) => record.result === "whole").length).toBeGreaterThanOrEqual(9);
+            const overloaded = fleet.callers.records.filter((record) =>
+                record.refusals[0]?.refusal.reason === "overloaded"
+            );
+            expect(overloaded.length).toBeGreaterThan(0);
+            expectSafe(fleet);
+        });
+
+        it("do not let retries amplify the load of failing endpoints", () => {
+            const fleet = fleetOf(10_000_000, { retryBurst: 10, retryShare: 0.1 });
+            const storm = (): void => {
+                fleet.endpoints.forEach((endpoint) => endpoint.crash(100));
+                fleet.at(300, storm);
+            };
+            fleet.at(0, storm);
+            for (let index = 0; index < 300; index++) {
+                fleet.at(index * 20, () => void fleet.send({ account: "a", mostAttempts: 1, timeoutMs: 5_000 }));
+            }
+            fleet.run(8_000);
+            const starts = [...fleet.truth.starts.values()].reduce((sum, count) => sum + count, 0);
+            expect(starts).toBeLessThanOrEqual(300 * 1.1 + 3 * 10);
+        });
+    });
+
+    describe("configuration", () => {
+        it("reaches a router that is cut off from the key-value service, and never goes down", () => {
+            const fleet = fleetOf();
+            const router = fleet.routers[0]!;
+            fleet.withoutKeyValue.add(router.address);
+            fleet.run(1_000);
+            fleet.publish("extra", "{}");
+            fleet.publish("extra", '{ "operations": [] }');
+            fleet.run(14_000);
+            expect(router.brain.world!.configuration.version).toBe(3);
+            for (const versions of fleet.adopted.values()) {
+                expect([...versions].sort((first, second) => first - second)).toEqual(versions);
+            }
+        });
+    });
+
+    describe("addresses", () => {
+        it("leave out draining routers and spread accounts evenly", () => {
+            const fleet = fleetOf();
+            fleet.routers[0]!.deliver({ kind: "drain" });
+            fleet.run(3_000);
+            const brain = fleet.routers[1]!.brain;
+            const counts = new Map<string, number>();
+            for (let index = 0; index < 600; index++) {
+                const first = brain.addresses(`account-${index}` as never, fleet.clock.now)[0]!;
+                counts.set(first, (counts.get(first) ?? 0) + 1);
+            }
+            expect(counts.has(fleet.routers[0]!.address)).toBe(false);
+            expect(Math.min(...counts.values())).toBeGreaterThan(200);
+        });
+    });
+});
+
+const kinds: readonly FleetEvent["kind"][] = ["kill", "pause", "isolate", "drain", "key-value-down"];
+
+describe("two faults at once", () => {
+    it.each(kinds)("%s during an outage of the key-value service", (kind) => {
+        const load: FleetEvent[] = [0, 2_000, 4_000, 6_000].map((at) => ({
+            kind: "burst",
+            at,
+            account: 0,
+            count: 15,
+            impatient: true,
+        }));
+        const fault = { kind, at: 3_000, router: 1, time: 6_000, backAfter: 2_000 } as FleetEvent;
+        const outage: FleetEvent = { kind: "key-value-down", at: 2_500, time: 5_000 };
+        expect(runSchedule({ seed: 5, events: [...load, fault, outage] }).violations).toEqual([]);
+    });
+});
--- /dev/null
+++ b/packages/core/src/ledger/reconcile.test.ts
@@ -0,0 +1,257 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import {
+    brand,
+    type BudgetId,
+    type Incarnation,
+    type KeyDigest,
+    type OperationId,
+    type TransferId,
+} from "../types/ids.js";
+import { type PageCache, pageToSeal } from "./pages.js";
+import { HOLDER_RETIREMENT_MS, LONGEST_REQUEST_MS, reconcile, type Reconciliation } from "./reconcile.js";
+import {
+    applyTopUp,
+    emptyRecord,
+    formatRecord,
+    freeTokens,
+    heldTokens,
+    type LedgerRecord,
+    parseRecord,
+} from "./record.js";
+
+const main = brand<BudgetId>("main");
+const first = brand<Incarnation>("first");
+const second = brand<Incarnation>("second");
+
+function recordWith(tokens: number): LedgerRecord {
+    const record = emptyRecord();
+    applyTopUp(record, "initial", { budget: main, tokens, at: 0 });
+    return record;
+}
+
+function change(fields: Partial<Reconciliation>): Reconciliation {
+    return {
+        operation: brand<OperationId>("operation"),
+        holder: first,
+        now: 1_000,
+        witnesses: [second],
+        epoch: 1,
+        settlements: [],
+        transfers: [],
+        witnessed: [],
+        recoveries: [],
+        seal: undefined,
+        pages: new Map(),
+        wants: [],
+        known: false,
+        ...fields,
+    };
+}
+
+function want(needed: number, slack = 0, committed = 0) {
+    return { budget: main, committed, needed, slack };
+}
+
+function bill(key: string, tokens: number) {
+    return { key: brand<KeyDigest>(key), budget: main, tokens };
+}
+
+function total(record: LedgerRecord): number {
+    return record.budgets[main]!.billed + heldTokens(record, main) + freeTokens(record, main);
+}
+
+describe("reconcile", () => {
+    describe("top-ups", () => {
+        it("counts an id once", () => {
+            const record = recordWith(100);
+            expect(applyTopUp(record, "initial", { budget: main, tokens: 100, at: 5 })).toBe(false);
+            expect(record.budgets[main]!.granted).toBe(100);
+        });
+    });
+
+    describe("allowances", () => {
+        it("grants what is needed and leaves half of the rest to others", () => {
+            const record = recordWith(1_000);
+            const result = reconcile(record, change({ wants: [want(100, 5_000)] }));
+            expect(result.holdings.get(main)!.allowance).toBe(100 + 450);
+            expect(freeTokens(record, main)).toBe(450);
+        });
+
+        it("never grants more than is free", () => {
+            const record = recordWith(50);
+            expect(reconcile(record, change({ wants: [want(100)] })).holdings.get(main)!.allowance).toBe(50);
+            expect(reconcile(record, change({ holder: second, wants: [want(1)] })).holdings.get(main)!.allowance).toBe(
+                0,
+            );
+        });
+
+        it("conserves the tokens of a budget under any writes", () => {
+            const write = fc.record({
+                holder: fc.constantFrom(first, second),
+                key: fc.integer({ min: 1, max: 6 }),
+                tokens: fc.integer({ min: 0, max: 40 }),
+                needed: fc.integer({ min: 0, max: 300 }),
+                slack: fc.integer({ min: 0, max: 300 }),
+                transfer: fc.option(fc.integer({ min: 1, max: 30 }), { nil: undefined }),
+            });
+            fc.assert(
+                fc.property(fc.array(write, { maxLength: 30 }), (writes) => {
+                    const record = recordWith(500);
+                    writes.forEach((entry, index) => {
+                        const held = record.holders[entry.holder]?.budgets[main]?.allowance ?? 0;
+                        const other = entry.holder === first ? second : first;
+                        const settlements = entry.tokens <= held ? [bill(`key-${entry.key}`, entry.tokens)] : [];
+                        const lent = Math.min(entry.transfer ?? 0, Math.max(0, held - entry.tokens));
+                        const transfer = {
+                            id: brand<TransferId>(`t${index}`),
+                            budget: main,
+                            from: entry.holder,
+                            to: other,
+                            tokens: lent,
+                        };
+                        reconcile(
+                            record,
+                            change({
+                                holder: entry.holder,
+                                settlements,
+                                transfers: entry.transfer === undefined ? [] : [transfer],
+                                wants: [want(entry.needed, entry.slack)],
+                            }),
+                        );
+                        expect(total(record)).toBe(500);
+                        expect(freeTokens(record, main)).toBeGreaterThanOrEqual(0);
+                    });
+                }),
+                { seed: 7, numRuns: 300 },
+            );
+        });
+    });
+
+    describe("bills", () => {
+        it("takes a key once, whoever writes it", () => {
+            const record = recordWith(1_000);
+            reconcile(record, change({ wants: [want(100)] }));
+            reconcile(record, change({ holder: second, wants: [want(100)] }));
+            reconcile(record, change({ settlements: [bill("key", 30)], wants: [want(0)] }));
+            const result = reconcile(
+                record,
+                change({ holder: second, settlements: [bill("key", 40)], wants: [want(0)] }),
+            );
+            expect(result.duplicates).toEqual(["key"]);
+            expect(record.budgets[main]!.billed).toBe(30);
+        });
+
+        it("finds a key that was moved into a page", () => {
+            const record = recordWith(100_000);
+            reconcile(record, change({ wants: [want(50_000)] }));
+            const settlements = Array.from({ length: 130 }, (unused, index) => bill(`key-${index}`, 10));
+            reconcile(record, change({ settlements }));
+            const seal = pageToSeal(record)!;
+            const pages: PageCache = new Map([[seal.id, seal.bills]]);
+            reconcile(record, change({ seal, pages }));
+            expect(Object.keys(record.bills)).toHaveLength(2);
+            const again = reconcile(record, change({ holder: second, settlements: [bill("key-5", 10)], pages }));
+            expect(again.duplicates).toEqual(["key-5"]);
+        });
+
+        it("moves bills into a page only while all of them still stand in the record", () => {
+            const record = recordWith(100_000);
+            reconcile(record, change({ wants: [want(50_000)] }));
+            reconcile(
+                record,
+                change({ settlements: Array.from({ length: 130 }, (unused, index) => bill(`key-${index}`, 10)) }),
+            );
+            const seal = pageToSeal(record)!;
+            const pages: PageCache = new Map([[seal.id, seal.bills]]);
+            reconcile(record, change({ seal, pages }));
+            reconcile(record, change({ seal, pages }));
+            expect(record.pages).toHaveLength(1);
+        });
+
+        it("remembers a key as long as a holder has not written since", () => {
+            const record = recordWith(1_000);
+            reconcile(record, change({ now: 0, wants: [want(100)] }));
+            reconcile(record, change({ holder: second, now: 0, wants: [want(100)] }));
+            reconcile(record, change({ now: 1_000, settlements: [bill("key", 30)], wants: [want(50)] }));
+            const late = LONGEST_REQUEST_MS * 3;
+            reconcile(record, change({ now: late, wants: [want(50)] }));
+            const settled = reconcile(
+                record,
+                change({ holder: second, now: late + 1, settlements: [bill("key", 30)] }),
+            );
+            expect(settled.duplicates).toEqual(["key"]);
+        });
+    });
+
+    describe("transfers", () => {
+        it("moves tokens once, whichever end writes first", () => {
+            const record = recordWith(1_000);
+            reconcile(record, change({ wants: [want(100)] }));
+            const transfer = { id: brand<TransferId>("t"), budget: main, from: first, to: second, tokens: 40 };
+            reconcile(record, change({ holder: second, transfers: [transfer] }));
+            reconcile(record, change({ transfers: [transfer] }));
+            expect(record.holders[first]!.budgets[main]!.allowance).toBe(60);
+            expect(record.holders[second]!.budgets[main]!.allowance).toBe(40);
+        });
+    });
+
+    describe("lost holders", () => {
+        const use = { key: "open", budget: main, tokens: 80 };
+
+        it("returns a closed allowance but for its open uses", () => {
+            const record = recordWith(1_000);
+            reconcile(record, change({ wants: [want(300)] }));
+            const recovery = { holder: first, epoch: 1, uses: [use], settlements: [bill("done", 50)], borrowed: [] };
+            reconcile(record, change({ holder: second, recoveries: [recovery] }));
+            expect(record.holders[first]!.budgets[main]!.allowance).toBe(80);
+            expect(record.budgets[main]!.billed).toBe(50);
+            expect(freeTokens(record, main)).toBe(1_000 - 50 - 80);
+        });
+
+        it("returns an open use once its key is billed by another router", () => {
+            const record = recordWith(1_000);
+            reconcile(record, change({ wants: [want(300)] }));
+            const recovery = { holder: first, epoch: 1, uses: [use], settlements: [], borrowed: [] };
+            reconcile(record, change({ holder: second, recoveries: [recovery], wants: [want(80)] }));
+            reconcile(record, change({ holder: second, settlements: [bill("open", 60)], wants: [want(0)] }));
+            expect(record.holders[first]).toBeUndefined();
+            expect(freeTokens(record, main)).toBe(940);
+        });
+
+        it("returns nothing of a holder that wrote since it was closed", () => {
+            const record = recordWith(1_000);
+            reconcile(record, change({ epoch: 1, wants: [want(300)] }));
+            reconcile(record, change({ epoch: 2, wants: [want(300)] }));
+            reconcile(
+                record,
+                change({
+                    holder: second,
+                    recoveries: [{ holder: first, epoch: 1, uses: [], settlements: [], borrowed: [] }],
+                }),
+            );
+            expect(record.holders[first]!.budgets[main]!.allowance).toBe(300);
+        });
+
+        it("fences a holder whose entry is gone", () => {
+            const record = recordWith(1_000);
+            expect(reconcile(record, change({ known: true })).fenced).toBe(true);
+        });
+
+        it("keeps the tokens of a holder charged that was silent for too long", () => {
+            const record = recordWith(1_000);
+            reconcile(record, change({ now: 0, wants: [want(300)] }));
+            reconcile(record, change({ holder: second, now: HOLDER_RETIREMENT_MS + 1 }));
+            expect(record.stranded[main]).toBe(300);
+            expect(freeTokens(record, main)).toBe(700);
+        });
+    });
+
+    describe("storage", () => {
+        it("reads what it writes", () => {
+            const record = recordWith(1_000);
+            reconcile(record, change({ wants: [want(300)] }));
+            expect(parseRecord(formatRecord(record))).toEqual(record);
+        });
+    });
+});
--- a/packages/core/src/ledger/reconcile.ts
+++ b/packages/core/src/ledger/reconcile.ts
@@ -24,7 +24,12 @@
 };
 
 /** Bills that a witness writes for another holder. */
-export type WitnessedSettlements = { readonly holder: Incarnation; readonly settlements: Settlement[]; };
+export type WitnessedSettlements = {
+    readonly holder: Incarnation;
+    readonly settlements: Settlement[];
+    /** Transfers that the holder has received and that may have paid for them. */
+    readonly borrowed: LedgerTransfer[];
+};
 
 /** A lost holder's allowance that all its witnesses have closed, and what they know of it. */
 export type Recovery = {
@@ -32,6 +37,7 @@
     readonly epoch: number;
     readonly uses: readonly (OpenUse & { readonly key: string; })[];
     readonly settlements: readonly Settlement[];
+    readonly borrowed: readonly LedgerTransfer[];
 };
 
 /** What a holder wants of one budget. */
@@ -95,9 +101,7 @@
     for (const transfer of change.transfers) {
         applyTransfer(record, transfer, change.holder, change.now);
     }
-    const postponed = change.witnessed.flatMap((entry) =>
-        settleForPeer(record, change, entry.holder, entry.settlements)
-    );
+    const postponed = change.witnessed.flatMap((entry) => settleForPeer(record, change, entry));
     for (const recovery of change.recoveries) {
         recover(record, change, recovery);
     }
@@ -131,22 +135,26 @@
     return holder;
 }
 
-// A bill that was paid with borrowed tokens waits until their transfer is written. Returns the keys that wait.
+// A bill whose holder does not have the tokens waits. Returns the keys that wait.
 function settleForPeer(
     record: LedgerRecord,
     change: Reconciliation,
-    id: Incarnation,
-    settlements: readonly Settlement[],
+    entry: Pick<Recovery, "holder" | "settlements" | "borrowed">,
 ): KeyDigest[] {
-    const holder = record.holders[id];
+    for (const transfer of entry.borrowed) {
+        applyTransfer(record, transfer, change.holder, change.now);
+    }
+    const holder = record.holders[entry.holder];
     const postponed: KeyDigest[] = [];
-    for (const settlement of holder === undefined ? [] : settlements) {
+    for (const settlement of entry.settlements) {
         const isBilled = findBill(record, change.pages, settlement.key) !== undefined;
-        if (!isBilled && (holder!.budgets[settlement.budget]?.allowance ?? 0) < settlement.tokens) {
+        const allowance = holder?.budgets[settlement.budget]?.allowance ?? 0;
+        if (holder !== undefined && allowance >= settlement.tokens) {
+            settle(record, change, holder, settlement);
+        }
+        else if (!isBilled) {
             postponed.push(settlement.key);
-            continue;
         }
-        settle(record, change, holder!, settlement);
     }
     return postponed;
 }
@@ -157,7 +165,7 @@
     if (holder === undefined || holder.epoch !== recovery.epoch || holder.uses !== undefined) {
         return;
     }
-    settleForPeer(record, change, recovery.holder, recovery.settlements);
+    settleForPeer(record, change, recovery);
     const open = recovery.uses.filter((use) => !isSettled(record, change.pages, use.key));
     holder.uses = Object.fromEntries(open.map(({ key, budget, tokens }) => [key, { budget, tokens }]));
     for (const [budget, holding] of Object.entries<Holding>(holder.budgets)) {
--- a/packages/core/src/mocks/fake-fleet.ts
+++ b/packages/core/src/mocks/fake-fleet.ts
@@ -459,11 +459,14 @@
         }
     }
 
-    // A key that two routers run is billed once, so its reservation counts once.
+    // A key that two routers run is billed once, so its reservation counts once. A reservation that is not
+    // witnessed yet cannot be used.
     private reservedTokens(router: FakeRouter, account: AccountId, seen: Set<KeyDigest>): number {
         let reserved = 0;
-        for (const run of router.state === "dead" ? [] : router.brain.world?.runs.values() ?? []) {
-            if (run.arrival.account === account && run.reserved > 0 && !seen.has(run.keyDigest)) {
+        const world = router.brain.world;
+        for (const run of router.state === "dead" || world === undefined ? [] : world.runs.values()) {
+            const usable = run.arrival.account === account && world!.openUses.get(run.keyDigest)?.allowed === true;
+            if (usable && run.reserved > 0 && !seen.has(run.keyDigest)) {
                 seen.add(run.keyDigest);
                 reserved += run.reserved;
             }
--- a/packages/core/src/systems/budgets.ts
+++ b/packages/core/src/systems/budgets.ts
@@ -55,6 +55,11 @@
     return transfer.budget === row.id && transfer.to === holderName(world, account);
 }
 
+/** Returns the transfers of a budget that this router received and has not written. */
+export function borrowedTransfers(world: World, account: AccountRow, row: BudgetRow): AccountRow["transfers"] {
+    return account.transfers.filter((transfer) => isBorrowed(world, account, row, transfer));
+}
+
 /** Returns the sum of the tokens of some items. */
 export function sumTokens(items: Iterable<{ readonly tokens: number; }>): number {
     let sum = 0;
--- a/packages/core/src/systems/ledger.ts
+++ b/packages/core/src/systems/ledger.ts
@@ -133,8 +133,9 @@
     witnessed: readonly WitnessedSettlements[],
     postponed: readonly KeyDigest[],
 ): WitnessedSettlements[] {
-    return witnessed.map(({ holder, settlements }) => ({
+    return witnessed.map(({ holder, settlements, borrowed }) => ({
         holder,
+        borrowed,
         settlements: settlements.filter((settlement) => !postponed.includes(settlement.key)),
     }));
 }
--- a/packages/core/src/systems/recovery.ts
+++ b/packages/core/src/systems/recovery.ts
@@ -1,10 +1,10 @@
-import type { Settlement } from "../ledger/reconcile.js";
+import type { LedgerTransfer, Settlement } from "../ledger/reconcile.js";
 import { type Holder, type Holding, type LedgerRecord, parseRecord } from "../ledger/record.js";
 import type { AccountId, Incarnation } from "../types/ids.js";
 import type { PeerMessage, WitnessedUse } from "../types/messages.js";
 import type { AccountRow, World } from "../world.js";
 import { holderIncarnation, holderName } from "./budgets.js";
-import { isLost, sendToPeer } from "./peers.js";
+import { isLive, isLost, sendToPeer } from "./peers.js";
 import { witnessRow } from "./witness.js";
 
 /** What a witness knows of a lost holder's allowance once it has closed it. */
@@ -20,7 +20,7 @@
     account.recoveryAskedAt = now;
     for (const [id, holder] of Object.entries<Holder>(record.holders)) {
         const name = id as Incarnation;
-        if (name !== holderName(world, account) && isLost(world, name, now) && isRecoverable(holder)) {
+        if (name !== holderName(world, account) && isLost(world, name, now) && isRecoverable(world, holder, now)) {
             askWitnesses(world, account, name, holder);
         }
     }
@@ -33,14 +33,18 @@
     }
     const record = parseRecord(account.stored.value);
     return Object.entries<Holder>(record.holders).some(([id, holder]) =>
-        id !== holderName(world, account) && isLost(world, id as Incarnation, now) && isRecoverable(holder)
+        id !== holderName(world, account) && isLost(world, id as Incarnation, now)
+        && isRecoverable(world, holder, now)
     );
 }
 
-// Without witnesses nobody can tell what was used; what was recovered before is not asked for again.
-function isRecoverable(holder: Holder): boolean {
+// Without all witnesses nobody can tell what was used; what was recovered before is not asked for again.
+function isRecoverable(world: World, holder: Holder, now: number): boolean {
+    const reachable = holder.witnesses.every((witness) =>
+        witness === world.self.incarnation || isLive(world, witness, now)
+    );
     const holds = Object.values<Holding>(holder.budgets).some((holding) => holding.allowance > 0);
-    return holder.witnesses.length > 0 && holder.uses === undefined && holds;
+    return holder.witnesses.length > 0 && reachable && holder.uses === undefined && holds;
 }
 
 function askWitnesses(world: World, account: AccountRow, name: Incarnation, holder: Holder): void {
@@ -98,9 +102,12 @@
     }
     const uses = new Map<string, WitnessedUse>();
     const settlements = new Map<string, Settlement>();
+    const borrowed: LedgerTransfer[] = [];
     for (const testimony of testimonies) {
         testimony.uses.forEach((use) => uses.set(use.key, use));
         testimony.bills.forEach((bill) => settlements.set(bill.key, bill));
+        testimony.bills.forEach((bill) => borrowed.push(...bill.borrowed));
     }
-    account.recoveries.push({ holder, epoch, uses: [...uses.values()], settlements: [...settlements.values()] });
+    const bills = [...settlements.values()];
+    account.recoveries.push({ holder, epoch, uses: [...uses.values()], settlements: bills, borrowed });
 }
--- a/packages/core/src/systems/runs.ts
+++ b/packages/core/src/systems/runs.ts
@@ -5,7 +5,7 @@
 import type { Arrival, Target } from "../types/messages.js";
 import type { Outcome, RefusalReason } from "../types/outcomes.js";
 import { type AccountRow, accountRow, budgetRow, type Call, type Run, trace, type World } from "../world.js";
-import { holderName, releaseTokens, reserveTokens, spendableTokens, useTokens } from "./budgets.js";
+import { borrowedTransfers, holderName, releaseTokens, reserveTokens, spendableTokens, useTokens } from "./budgets.js";
 import { recordClaimOutcome, startClaim } from "./claims.js";
 import { chooseEndpoint, serverOf } from "./endpoints.js";
 import { askForLane, isConvict, isSuspect, leaveLane } from "./lanes.js";
@@ -403,7 +403,8 @@
     }
     const settlement = { key: run.keyDigest, budget: row.id, tokens };
     account.settlements.push(settlement);
-    openBill(world, { ...settlement, account: account.id, holder: holderName(world, account), at: now });
+    const borrowed = borrowedTransfers(world, account, row);
+    openBill(world, { ...settlement, account: account.id, holder: holderName(world, account), borrowed, at: now });
     requestPacedWrite(world, account, now);
     trace(world, now, run.arrival, "billed", { tokens });
 }
--- a/packages/core/src/systems/witness.ts
+++ b/packages/core/src/systems/witness.ts
@@ -113,11 +113,13 @@
     }
 }
 
-/** Adds a bill that must not be lost with this router; it takes the place of its use. */
+/** Adds a bill that must not be lost with this router; it takes the place of its use, and its time. */
 export function openBill(world: World, bill: WitnessedBill): void {
+    const use = world.openUses.get(bill.key)?.use;
+    const timed = { ...bill, at: use?.at ?? bill.at };
     world.openUses.delete(bill.key);
-    world.openBills.set(bill.key, { bill, offeredTo: new Set(), keptBy: new Set() });
-    world.unkeptBills.push(bill);
+    world.openBills.set(bill.key, { bill: timed, offeredTo: new Set(), keptBy: new Set() });
+    world.unkeptBills.push(timed);
 }
 
 /** Offers a bill again to witnesses that do not keep it. */
@@ -279,10 +281,8 @@
 /** Returns the time of the oldest use or bill that the ledger does not have, or now. */
 export function oldestOpenAt(world: World, now: number): number {
     let oldest = now;
-    // Entries are added in order of time.
     for (const { bill } of world.openBills.values()) {
         oldest = Math.min(oldest, bill.at);
-        break;
     }
     for (const { use } of world.openUses.values()) {
         oldest = Math.min(oldest, use.at);
@@ -363,10 +363,11 @@
 function addWitnessed(all: WitnessedSettlements[], bill: WitnessedBill): void {
     const known = all.find((entry) => entry.holder === bill.holder);
     if (known === undefined) {
-        all.push({ holder: bill.holder, settlements: [bill] });
+        all.push({ holder: bill.holder, settlements: [bill], borrowed: [...bill.borrowed] });
         return;
     }
     known.settlements.push(bill);
+    known.borrowed.push(...bill.borrowed);
 }
 
 /** Forgets bills that were written on behalf of peers. */
--- a/packages/core/src/types/messages.ts
+++ b/packages/core/src/types/messages.ts
@@ -103,6 +103,8 @@
     readonly budget: BudgetId;
     readonly key: KeyDigest;
     readonly tokens: number;
+    /** Transfers that the router has received and the ledger may not show yet: they may have paid for it. */
+    readonly borrowed: readonly LedgerTransfer[];
     /** Time in ms, by the clock of the router that owes the bill. */
     readonly at: number;
 };
--- a/packages/standins/src/demo/main.ts
+++ b/packages/standins/src/demo/main.ts
@@ -1,6 +1,6 @@
 import { collectFiles, publish, readBills, readLedger, RouterCalls, topUp } from "@gooseberrybend/cli";
 import { GooseberrybendClient } from "@gooseberrybend/client";
-import type { BudgetId, LedgerRecord } from "@gooseberrybend/core";
+import type { BudgetId, Holder, LedgerRecord } from "@gooseberrybend/core";
 import { EtcdStore } from "@gooseberrybend/router";
 import { fileURLToPath } from "node:url";
 import { parseArgs } from "node:util";
@@ -158,6 +158,7 @@
     });
     links.forEach((link) => link.close());
     report(load);
+    reportStranded(ledger, live);
     return verdict;
 }
 
@@ -316,6 +317,17 @@
     }`);
 }
 
+function reportStranded(ledger: ReadonlyMap<string, LedgerRecord>, live: ReadonlySet<string>): void {
+    for (const [account, record] of ledger) {
+        for (const [router, holder] of Object.entries<Holder>(record.holders)) {
+            if (!live.has(router) && Object.keys(holder.budgets).length > 0) {
+                const witnesses = holder.witnesses.map((witness) => live.has(witness) ? "live" : "gone").join(", ");
+                say(`Stranded: ${account}: ${JSON.stringify(holder.budgets)}, witnesses: ${witnesses}`);
+            }
+        }
+    }
+}
+
 function print(verdict: Verdict): void {
     if (values.json) {
         process.stdout.write(`${JSON.stringify(verdict)}\n`);
