Keep transfers marked while a bill may depend on them, and take back uncovered uses

Uses that were not allowed are now taken back where a write shows that the tokens are gone.

A witness applied a transfer a second time after its mark had been pruned.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,6 +9,7 @@
 export * from "./support/random.js";
 export * from "./support/rendezvous.js";
 export { type Claim, claimKey } from "./systems/claims.js";
+export { adoptSnapshot } from "./systems/configuration.js";
 export { runsLeft } from "./systems/drain.js";
 export { addressesFor, type RouterAddress } from "./systems/membership.js";
 export { nextTickAt, tick } from "./tick.js";
--- a/packages/core/src/ledger/reconcile.test.ts
+++ b/packages/core/src/ledger/reconcile.test.ts
@@ -39,6 +39,7 @@
         epoch: 1,
         settlements: [],
         transfers: [],
+        seenTransfers: [],
         witnessed: [],
         recoveries: [],
         seal: undefined,
@@ -202,7 +203,7 @@
         it("returns a closed allowance but for its open uses", () => {
             const record = recordWith(1_000);
             reconcile(record, change({ wants: [want(300)] }));
-            const recovery = { holder: first, epoch: 1, uses: [use], settlements: [bill("done", 50)], borrowed: [] };
+            const recovery = { holder: first, epoch: 1, uses: [use], settlements: [bill("done", 50)] };
             reconcile(record, change({ holder: second, recoveries: [recovery] }));
             expect(record.holders[first]!.budgets[main]!.allowance).toBe(80);
             expect(record.budgets[main]!.billed).toBe(50);
@@ -212,7 +213,7 @@
         it("returns an open use once its key is billed by another router", () => {
             const record = recordWith(1_000);
             reconcile(record, change({ wants: [want(300)] }));
-            const recovery = { holder: first, epoch: 1, uses: [use], settlements: [], borrowed: [] };
+            const recovery = { holder: first, epoch: 1, uses: [use], settlements: [] };
             reconcile(record, change({ holder: second, recoveries: [recovery], wants: [want(80)] }));
             reconcile(record, change({ holder: second, settlements: [bill("open", 60)], wants: [want(0)] }));
             expect(record.holders[first]).toBeUndefined();
@@ -227,7 +228,7 @@
                 record,
                 change({
                     holder: second,
-                    recoveries: [{ holder: first, epoch: 1, uses: [], settlements: [], borrowed: [] }],
+                    recoveries: [{ holder: first, epoch: 1, uses: [], settlements: [] }],
                 }),
             );
             expect(record.holders[first]!.budgets[main]!.allowance).toBe(300);
--- a/packages/core/src/ledger/reconcile.ts
+++ b/packages/core/src/ledger/reconcile.ts
@@ -12,7 +12,13 @@
 } from "./record.js";
 
 /** A bill to write. */
-export type Settlement = { readonly key: KeyDigest; readonly budget: BudgetId; readonly tokens: number; };
+export type Settlement = {
+    readonly key: KeyDigest;
+    readonly budget: BudgetId;
+    readonly tokens: number;
+    /** Transfers that the holder had received and that may have paid for it; for bills written by others. */
+    readonly borrowed?: readonly LedgerTransfer[];
+};
 
 /** A transfer of allowance to write; either end may write it. */
 export type LedgerTransfer = {
@@ -27,8 +33,6 @@
 export type WitnessedSettlements = {
     readonly holder: Incarnation;
     readonly settlements: Settlement[];
-    /** Transfers that the holder has received and that may have paid for them. */
-    readonly borrowed: LedgerTransfer[];
 };
 
 /** A lost holder's allowance that all its witnesses have closed, and what they know of it. */
@@ -37,7 +41,6 @@
     readonly epoch: number;
     readonly uses: readonly (OpenUse & { readonly key: string; })[];
     readonly settlements: readonly Settlement[];
-    readonly borrowed: readonly LedgerTransfer[];
 };
 
 /** What a holder wants of one budget. */
@@ -61,6 +64,8 @@
     readonly epoch: number;
     readonly settlements: readonly Settlement[];
     readonly transfers: readonly LedgerTransfer[];
+    /** Transfers that the holder needs not be reminded of any more. */
+    readonly seenTransfers: readonly TransferId[];
     readonly wants: readonly Want[];
     /** Bills that this holder keeps for silent peers. */
     readonly witnessed: readonly WitnessedSettlements[];
@@ -99,7 +104,10 @@
     }
     const holder = holderOf(record, change);
     for (const transfer of change.transfers) {
-        applyTransfer(record, transfer, change.holder, change.now);
+        applyTransfer(record, transfer, change.now);
+    }
+    for (const id of change.seenTransfers) {
+        record.transfers[id]?.seenBy.push(change.holder);
     }
     const postponed = change.witnessed.flatMap((entry) => settleForPeer(record, change, entry));
     for (const recovery of change.recoveries) {
@@ -139,20 +147,21 @@
 function settleForPeer(
     record: LedgerRecord,
     change: Reconciliation,
-    entry: Pick<Recovery, "holder" | "settlements" | "borrowed">,
+    entry: Pick<Recovery, "holder" | "settlements">,
 ): KeyDigest[] {
-    for (const transfer of entry.borrowed) {
-        applyTransfer(record, transfer, change.holder, change.now);
+    const unbilled = entry.settlements.filter((bill) => findBill(record, change.pages, bill.key) === undefined);
+    // The holder keeps a transfer marked in the record until the bills that it may have paid are written.
+    for (const transfer of unbilled.flatMap((bill) => bill.borrowed ?? [])) {
+        applyTransfer(record, transfer, change.now);
     }
     const holder = record.holders[entry.holder];
     const postponed: KeyDigest[] = [];
-    for (const settlement of entry.settlements) {
-        const isBilled = findBill(record, change.pages, settlement.key) !== undefined;
+    for (const settlement of unbilled) {
         const allowance = holder?.budgets[settlement.budget]?.allowance ?? 0;
         if (holder !== undefined && allowance >= settlement.tokens) {
             settle(record, change, holder, settlement);
         }
-        else if (!isBilled) {
+        else {
             postponed.push(settlement.key);
         }
     }
@@ -207,14 +216,12 @@
     }
 }
 
-/** Moves allowance between two holders once per transfer id, whichever end writes first. */
-export function applyTransfer(record: LedgerRecord, transfer: LedgerTransfer, writer: Incarnation, now: number): void {
-    const known = record.transfers[transfer.id];
-    if (known !== undefined) {
-        known.seenBy = [...new Set([...known.seenBy, writer])];
+/** Moves allowance between two holders once per transfer id, whoever writes it. */
+export function applyTransfer(record: LedgerRecord, transfer: LedgerTransfer, now: number): void {
+    if (record.transfers[transfer.id] !== undefined) {
         return;
     }
-    record.transfers[transfer.id] = { ends: [transfer.from, transfer.to], seenBy: [writer] };
+    record.transfers[transfer.id] = { ends: [transfer.from, transfer.to], seenBy: [] };
     const source = record.holders[transfer.from]?.budgets[transfer.budget];
     if (source === undefined) {
         return;
--- a/packages/core/src/systems/ledger.ts
+++ b/packages/core/src/systems/ledger.ts
@@ -3,7 +3,7 @@
 import { formatRecord, type Holder, ledgerKey, type LedgerRecord, parseRecord } from "../ledger/record.js";
 import { schedule } from "../support/due-queue.js";
 import { randomBelow } from "../support/random.js";
-import type { AccountId, Incarnation, KeyDigest } from "../types/ids.js";
+import type { AccountId, Incarnation, KeyDigest, TransferId } from "../types/ids.js";
 import type { KeyValueResult, Versioned } from "../types/messages.js";
 import { type AccountRow, accountRow, type LedgerWrite, nextOperation, type World } from "../world.js";
 import { holderName, sumTokens, wantOf } from "./budgets.js";
@@ -99,7 +99,8 @@
         witnesses: witnessesFor(world, account, now),
         epoch: ++world.epoch,
         settlements: [...account.settlements],
-        transfers: [...account.transfers, ...account.writtenTransfers],
+        transfers: [...account.transfers],
+        seenTransfers: seenTransfers(world, account),
         wants: wantsOf(world, account, now),
         witnessed: witnessedSettlements(world, account.id, now),
         recoveries: [...account.recoveries],
@@ -120,6 +121,7 @@
         witnesses: change.witnesses,
         settlements: change.settlements,
         transfers: change.transfers,
+        seenTransfers: change.seenTransfers,
         witnessed: withoutPostponed(change.witnessed, result.postponed),
         recoveries: change.recoveries,
         seal: change.seal,
@@ -133,9 +135,8 @@
     witnessed: readonly WitnessedSettlements[],
     postponed: readonly KeyDigest[],
 ): WitnessedSettlements[] {
-    return witnessed.map(({ holder, settlements, borrowed }) => ({
+    return witnessed.map(({ holder, settlements }) => ({
         holder,
-        borrowed,
         settlements: settlements.filter((settlement) => !postponed.includes(settlement.key)),
     }));
 }
@@ -300,7 +301,7 @@
     account.committedAt = now;
     const settled = new Set(write.settlements);
     account.settlements = account.settlements.filter((settlement) => !settled.has(settlement));
-    dropTransfers(world, account, write.transfers);
+    dropTransfers(world, account, write);
     countWrittenTransfers(world, account, record);
     account.recoveries = account.recoveries.filter((recovery) => !write.recoveries.includes(recovery));
     for (const row of account.budgets.values()) {
@@ -319,14 +320,24 @@
     }
 }
 
-function dropTransfers(world: World, account: AccountRow, written: readonly LedgerTransfer[]): void {
-    for (const transfer of account.transfers) {
-        if (written.includes(transfer)) {
-            uncountTransfer(world, account, transfer);
-        }
+// A transfer stays marked in the record while a bill that it may have paid is not written.
+function seenTransfers(world: World, account: AccountRow): TransferId[] {
+    const needed = new Set<TransferId>();
+    for (const { bill } of world.openBills.values()) {
+        bill.borrowed.forEach((transfer) => needed.add(transfer.id));
+    }
+    const all = [...account.transfers, ...account.writtenTransfers].map((transfer) => transfer.id);
+    return all.filter((id) => !needed.has(id));
+}
+
+function dropTransfers(world: World, account: AccountRow, write: LedgerWrite): void {
+    const written = account.transfers.filter((transfer) => write.transfers.includes(transfer));
+    for (const transfer of written) {
+        uncountTransfer(world, account, transfer);
     }
     account.transfers = account.transfers.filter((transfer) => !written.includes(transfer));
-    account.writtenTransfers = account.writtenTransfers.filter((transfer) => !written.includes(transfer));
+    account.writtenTransfers = [...account.writtenTransfers, ...written]
+        .filter((transfer) => !write.seenTransfers.includes(transfer.id));
 }
 
 // The holdings just read include a transfer that the other end wrote meanwhile; it must not count twice.
--- a/packages/core/src/systems/lending.ts
+++ b/packages/core/src/systems/lending.ts
@@ -125,10 +125,11 @@
     }
 }
 
-/** Takes back the transfers of a closed entry that were not sent: nothing stands behind them any more. */
-export function cancelUnsentTransfers(world: World, account: AccountRow, now: number): void {
+/** Takes back transfers that were not sent, of one budget or all: nothing stands behind them any more. */
+export function cancelUnsentTransfers(world: World, account: AccountRow, now: number, budget?: BudgetId): void {
     for (const row of [...world.lends.values()]) {
-        if (row.account === account.id && !row.sent) {
+        const matches = budget === undefined || row.transfer.budget === budget;
+        if (row.account === account.id && matches && !row.sent) {
             cancelTransfer(world, account, row, now);
         }
     }
--- a/packages/core/src/systems/recovery.ts
+++ b/packages/core/src/systems/recovery.ts
@@ -1,4 +1,4 @@
-import type { LedgerTransfer, Settlement } from "../ledger/reconcile.js";
+import type { Settlement } from "../ledger/reconcile.js";
 import { type Holder, type Holding, type LedgerRecord, parseRecord } from "../ledger/record.js";
 import type { AccountId, Incarnation } from "../types/ids.js";
 import type { PeerMessage, WitnessedUse } from "../types/messages.js";
@@ -102,12 +102,10 @@
     }
     const uses = new Map<string, WitnessedUse>();
     const settlements = new Map<string, Settlement>();
-    const borrowed: LedgerTransfer[] = [];
     for (const testimony of testimonies) {
         testimony.uses.forEach((use) => uses.set(use.key, use));
         testimony.bills.forEach((bill) => settlements.set(bill.key, bill));
-        testimony.bills.forEach((bill) => borrowed.push(...bill.borrowed));
     }
     const bills = [...settlements.values()];
-    account.recoveries.push({ holder, epoch, uses: [...uses.values()], settlements: bills, borrowed });
+    account.recoveries.push({ holder, epoch, uses: [...uses.values()], settlements: bills });
 }
--- a/packages/core/src/systems/runs.ts
+++ b/packages/core/src/systems/runs.ts
@@ -10,10 +10,10 @@
 import { chooseEndpoint, serverOf } from "./endpoints.js";
 import { askForLane, isConvict, isSuspect, leaveLane } from "./lanes.js";
 import { requestPacedWrite, requestWrite } from "./ledger.js";
-import { askToLend } from "./lending.js";
+import { askToLend, cancelUnsentTransfers } from "./lending.js";
 import { leaveQueue, nextQueued, queueRun } from "./queue.js";
 import { dispatchRun, nextOffset, replayChunks, undispatch } from "./streams.js";
-import { allowUse, closeUse, hasLiveWitness, openBill, openUse, reofferUse } from "./witness.js";
+import { allowUse, closeUse, hasLiveWitness, openBill, openUse, reofferUse, waitingUses } from "./witness.js";
 
 const EXHAUSTED_RETRY_MS = 60_000;
 const LEDGER_RETRY_MS = 2_000;
@@ -259,6 +259,33 @@
     }
 }
 
+/**
+ * Takes back uses that were not allowed yet where a write shows that the tokens are gone: they were
+ * returned while this router was silent.
+ */
+export function dropUncoveredUses(world: World, account: AccountRow, now: number): void {
+    for (const row of account.budgets.values()) {
+        if (spendableTokens(world, account, row, now) < 0) {
+            cancelUnsentTransfers(world, account, now, row.id);
+        }
+        for (const key of spendableTokens(world, account, row, now) < 0 ? waitingUses(world, account) : []) {
+            const run = world.runs.get(world.runsByKey.get(key as Run["keyDigest"]) ?? 0);
+            if (run !== undefined && run.state === "witness" && run.arrival.budget === row.id) {
+                waitAgain(world, account, run, now);
+            }
+        }
+    }
+}
+
+function waitAgain(world: World, account: AccountRow, run: Run, now: number): void {
+    releaseTokens(budgetRow(account, run.arrival.budget, now), run.reserved);
+    run.reserved = 0;
+    run.state = "budget";
+    closeUse(world, run.keyDigest);
+    account.waiting.push(run.id);
+    schedule(world.due, now + world.policy.budgetWaitMs, { kind: "budget-wait", run: run.id });
+}
+
 /** Asks the witnesses of a waiting run again, or refuses it. */
 export function retryWitness(world: World, run: Run, since: number, now: number): void {
     if (run.state !== "witness") {
--- a/packages/core/src/systems/witness.ts
+++ b/packages/core/src/systems/witness.ts
@@ -363,11 +363,10 @@
 function addWitnessed(all: WitnessedSettlements[], bill: WitnessedBill): void {
     const known = all.find((entry) => entry.holder === bill.holder);
     if (known === undefined) {
-        all.push({ holder: bill.holder, settlements: [bill], borrowed: [...bill.borrowed] });
+        all.push({ holder: bill.holder, settlements: [bill] });
         return;
     }
     known.settlements.push(bill);
-    known.borrowed.push(...bill.borrowed);
 }
 
 /** Forgets bills that were written on behalf of peers. */
--- a/packages/core/src/tick.ts
+++ b/packages/core/src/tick.ts
@@ -31,6 +31,7 @@
     arrive,
     continueClaimed,
     continueWitnessed,
+    dropUncoveredUses,
     endBudgetWait,
     endOrphan,
     forgetRun,
@@ -179,6 +180,7 @@
         dropWitnessed(world, write.witnessed);
         endBills(world, keys, now);
         announceReturned(world, account);
+        dropUncoveredUses(world, account, now);
         for (const key of waitingUses(world, account)) {
             reofferUse(world, account, key);
             continueUse(world, key, now);
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -74,6 +74,7 @@
     readonly witnesses: readonly Incarnation[];
     readonly settlements: readonly Settlement[];
     readonly transfers: readonly LedgerTransfer[];
+    readonly seenTransfers: readonly TransferId[];
     readonly witnessed: readonly WitnessedSettlements[];
     readonly recoveries: readonly Recovery[];
     readonly seal: SealedPage | undefined;
