--- a/packages/core/src/systems/ledger.ts
+++ b/packages/core/src/systems/ledger.ts
@@ -320,14 +320,13 @@
     }
 }
 
-// A transfer stays marked in the record while a bill that it may have paid is not written.
+// A transfer that is known to be written stays marked while a bill that it may have paid is not written.
 function seenTransfers(world: World, account: AccountRow): TransferId[] {
     const needed = new Set<TransferId>();
     for (const { bill } of world.openBills.values()) {
         bill.borrowed.forEach((transfer) => needed.add(transfer.id));
     }
-    const all = [...account.transfers, ...account.writtenTransfers].map((transfer) => transfer.id);
-    return all.filter((id) => !needed.has(id));
+    return account.writtenTransfers.map((transfer) => transfer.id).filter((id) => !needed.has(id));
 }
 
 function dropTransfers(world: World, account: AccountRow, write: LedgerWrite): void {
