--- a/packages/core/src/mocks/fake-fleet.ts
+++ b/packages/core/src/mocks/fake-fleet.ts
@@ -13,7 +13,7 @@
 import type { Policy } from "../policy.js";
 import { digestText } from "../support/digest.js";
 import { createRandom, type Random, randomBelow } from "../support/random.js";
-import type { AccountId, BudgetId, CallId, EndpointId, FailureDomain, Incarnation, KeyDigest } from "../types/ids.js";
+import type { AccountId, BudgetId, EndpointId, FailureDomain, Incarnation, KeyDigest } from "../types/ids.js";
 import type { Effect, Message } from "../types/messages.js";
 import type { WorldOptions } from "../world.js";
 import { CoreBrain, type RouterBrain } from "./brain.js";
@@ -22,6 +22,7 @@
 import { type EndpointTruth, FakeEndpoint, type FakeListener, type FakeWork } from "./fake-endpoints.js";
 import { FakeKeyValue } from "./fake-key-value.js";
 import { FakeRouter } from "./fake-routers.js";
+import { FleetJudge, type FleetVerdict, MAIN, SERVICE_CALL_TOKENS } from "./fleet-judge.js";
 
 /** What a fake fleet consists of. */
 export type FleetOptions = {
@@ -38,31 +39,10 @@
     readonly stepMs?: number;
 };
 
-/** Figures of a run; the safety figures must be 0. */
-export type FleetVerdict = {
-    readonly requests: number;
-    readonly answeredWhole: number;
-    readonly overspentTokens: number;
-    readonly billsMissing: number;
-    readonly billsDoubled: number;
-    readonly nonIdempotentDoubles: number;
-    readonly dishonestRefusals: number;
-    readonly brokenAnswers: number;
-    readonly falseRefusals: number;
-    readonly strandedTokens: number;
-    readonly keyValueCalls: number;
-    readonly keyValueWrites: number;
-    readonly peerMessages: number;
-    readonly crashes: number;
-    readonly startsAfterLeaving: number;
-};
-
-const MAIN = "main" as BudgetId;
 const DOMAINS = ["r1/a", "r1/b", "r1/c", "r1/d"];
 const PEER_DELAY_MS = 3;
 const ENGINE_STEP_MS = 20;
 const SERVICE_STEP_MS = 8;
-const SERVICE_CALL_TOKENS = 5;
 
 /** Routers, callers, endpoints and platform on a virtual clock, with faults on command and their own truth. */
 export class FakeFleet {
@@ -476,121 +456,16 @@
 
     /** Judges the run so far by the fakes' own truth. */
     verdict(): FleetVerdict {
-        const records = this.callers.records;
-        const whole = records.filter((record) => record.result === "whole");
-        const accounts = Object.keys(this.options.budgets);
-        return {
-            requests: records.length,
-            answeredWhole: whole.length,
-            overspentTokens: accounts.reduce((sum, account) => sum + this.overspent(account, whole), 0),
-            billsMissing: whole.filter((record) => !this.isBilled(record) && !this.isLostWithKeepers(record)).length,
-            billsDoubled: accounts.filter((account) => this.hasDoubledBills(account)).length,
-            nonIdempotentDoubles:
-                records.filter((record) => !record.plan.idempotent && this.startsOf(record) > 1).length,
-            dishonestRefusals: records.filter((record) => record.dishonest).length,
-            brokenAnswers: records.filter((record) => record.broken).length,
-            falseRefusals: records.filter((record) => this.isFalselyRefused(record)).length,
-            strandedTokens: accounts.reduce((sum, account) => sum + this.stranded(account), 0),
-            keyValueCalls: this.keyValue.reads + this.keyValue.writes,
-            keyValueWrites: this.keyValue.writes,
-            peerMessages: this.peerMessages,
-            crashes: this.truth.crashes,
-            startsAfterLeaving: this.truth.startsAfterLeaving,
-        };
-    }
-
-    private startsOf(record: RequestRecord): number {
-        return this.truth.starts.get(record.key) ?? 0;
-    }
-
-    private isBilled(record: RequestRecord): boolean {
-        return this.bills(record.plan.account).has(record.keyDigest);
-    }
-
-    // The case allowed: all three routers that had the bill died before one could write it, or both of two while
-    // the ledger was away.
-    private isLostWithKeepers(record: RequestRecord): boolean {
-        const live = new Set(
-            this.routers.filter((router) => router.state !== "dead").map((router) => router.incarnation as string),
-        );
-        const enough = record.keepers.length >= (record.ledgerAway ? 2 : 3);
-        return enough && record.keepers.every((keeper) => !live.has(keeper));
-    }
-
-    private overspent(account: string, whole: readonly RequestRecord[]): number {
-        const used = whole.filter((record) => record.plan.account === account).reduce(
-            (sum, record) => sum + costOf(record),
-            0,
-        );
-        const totals = this.record(account).budgets[MAIN] ?? { granted: 0, billed: 0 };
-        return Math.max(0, used - totals.granted, totals.billed - totals.granted);
+        return new FleetJudge(this).verdict();
     }
 
-    private hasDoubledBills(account: string): boolean {
-        const bills = [...this.bills(account).values()].reduce((sum, bill) => sum + bill.tokens, 0);
-        return (this.record(account).budgets[MAIN]?.billed ?? 0) !== bills;
-    }
-
-    // A refusal is false when the budget truly had the tokens at the time.
-    private isFalselyRefused(record: RequestRecord): boolean {
-        const last = record.refusals[record.refusals.length - 1];
-        if (record.result === "lost") {
-            return record.endedAt !== undefined && !record.plan.poison;
-        }
-        if (record.result !== "refused" || last === undefined || record.plan.poison) {
-            return false;
-        }
-        if (last.refusal.reason === "claimed-elsewhere" || this.startsOf(record) > 0 && !record.plan.idempotent) {
-            return false;
-        }
-        return last.hadRoom && this.hadTokens(record, last.at);
-    }
-
-    private hadTokens(record: RequestRecord, at: number): boolean {
-        const account = record.plan.account;
-        const spent = this.callers.records
-            .filter((other) => other.plan.account === account && other.sentAt <= at)
-            .filter((other) => other.result === "whole" && other !== record)
-            .reduce((sum, other) => sum + (other.endedAt! <= at ? costOf(other) : worstOf(other)), 0);
-        const granted = this.grantedBy(account, at);
-        return granted - spent >= worstOf(record);
-    }
-
-    private grantedBy(account: string, at: number): number {
+    /** Returns the tokens granted to an account by a time. */
+    grantedBy(account: string, at: number): number {
         const granted = this.grants.get(account) ?? [];
         return granted.filter((grant) => grant.at <= at).reduce((sum, grant) => sum + grant.tokens, 0);
     }
-
-    private stranded(account: string): number {
-        const record = this.record(account);
-        let sum = Object.values(record.stranded).reduce<number>((total, tokens) => total + (tokens as number), 0);
-        const live = new Set(
-            this.routers.filter((router) => router.state !== "dead").map((router) => router.incarnation as string),
-        );
-        for (const [name, holder] of Object.entries<Holder>(record.holders)) {
-            if (!live.has(name.split("~")[0]!)) {
-                sum += Object.values<Holding>(holder.budgets).reduce((total, holding) => total + tokensOf(holding), 0);
-            }
-        }
-        return sum;
-    }
-
-    /** Returns the bodies that callers sent, by call. */
-    bodyOf(call: CallId): RequestRecord | undefined {
-        return this.callers.recordOf(call)?.record;
-    }
 }
 
 function tokensOf(holding: Holding | undefined): number {
     return holding?.allowance ?? 0;
 }
-
-function costOf(record: RequestRecord): number {
-    const { target, outputTokens } = record.plan;
-    return target.kind === "model" ? Math.ceil(target.promptTokens / 2) + outputTokens : SERVICE_CALL_TOKENS;
-}
-
-function worstOf(record: RequestRecord): number {
-    const { target } = record.plan;
-    return target.kind === "model" ? target.promptTokens + target.maxTokens : SERVICE_CALL_TOKENS;
-}
--- a/packages/core/src/mocks/index.ts
+++ b/packages/core/src/mocks/index.ts
@@ -1,6 +1,7 @@
 export { schedules } from "./arbitraries.js";
 export { CoreBrain, RouterBrain } from "./brain.js";
 export type { RequestPlan, RequestRecord } from "./fake-callers.js";
-export { FakeFleet, type FleetOptions, type FleetVerdict } from "./fake-fleet.js";
+export { FakeFleet, type FleetOptions } from "./fake-fleet.js";
 export type { FakeRouter } from "./fake-routers.js";
+export type { FleetVerdict } from "./fleet-judge.js";
 export { type FleetEvent, runSchedule, type Schedule, type ScheduleResult } from "./schedule.js";
--- a/packages/core/src/mocks/schedule.ts
+++ b/packages/core/src/mocks/schedule.ts
@@ -1,6 +1,7 @@
 import type { EndpointId } from "../types/ids.js";
-import { FakeFleet, type FleetVerdict } from "./fake-fleet.js";
+import { FakeFleet } from "./fake-fleet.js";
 import type { FakeRouter } from "./fake-routers.js";
+import type { FleetVerdict } from "./fleet-judge.js";
 
 /** Something that happens to a fleet. Times and durations in ms; numbers that name things wrap around. */
 export type FleetEvent =
--- a/packages/core/src/policy.ts
+++ b/packages/core/src/policy.ts
@@ -102,7 +102,7 @@
     retryShare: 0.2,
     retryBurst: 20,
     attemptLimit: 4,
-    answerRetentionMs: 60_000,
+    answerRetentionMs: 10_000,
     orphanMs: 30_000,
     laneMs: 30_000,
     convictionMs: 10 * 60_000,
--- a/packages/core/src/systems/endpoints.ts
+++ b/packages/core/src/systems/endpoints.ts
@@ -1,6 +1,6 @@
 import type { EndpointDeclaration } from "../configuration/schema.js";
 import { randomElement } from "../support/random.js";
-import { rendezvousOrder } from "../support/rendezvous.js";
+import { rendezvousFirst, rendezvousOrder } from "../support/rendezvous.js";
 import type { EndpointId } from "../types/ids.js";
 import type { LoadReport, Target } from "../types/messages.js";
 import { type EndpointRow, endpointRow, type Run, type World } from "../world.js";
@@ -71,7 +71,7 @@
     if (room.length === 0) {
         return undefined;
     }
-    const prefixHolder = run.target.kind === "model" ? rendezvousOrder(run.target.prefix, room)[0] : undefined;
+    const prefixHolder = run.target.kind === "model" ? rendezvousFirst(run.target.prefix, room) : undefined;
     if (prefixHolder !== undefined && loadOfId(world, prefixHolder) < PREFIX_LOAD) {
         return prefixHolder;
     }
--- a/packages/core/src/systems/ledger.ts
+++ b/packages/core/src/systems/ledger.ts
@@ -26,6 +26,7 @@
     if (at >= account.dueAt) {
         return;
     }
+    world.pendingWrites += account.dueAt === Infinity ? 1 : 0;
     account.dueAt = at;
     schedule(world.due, at, { kind: "ledger", account: account.id, at });
 }
@@ -33,20 +34,11 @@
 /** Asks for a write that nobody waits for, paced so that the fleet's share of writes holds. */
 export function requestPacedWrite(world: World, account: AccountRow, now: number): void {
     const routers = world.peers.size + 1;
-    const active = countActive(world);
-    const paced = 1000 * active * routers / world.policy.fleetWritesPerSecond;
+    const paced = 1000 * world.pendingWrites * routers / world.policy.fleetWritesPerSecond;
     const interval = Math.max(world.policy.reconcileIntervalMs, paced);
     requestWrite(world, account, Math.max(now, account.writtenAt + interval));
 }
 
-function countActive(world: World): number {
-    let active = 0;
-    for (const account of world.accounts.values()) {
-        active += account.dueAt === Infinity ? 0 : 1;
-    }
-    return active;
-}
-
 /** Starts the write that is due, unless one is on its way. */
 export function runDueWrite(
     world: World,
@@ -60,6 +52,7 @@
         return;
     }
     account.dueAt = Infinity;
+    world.pendingWrites--;
     if (account.busy) {
         return;
     }
--- a/packages/core/src/systems/runs.ts
+++ b/packages/core/src/systems/runs.ts
@@ -1,22 +1,21 @@
 import { operationKey } from "../configuration/snapshot.js";
-import { freeTokens, parseRecord } from "../ledger/record.js";
 import { digestKey } from "../support/digest.js";
 import { schedule } from "../support/due-queue.js";
 import type { Arrival, Target } from "../types/messages.js";
 import type { Outcome, RefusalReason } from "../types/outcomes.js";
-import { type AccountRow, accountRow, budgetRow, type Call, type Run, trace, type World } from "../world.js";
-import { borrowedTransfers, holderName, releaseTokens, reserveTokens, spendableTokens, useTokens } from "./budgets.js";
+import { accountRow, budgetRow, type Call, type Run, trace, type World } from "../world.js";
+import { seekTokens } from "./admission.js";
+import { borrowedTransfers, holderName, releaseTokens, useTokens } from "./budgets.js";
 import { recordClaimOutcome, startClaim } from "./claims.js";
 import { chooseEndpoint, serverOf } from "./endpoints.js";
 import { askForLane, isConvict, isSuspect, leaveLane } from "./lanes.js";
-import { requestPacedWrite, requestWrite } from "./ledger.js";
-import { askToLend, cancelUnsentTransfers } from "./lending.js";
+import { requestPacedWrite } from "./ledger.js";
 import { leaveQueue, nextQueued, queueRun } from "./queue.js";
+import { detailOf } from "./refusals.js";
 import { dispatchRun, nextOffset, replayChunks, undispatch } from "./streams.js";
-import { allowUse, closeUse, hasLiveWitness, openBill, openUse, reofferUse, waitingUses } from "./witness.js";
+import { closeUse, openBill } from "./witness.js";
 
 const EXHAUSTED_RETRY_MS = 60_000;
-const LEDGER_RETRY_MS = 2_000;
 const SHORT_RETRY_MS = 1_000;
 
 /** Takes in a request: follows the run of its key, starts one, or refuses. */
@@ -202,164 +201,6 @@
     endRun(world, run, now);
 }
 
-/** Reserves the worst case of a run, or has it wait for tokens. */
-export function seekTokens(world: World, run: Run, now: number): void {
-    const account = accountRow(world, run.arrival.account);
-    const row = budgetRow(account, run.arrival.budget, now);
-    if (reserveTokens(world, account, row, run.worst, now)) {
-        noteReserved(world, account, run, now);
-        return;
-    }
-    account.waiting.push(run.id);
-    schedule(world.due, now + world.policy.budgetWaitMs, { kind: "budget-wait", run: run.id });
-    requestWrite(world, account, now);
-    if (world.keyValueFailingSince !== undefined) {
-        seekTokensInOutage(world, account, run, now);
-    }
-}
-
-function noteReserved(world: World, account: AccountRow, run: Run, now: number): void {
-    run.reserved = run.worst;
-    const row = budgetRow(account, run.arrival.budget, now);
-    const left = spendableTokens(world, account, row, now);
-    trace(world, now, run.arrival, "reserved", { tokens: run.worst, left });
-    if (left < row.typicalWorst) {
-        requestPacedWrite(world, account, now);
-    }
-    seekWitness(world, account, run, now);
-}
-
-// No byte leaves for an endpoint before a witness knows of the use: else it could be returned as unused.
-function seekWitness(world: World, account: AccountRow, run: Run, now: number): void {
-    run.state = "witness";
-    const use = {
-        holder: holderName(world, account),
-        account: account.id,
-        budget: run.arrival.budget,
-        key: run.keyDigest,
-        tokens: run.worst,
-        epoch: account.epoch,
-    };
-    if (openUse(world, account, use, now)) {
-        seekEndpoint(world, run, now);
-        return;
-    }
-    const wait = { kind: "witness-wait", run: run.id, since: now } as const;
-    schedule(world.due, now + world.policy.witnessRetryMs, wait);
-    if (!hasLiveWitness(world, account, now)) {
-        requestWrite(world, account, now);
-    }
-}
-
-/** Lets a run go ahead if a witness knows of its use now. */
-export function continueWitnessed(world: World, run: Run, now: number): void {
-    const account = accountRow(world, run.arrival.account);
-    if (run.state === "witness" && allowUse(world, account, run.keyDigest)) {
-        seekEndpoint(world, run, now);
-    }
-}
-
-/**
- * Takes back uses that were not allowed yet where a write shows that the tokens are gone: they were
- * returned while this router was silent.
- */
-export function dropUncoveredUses(world: World, account: AccountRow, now: number): void {
-    for (const row of account.budgets.values()) {
-        if (spendableTokens(world, account, row, now) < 0) {
-            cancelUnsentTransfers(world, account, now, row.id);
-        }
-        for (const key of spendableTokens(world, account, row, now) < 0 ? waitingUses(world, account) : []) {
-            const run = world.runs.get(world.runsByKey.get(key as Run["keyDigest"]) ?? 0);
-            if (run !== undefined && run.state === "witness" && run.arrival.budget === row.id) {
-                waitAgain(world, account, run, now);
-            }
-        }
-    }
-}
-
-function waitAgain(world: World, account: AccountRow, run: Run, now: number): void {
-    releaseTokens(budgetRow(account, run.arrival.budget, now), run.reserved);
-    run.reserved = 0;
-    run.state = "budget";
-    closeUse(world, run.keyDigest);
-    account.waiting.push(run.id);
-    schedule(world.due, now + world.policy.budgetWaitMs, { kind: "budget-wait", run: run.id });
-}
-
-/** Asks the witnesses of a waiting run again, or refuses it. */
-export function retryWitness(world: World, run: Run, since: number, now: number): void {
-    if (run.state !== "witness") {
-        return;
-    }
-    if (now - since > world.policy.budgetWaitMs) {
-        refuseRun(world, run, "witness-unavailable", SHORT_RETRY_MS, now);
-        return;
-    }
-    const account = accountRow(world, run.arrival.account);
-    reofferUse(world, account, run.keyDigest);
-    if (!hasLiveWitness(world, account, now)) {
-        requestWrite(world, account, now);
-    }
-    schedule(world.due, now + world.policy.witnessRetryMs, { kind: "witness-wait", run: run.id, since });
-}
-
-/** Gives waiting runs the tokens that came in. */
-export function serveWaiting(world: World, account: AccountRow, now: number): void {
-    const waiting = account.waiting;
-    account.waiting = [];
-    for (const id of waiting) {
-        const run = world.runs.get(id);
-        if (run === undefined) {
-            continue;
-        }
-        const row = budgetRow(account, run.arrival.budget, now);
-        if (reserveTokens(world, account, row, run.worst, now)) {
-            noteReserved(world, account, run, now);
-        }
-        else {
-            account.waiting.push(id);
-        }
-    }
-}
-
-/** Decides on the runs that a write of the ledger left without tokens. */
-export function judgeWaiting(world: World, account: AccountRow, now: number): void {
-    const record = parseRecord(account.stored?.value);
-    for (const id of [...account.waiting]) {
-        const run = world.runs.get(id)!;
-        const budget = run.arrival.budget;
-        const totals = record.budgets[budget];
-        if (totals === undefined || totals.granted - totals.billed < run.worst) {
-            refuseRun(world, run, "budget-exhausted", EXHAUSTED_RETRY_MS, now);
-        }
-        else if (run.arrivedAt >= account.writtenAt || freeTokens(record, budget) >= run.worst) {
-            requestWrite(world, account, now);
-        }
-        else if (!askToLend(world, account, budget, run.worst, now)) {
-            refuseRun(world, run, "budget-held-elsewhere", SHORT_RETRY_MS, now);
-        }
-    }
-}
-
-/** Looks for tokens outside the ledger while the key-value service fails. */
-export function seekTokensInOutage(world: World, account: AccountRow, run: Run, now: number): void {
-    askToLend(world, account, run.arrival.budget, run.worst, now);
-}
-
-/** Refuses a run that waited long enough for tokens. */
-export function endBudgetWait(world: World, run: Run, now: number): void {
-    const account = accountRow(world, run.arrival.account);
-    if (run.state !== "budget" || !account.waiting.includes(run.id)) {
-        return;
-    }
-    const reason = account.fenced
-        ? "fenced"
-        : world.keyValueFailingSince === undefined && account.stored !== undefined
-        ? "budget-held-elsewhere"
-        : "ledger-unavailable";
-    refuseRun(world, run, reason, LEDGER_RETRY_MS, now);
-}
-
 /** Finds an endpoint for a run that has its tokens, or queues it. */
 export function seekEndpoint(world: World, run: Run, now: number): void {
     if (isConvict(world, run.arrival.bodyDigest, now)) {
@@ -525,27 +366,3 @@
     }
     world.effects.push({ kind: "body-released", call: run.arrival.call });
 }
-
-/** Returns a sentence that tells a caller what a refusal means and what to do. */
-export function detailOf(reason: RefusalReason): string {
-    return details[reason];
-}
-
-const details: Readonly<Record<RefusalReason, string>> = {
-    "account-unknown": "The client account is not declared. Check the credential.",
-    "bad-request": "The request is not valid. Correct it before sending it again.",
-    "budget-exhausted": "The budget has too few tokens left for this request. Top it up.",
-    "budget-held-elsewhere": "The budget's last tokens are held for requests at other routers. Try again shortly.",
-    "claimed-elsewhere": "Another router took this key. The call is not run again.",
-    "deadline-exceeded": "The deadline passed before the answer was complete.",
-    "draining": "This router is shutting down. Use another address.",
-    "endpoint-failed": "The endpoint failed before it answered.",
-    "fenced": "This router lost its hold on the budget. Use another address.",
-    "key-reused": "The idempotency key was used with another body. Use a new key.",
-    "ledger-unavailable": "The key-value service does not answer and no tokens are at hand. Try again shortly.",
-    "no-endpoint": "No endpoint serves this model or service.",
-    "overloaded": "All endpoints are busy for longer than the deadline allows. Try again later.",
-    "poison-request": "This body crashed endpoints repeatedly. It is not run again for a while.",
-    "retry-budget-spent": "Too many requests are being retried. Try again later.",
-    "witness-unavailable": "This router reaches no other router to vouch for the tokens. Use another address.",
-};
--- a/packages/core/src/tick.ts
+++ b/packages/core/src/tick.ts
@@ -1,4 +1,13 @@
 import { earliestDue, takeDue } from "./support/due-queue.js";
+import {
+    continueWitnessed,
+    dropUncoveredUses,
+    endBudgetWait,
+    judgeWaiting,
+    retryWitness,
+    seekTokensInOutage,
+    serveWaiting,
+} from "./systems/admission.js";
 import { checkProgress, continueRetry, endBilling, handleFailure, receiveEnd, waitForBill } from "./systems/answers.js";
 import { handleClaimReply, handleOutcomeReply, writeOutcome } from "./systems/claims.js";
 import { adoptSnapshot, pollConfiguration, receiveHead, receivePart } from "./systems/configuration.js";
@@ -30,21 +39,14 @@
 import {
     arrive,
     continueClaimed,
-    continueWitnessed,
-    dropUncoveredUses,
-    endBudgetWait,
     endOrphan,
     forgetRun,
     handleCallerGone,
-    judgeWaiting,
     refuseBilled,
     refuseClaimed,
     refuseRun,
-    retryWitness,
     seekEndpoint,
-    seekTokensInOutage,
     serveQueue,
-    serveWaiting,
 } from "./systems/runs.js";
 import { receiveChunk } from "./systems/streams.js";
 import {
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -327,6 +327,8 @@
     nextRun: number;
     nextCall: number;
     nextOperation: number;
+    /** Accounts with a write that is due some time. */
+    pendingWrites: number;
     epoch: number;
     heartbeatSequence: number;
     drainingSince: number | undefined;
@@ -387,6 +389,7 @@
         nextRun: 1,
         nextCall: 1,
         nextOperation: 1,
+        pendingWrites: 0,
         epoch: 0,
         heartbeatSequence: 0,
         drainingSince: undefined,
--- a/packages/router/src/callers/callers.controller.ts
+++ b/packages/router/src/callers/callers.controller.ts
@@ -4,7 +4,7 @@
 import { type Router } from "../router.js";
 import { ROUTER } from "../tokens.js";
 import { readModelRequest } from "./model-request.js";
-import { accountOf, badRequest, type HeaderFault, readHeaders, type RequestHeaders } from "./request-headers.js";
+import { accountOf, type HeaderFault, readHeaders, type RequestHeaders } from "./request-headers.js";
 import { sendJson, sendRefusal, ServiceResponse, StreamResponse, WholeModelResponse } from "./responses.js";
 import { matchOperation } from "./service-request.js";
 
@@ -145,8 +145,3 @@
 function bodyOf(request: FastifyRequest): Buffer {
     return Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0);
 }
-
-/** Returns the fault of a body that could not be read. */
-export function bodyFault(status: number): HeaderFault {
-    return { ...badRequest("The body is too large or was cut off."), status };
-}
--- /dev/null
+++ b/packages/router/src/callers/fault.filter.ts
@@ -0,0 +1,32 @@
+import { type ArgumentsHost, Catch, type ExceptionFilter } from "@nestjs/common";
+import type { FastifyReply } from "fastify";
+import { sendFault } from "./callers.controller.js";
+import type { HeaderFault } from "./request-headers.js";
+
+type Failure = { readonly statusCode?: number; readonly getStatus?: () => number; };
+
+const NOT_FOUND = 404;
+const TOO_LARGE = 413;
+
+/** Answers requests that no handler took, or whose body could not be read, with a typed fault. */
+@Catch()
+export class FaultFilter implements ExceptionFilter {
+    /** Sends the fault; nothing was reserved or sent to an endpoint. */
+    catch(failure: Failure, host: ArgumentsHost): void {
+        const reply = host.switchToHttp().getResponse<FastifyReply>();
+        reply.hijack();
+        const status = failure.getStatus?.() ?? failure.statusCode ?? 500;
+        sendFault(reply, faultOf(status));
+    }
+}
+
+function faultOf(status: number): HeaderFault {
+    switch (status) {
+        case NOT_FOUND:
+            return { status, reason: "bad-request", detail: "There is nothing at this path." };
+        case TOO_LARGE:
+            return { status, reason: "bad-request", detail: "The body is too large." };
+        default:
+            return { status, reason: "bad-request", detail: "The request could not be read." };
+    }
+}
--- a/packages/router/src/server.ts
+++ b/packages/router/src/server.ts
@@ -2,9 +2,10 @@
 import { type DynamicModule, Module } from "@nestjs/common";
 import { NestFactory } from "@nestjs/core";
 import { FastifyAdapter, type NestFastifyApplication } from "@nestjs/platform-fastify";
-import type { FastifyError, FastifyReply, FastifyRequest } from "fastify";
+import type { FastifyRequest } from "fastify";
 import { readFileSync } from "node:fs";
-import { bodyFault, CallersController, sendFault } from "./callers/callers.controller.js";
+import { CallersController } from "./callers/callers.controller.js";
+import { FaultFilter } from "./callers/fault.filter.js";
 import { OperatorsController } from "./operators/operators.controller.js";
 import { PeersController } from "./peers/peers.controller.js";
 import { Router } from "./router.js";
@@ -35,6 +36,7 @@
     const router = new Router(settings, settings.listen.port);
     const options = { bodyParser: false, logger: false, abortOnError: false } as const;
     const application = await NestFactory.create<NestFastifyApplication>(RouterModule.of(router), adapter, options);
+    application.useGlobalFilters(new FaultFilter());
     await application.listen(settings.listen.port, settings.listen.address);
     router.start();
     return {
@@ -51,7 +53,6 @@
     const common = {
         bodyLimit: settings.limits.bodyBytes,
         forceCloseConnections: true,
-        allowErrorHandlerOverride: true,
     };
     const tls = settings.tls;
     const adapter = tls === undefined ? new FastifyAdapter(common) : new FastifyAdapter({
@@ -63,9 +64,5 @@
     instance.addContentTypeParser("*", { parseAs: "buffer" }, (unusedRequest: FastifyRequest, body, done) => {
         done(undefined as never, body);
     });
-    instance.setErrorHandler((error: FastifyError, unusedRequest: FastifyRequest, reply: FastifyReply) => {
-        reply.hijack();
-        sendFault(reply, bodyFault(error.statusCode ?? 400));
-    });
     return adapter;
 }
