Blame a suspect only at an endpoint that was alive just before

An endpoint that failed now gets work only after a new load report, and a suspect only within 250 ms of one.

--- a/packages/core/src/fleet.test.ts
+++ b/packages/core/src/fleet.test.ts
@@ -232,6 +232,21 @@
             expectSafe(fleet);
         });
 
+        it("do not get innocent requests blamed that meet one while it is down behind a proxy", () => {
+            const fleet = fleetOf();
+            fleet.endpoints.forEach((endpoint) => {
+                endpoint.behindProxy = true;
+            });
+            for (let index = 0; index < 150; index++) {
+                fleet.at(index * 15, () => void fleet.send({ account: "a", chunks: 8, mostAttempts: 6 }));
+            }
+            fleet.at(500, () => void fleet.send({ account: "a", poison: true, mostAttempts: 8 }));
+            fleet.run(90_000);
+            expect(outcomes(fleet).filter((outcome) => outcome.startsWith("poison"))).toHaveLength(1);
+            expect(fleet.verdict().answeredWhole).toBe(150);
+            expectSafe(fleet);
+        });
+
         it("get no new work a few seconds after they announce that they leave", () => {
             const fleet = fleetOf();
             for (let index = 0; index < 300; index++) {
--- a/packages/core/src/mocks/fake-endpoints.ts
+++ b/packages/core/src/mocks/fake-endpoints.ts
@@ -49,6 +49,8 @@
 /** A model engine or plain service: runs work in steps, can crash, leave, or let connections go silent. */
 export class FakeEndpoint {
     up = true;
+    /** True when something before it takes connections while it is down, and drops them. */
+    behindProxy = false;
     leavingSince: number | undefined;
     private readonly streams = new Map<string, FakeStream>();
     private report: LoadReport;
@@ -70,7 +72,7 @@
     send(work: FakeWork, resumeAt: number | undefined, listener: FakeListener): void {
         this.clock.after(CONNECT_MS, () => {
             if (!this.up) {
-                listener.failed("connection-refused", false);
+                listener.failed(this.behindProxy ? "connection-lost" : "connection-refused", this.behindProxy);
             }
             else if (resumeAt !== undefined) {
                 this.resume(work, resumeAt, listener);
--- a/packages/core/src/systems/answers.ts
+++ b/packages/core/src/systems/answers.ts
@@ -92,6 +92,7 @@
             retryAfterRefusal(world, run, now);
             break;
         case "unknown-stream":
+            noteFailure(world, row, now);
             crash(world, run, "stream-lost", now);
             break;
         case "connection-lost":
--- a/packages/core/src/systems/endpoints.ts
+++ b/packages/core/src/systems/endpoints.ts
@@ -10,7 +10,8 @@
 const OTHER_DOMAIN_LOAD = 0.15;
 const OTHER_REGION_LOAD = 0.6;
 const USED_LATELY_MS = 60_000;
-const REFRESH_MS = 500;
+const REFRESH_MS = 150;
+const LANE_REPORT_LIFETIME_MS = 250;
 
 /** Returns the name under which endpoints that can take a target are indexed. */
 export function serverOf(target: Target): string {
@@ -34,13 +35,13 @@
 }
 
 // An endpoint whose report is old may be leaving; it is asked before it gets work.
-function isFresh(world: World, row: EndpointRow, now: number): boolean {
-    return now - row.reportedAt <= world.policy.reportLifetimeMs;
+function isFresh(row: EndpointRow, age: number, now: number): boolean {
+    return now - row.reportedAt <= age;
 }
 
-function refreshReports(world: World, rows: readonly EndpointRow[], now: number): void {
+function refreshReports(world: World, rows: readonly EndpointRow[], age: number, now: number): void {
     for (const row of rows) {
-        if (isUsable(world, row, now) && !isFresh(world, row, now) && now - row.probedAt >= REFRESH_MS) {
+        if (isUsable(world, row, now) && !isFresh(row, age, now) && now - row.probedAt >= REFRESH_MS) {
             probe(world, row, now);
         }
     }
@@ -58,12 +59,12 @@
 
 /** Chooses an endpoint for a run: the prefix holder if it has room, else the better of two random ones. */
 export function chooseEndpoint(world: World, run: Run, now: number): EndpointId | undefined {
+    // A suspect that meets a crash is blamed for it, so its endpoint must have been alive just before.
+    const age = run.laneGranted ? LANE_REPORT_LIFETIME_MS : world.policy.reportLifetimeMs;
     const candidates = candidatesOf(world, serverOf(run.target)).map((id) => endpointRow(world, id));
-    const usable = candidates.filter((row) => isUsable(world, row, now) && isFresh(world, row, now)).map((row) =>
-        row.id
-    );
+    const usable = candidates.filter((row) => isUsable(world, row, now) && isFresh(row, age, now)).map((row) => row.id);
     if (usable.length === 0) {
-        refreshReports(world, candidates, now);
+        refreshReports(world, candidates, age, now);
         return undefined;
     }
     const untried = usable.filter((id) => !run.tried.includes(id));
@@ -129,6 +130,8 @@
 /** Notes a failure of an endpoint; several in a row eject it for a while. */
 export function noteFailure(world: World, row: EndpointRow, now: number): void {
     row.failures++;
+    // It gets new work only after a new report.
+    row.reportedAt = -Infinity;
     if (row.failures < world.policy.ejectionFailures) {
         return;
     }
