Let callers reach paused routers in the fakes, and watch the configuration

A paused router takes connections: requests now meet it before its own timers when it wakes, which is what catches a use without a witness.

The engine stand-in went on for some ms after a crash and did not count what it finished then: the demo saw 2 bills without a run.

--- a/packages/core/src/mocks/fake-callers.ts
+++ b/packages/core/src/mocks/fake-callers.ts
@@ -62,6 +62,7 @@
     private readonly open = new Map<CallId, OpenCall>();
     private nextCall = 1;
     private nextKey = 1;
+    private preferred: FakeRouter | undefined;
 
     constructor(
         private readonly clock: FakeClock,
@@ -71,6 +72,14 @@
         private readonly hasRoom: (kind: "model" | "service") => boolean,
     ) {}
 
+    /** Sends a request to a router of the test's choice first. */
+    sendTo(router: FakeRouter, plan: RequestPlan): RequestRecord {
+        this.preferred = router;
+        const record = this.send(plan);
+        this.preferred = undefined;
+        return record;
+    }
+
     /** Sends a request. */
     send(plan: RequestPlan): RequestRecord {
         const key = `key-${this.nextKey++}` as RequestKey;
@@ -163,8 +172,11 @@
     }
 
     private chooseRouter(record: RequestRecord): FakeRouter | undefined {
+        if (this.preferred !== undefined) {
+            return this.preferred;
+        }
         const live = this.routers().filter((router) => router.isReachable());
-        const asked = randomElement(this.random, live);
+        const asked = randomElement(this.random, live.filter((router) => router.state === "running"));
         const addresses = asked?.brain.addresses(record.plan.account, this.clock.now) ?? [];
         const named = addresses.map((address) => live.find((router) => router.address === address));
         const first = named[Math.min(record.attempts, named.length - 1)];
--- a/packages/core/src/mocks/fake-routers.ts
+++ b/packages/core/src/mocks/fake-routers.ts
@@ -25,9 +25,9 @@
         private readonly carryOut: (router: FakeRouter, effect: Effect) => void,
     ) {}
 
-    /** Returns true when a caller can reach it. */
+    /** Returns true when a caller can connect to it; a paused router takes connections, too. */
     isReachable(): boolean {
-        return this.state === "running" && !this.unreachable;
+        return this.state !== "dead" && !this.unreachable;
     }
 
     /** Hands a message to the router; a paused one gets it when it wakes, a dead one never. */
--- a/packages/core/src/systems/configuration.ts
+++ b/packages/core/src/systems/configuration.ts
@@ -13,8 +13,13 @@
 import { readKey } from "./key-value.js";
 
 /** Reads the pointer to the configuration in force. */
-export function pollConfiguration(world: World, now: number): void {
+export function readHead(world: World): void {
     readKey(world, CONFIGURATION_HEAD_KEY, { kind: "configuration-head" });
+}
+
+/** Reads the pointer from time to time, should a watch have missed a change. */
+export function pollConfiguration(world: World, now: number): void {
+    readHead(world);
     schedule(world.due, now + world.policy.configurationPollMs, { kind: "configuration" });
 }
 
--- a/packages/core/src/tick.ts
+++ b/packages/core/src/tick.ts
@@ -10,7 +10,7 @@
 } from "./systems/admission.js";
 import { checkProgress, continueRetry, endBilling, handleFailure, receiveEnd, waitForBill } from "./systems/answers.js";
 import { handleClaimReply, handleOutcomeReply, writeOutcome } from "./systems/claims.js";
-import { adoptSnapshot, pollConfiguration, receiveHead, receivePart } from "./systems/configuration.js";
+import { adoptSnapshot, pollConfiguration, readHead, receiveHead, receivePart } from "./systems/configuration.js";
 import { checkDrain, startDrain } from "./systems/drain.js";
 import { noteReport, probeEndpoints } from "./systems/endpoints.js";
 import { takePurpose } from "./systems/key-value.js";
@@ -121,6 +121,8 @@
             return;
         case "instances":
             return noteInstances(world, message.peers);
+        case "configuration-changed":
+            return readHead(world);
         case "drain":
             return startDrain(world, now);
     }
--- a/packages/core/src/types/messages.ts
+++ b/packages/core/src/types/messages.ts
@@ -216,6 +216,7 @@
         readonly kind: "instances";
         readonly peers: readonly { readonly address: string; readonly leaving: boolean; }[];
     }
+    | { readonly kind: "configuration-changed"; }
     | { readonly kind: "drain"; };
 
 /** Something a world asks its host to do. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,6 +1,7 @@
 import {
     type Arrival,
     brand,
+    CONFIGURATION_HEAD_KEY,
     createWorld,
     digestBody,
     type Effect,
@@ -26,7 +27,7 @@
 import { PeerLinks } from "./peers/peer-links.js";
 import { EtcdStore } from "./platform/etcd-store.js";
 import { HttpInstanceList, type InstanceList, StaticInstanceList } from "./platform/instance-list.js";
-import type { KeyValueStore } from "./platform/key-value-store.js";
+import type { KeyValueStore, WatchHandle } from "./platform/key-value-store.js";
 import type { Settings } from "./settings.js";
 
 const INSTANCE_POLL_MS = 2_000;
@@ -59,6 +60,7 @@
     private readonly resumeSecret: string;
     private readonly timers: NodeJS.Timeout[] = [];
     private lease: string | undefined;
+    private watch: WatchHandle | undefined;
     private whenDrained: () => void = () => undefined;
 
     constructor(readonly settings: Settings, port: number) {
@@ -95,6 +97,10 @@
         this.host.start();
         this.every(INSTANCE_POLL_MS, () => this.readInstances());
         this.every(REGISTRATION_MS, () => this.register());
+        this.watch = this.store.watch(
+            CONFIGURATION_HEAD_KEY,
+            () => this.host.deliver({ kind: "configuration-changed" }),
+        );
         this.every(KEEP_ALIVE_MS, async () => this.calls.keepAlive());
         this.logs.host.info("Started.", { incarnation: this.incarnation, address: this.world.self.address });
     }
@@ -111,6 +117,7 @@
     /** Stops all work. */
     async stop(): Promise<void> {
         this.timers.forEach((timer) => clearInterval(timer));
+        this.watch?.stop();
         this.host.stop();
         await this.endpoints.close();
     }
--- a/packages/standins/src/capacity/main.ts
+++ b/packages/standins/src/capacity/main.ts
@@ -57,10 +57,14 @@
             { length: count },
             (unused, index) => `http://127.0.0.1:${FIRST_ROUTER_PORT + index}`,
         );
-        const routers = addresses.map((unused, index) =>
-            processes.startRouter(`router-${index}`, FIRST_ROUTER_PORT + index, settingsOf(addresses, index))
-        );
-        await Promise.all(routers.map((router) => processes.ready(router, "/health")));
+        for (let index = 0; index < count; index++) {
+            const router = processes.startRouter(
+                `router-${index}`,
+                FIRST_ROUTER_PORT + index,
+                settingsOf(addresses, index),
+            );
+            await processes.ready(router, "/health");
+        }
         await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
         return await measure(processes, addresses);
     }
--- a/packages/standins/src/model-engine/engine.ts
+++ b/packages/standins/src/model-engine/engine.ts
@@ -74,6 +74,7 @@
     private readonly silenced = new WeakSet<FastifyReply>();
     private reported = { running: 0, queued: 0 };
     private leavingSince: number | undefined;
+    private crashed = false;
 
     constructor(private readonly settings: EngineSettings) {
         this.server = Fastify({ forceCloseConnections: true, bodyLimit: 16 * 1024 * 1024 });
@@ -154,6 +155,8 @@
     // The counts outlive the process, as the truth of a test must.
     private crash(key: string): void {
         this.counts.keys.push(key);
+        // Nothing is generated or counted between the crash and the end of the process.
+        this.crashed = true;
         if (process.send === undefined) {
             process.exit(1);
         }
@@ -219,6 +222,9 @@
     private readonly sent = new WeakMap<Stream, number>();
 
     private step(now: number): void {
+        if (this.crashed) {
+            return;
+        }
         while (this.running.size < this.settings.slots && this.queue.length > 0) {
             const stream = this.queue.shift()!;
             stream.state = "running";
