--- a/packages/router/src/callers/responses.ts
+++ b/packages/router/src/callers/responses.ts
@@ -3,8 +3,6 @@
 
 /** Writes the answer to one caller. */
 export abstract class CallerResponse {
-    protected chunks = 0;
-
     constructor(protected readonly response: ServerResponse, protected readonly key: string) {}
 
     /** Passes a chunk on; the resume token comes with the first. */
@@ -28,6 +26,7 @@
 export class StreamResponse extends CallerResponse {
     private token: string | undefined;
     private restarted = false;
+    private waiting = "";
 
     /** With resumed, the caller has the start of the answer from another connection. */
     constructor(
@@ -53,10 +52,9 @@
         }
         if (this.restarted) {
             this.restarted = false;
-            this.response.write(`: restart ${this.token ?? ""}\n\n`);
+            this.queue(`: restart ${this.token ?? ""}\n\n`);
         }
-        this.chunks = chunk.offset + 1;
-        this.response.write(`id: ${chunk.offset}\ndata: ${chunk.data}\n\n`);
+        this.queue(`id: ${chunk.offset}\ndata: ${chunk.data}\n\n`);
     }
 
     override restart(): void {
@@ -75,7 +73,29 @@
         if (!this.response.headersSent) {
             this.start();
         }
-        this.response.end(`: end ${end.chunks}\n\ndata: [DONE]\n\n`);
+        this.queue(`: end ${end.chunks}\n\ndata: [DONE]\n\n`);
+        this.flush();
+        this.response.end();
+    }
+
+    override refuse(refusal: Refusal): void {
+        this.flush();
+        super.refuse(refusal);
+    }
+
+    // Chunks that come in together are written together: a write costs far more than its bytes.
+    private queue(text: string): void {
+        if (this.waiting === "") {
+            setImmediate(() => this.flush());
+        }
+        this.waiting += text;
+    }
+
+    private flush(): void {
+        if (this.waiting !== "" && !this.response.writableEnded) {
+            this.response.write(this.waiting);
+        }
+        this.waiting = "";
     }
 
     private start(): void {
--- a/packages/router/src/host/host.ts
+++ b/packages/router/src/host/host.ts
@@ -11,6 +11,7 @@
     private timer: NodeJS.Timeout | undefined;
     private scheduled = false;
     private stopped = false;
+    private armedAt = Infinity;
 
     constructor(
         readonly world: World,
@@ -52,9 +53,20 @@
         this.arm();
     }
 
+    // Most ticks change nothing about the next due time; the timer is set anew only when it must be earlier.
     private arm(): void {
+        const now = Date.now();
+        const at = Math.min(now + LONGEST_TIMER_MS, nextTickAt(this.world));
+        if (this.armedAt <= at && this.armedAt > now) {
+            return;
+        }
         clearTimeout(this.timer);
-        const wait = Math.min(LONGEST_TIMER_MS, Math.max(0, nextTickAt(this.world) - Date.now()));
-        this.timer = setTimeout(() => this.run(), wait);
+        this.armedAt = at;
+        this.timer = setTimeout(() => this.wake(), Math.max(0, at - now));
+    }
+
+    private wake(): void {
+        this.armedAt = Infinity;
+        this.run();
     }
 }
