--- a/packages/core/src/systems/ledger.ts
+++ b/packages/core/src/systems/ledger.ts
@@ -118,7 +118,6 @@
         witnessed: withoutPostponed(change.witnessed, result.postponed),
         recoveries: change.recoveries,
         seal: change.seal,
-        duplicates: new Set(result.duplicates),
         holdings: result.holdings,
     };
     sendWrite(world, account, now);
--- a/packages/core/src/systems/lending.ts
+++ b/packages/core/src/systems/lending.ts
@@ -155,7 +155,7 @@
     if (account.receivedTransfers.has(transfer.id) || transfer.to !== holderName(world, account)) {
         return account;
     }
-    account.receivedTransfers.add(transfer.id);
+    account.receivedTransfers.set(transfer.id, now);
     account.transfers.push(transfer);
     if (account.committedAt === -Infinity) {
         account.committedAt = now;
--- a/packages/core/src/systems/membership.ts
+++ b/packages/core/src/systems/membership.ts
@@ -1,3 +1,4 @@
+import { HOLDER_RETIREMENT_MS } from "../ledger/reconcile.js";
 import { schedule } from "../support/due-queue.js";
 import { randomBelow } from "../support/random.js";
 import { rendezvousOrder } from "../support/rendezvous.js";
@@ -9,7 +10,7 @@
 import { requestPacedWrite } from "./ledger.js";
 import { livePeers, sendToPeer } from "./peers.js";
 import { hasLostHolder } from "./recovery.js";
-import { accountsToSettle, dropSettled, oldestOpenAt } from "./witness.js";
+import { accountsToSettle, dropSettled, forgetWitnessed, oldestOpenAt } from "./witness.js";
 
 const BROADCAST_LIMIT = 32;
 const WIDTH_STEP = 16;
@@ -23,6 +24,8 @@
 export function beat(world: World, now: number): void {
     sendHeartbeats(world, now);
     forgetPeers(world, now);
+    forgetWitnessed(world, now);
+    forgetOldEntries(world, now);
     settleForLostPeers(world, now);
     schedule(world.due, now + world.policy.heartbeatIntervalMs, { kind: "heartbeat" });
 }
@@ -136,6 +139,26 @@
     }
 }
 
+function forgetOldEntries(world: World, now: number): void {
+    for (const [body, suspect] of world.suspects) {
+        if (now - suspect.at > world.policy.convictionMs) {
+            world.suspects.delete(body);
+        }
+    }
+    for (const [body, at] of world.convicts) {
+        if (now - at > world.policy.convictionMs) {
+            world.convicts.delete(body);
+        }
+    }
+    for (const account of world.accounts.values()) {
+        for (const [transfer, at] of account.receivedTransfers) {
+            if (now - at > HOLDER_RETIREMENT_MS) {
+                account.receivedTransfers.delete(transfer);
+            }
+        }
+    }
+}
+
 function settleForLostPeers(world: World, now: number): void {
     for (const account of accountsToSettle(world, now)) {
         requestPacedWrite(world, accountRow(world, account), now);
--- a/packages/core/src/systems/recovery.ts
+++ b/packages/core/src/systems/recovery.ts
@@ -21,7 +21,7 @@
     for (const [id, holder] of Object.entries<Holder>(record.holders)) {
         const name = id as Incarnation;
         if (name !== holderName(world, account) && isLost(world, name, now) && isRecoverable(world, holder, now)) {
-            askWitnesses(world, account, name, holder);
+            askWitnesses(world, account, name, holder, now);
         }
     }
 }
@@ -47,11 +47,11 @@
     return holder.witnesses.length > 0 && reachable && holder.uses === undefined && holds;
 }
 
-function askWitnesses(world: World, account: AccountRow, name: Incarnation, holder: Holder): void {
+function askWitnesses(world: World, account: AccountRow, name: Incarnation, holder: Holder, now: number): void {
     const { epoch } = holder;
     for (const witness of holder.witnesses) {
         if (witness === world.self.incarnation) {
-            const testimony = closeAllowance(world, name, account.id, epoch);
+            const testimony = closeAllowance(world, name, account.id, epoch, now);
             noteTestimony(account, name, epoch, witness, testimony);
         }
         else {
@@ -61,8 +61,14 @@
 }
 
 /** Closes a holder's allowance: no use of it is witnessed any more. Returns what is known of it. */
-export function closeAllowance(world: World, holder: Incarnation, account: AccountId, epoch: number): Testimony {
-    const row = witnessRow(world, holderIncarnation(holder));
+export function closeAllowance(
+    world: World,
+    holder: Incarnation,
+    account: AccountId,
+    epoch: number,
+    now: number,
+): Testimony {
+    const row = witnessRow(world, holderIncarnation(holder), now);
     row.closed.set(account, Math.max(epoch, row.closed.get(account) ?? 0));
     const ofHolder = (entry: { readonly account: AccountId; readonly holder: Incarnation; }): boolean =>
         entry.account === account && entry.holder === holder;
--- a/packages/core/src/systems/witness.ts
+++ b/packages/core/src/systems/witness.ts
@@ -186,7 +186,7 @@
 
 /** Takes in a peer's uses, but for those of allowances that were closed, and tells which. */
 export function witnessUses(world: World, from: Incarnation, uses: readonly WitnessedUse[], now: number): void {
-    const row = witnessRow(world, from);
+    const row = witnessRow(world, from, now);
     const accepted: string[] = [];
     const refused: string[] = [];
     for (const use of uses) {
@@ -231,7 +231,7 @@
     batch: number,
     now: number,
 ): void {
-    const row = witnessRow(world, from);
+    const row = witnessRow(world, from, now);
     for (const bill of bills) {
         row.uses.delete(bill.key);
         row.bills.set(bill.key, { ...bill, keptAt: now });
@@ -377,12 +377,18 @@
 }
 
 /** Returns what this router witnesses of a peer, created on first use. */
-export function witnessRow(world: World, peer: Incarnation): WitnessRow {
-    const known = world.witnessed.get(peer);
-    if (known !== undefined) {
-        return known;
-    }
-    const row: WitnessRow = { bills: new Map(), uses: new Map(), closed: new Map() };
+export function witnessRow(world: World, peer: Incarnation, now: number): WitnessRow {
+    const row = world.witnessed.get(peer) ?? { bills: new Map(), uses: new Map(), closed: new Map(), touchedAt: now };
+    row.touchedAt = now;
     world.witnessed.set(peer, row);
     return row;
 }
+
+/** Forgets peers that were silent for longer than the ledger keeps their entries. */
+export function forgetWitnessed(world: World, now: number): void {
+    for (const [peer, row] of world.witnessed) {
+        if (now - row.touchedAt > 2 * HOLDER_RETIREMENT_MS) {
+            world.witnessed.delete(peer);
+        }
+    }
+}
--- a/packages/core/src/tick.ts
+++ b/packages/core/src/tick.ts
@@ -253,7 +253,7 @@
         case "uses-closed":
             return forgetUses(world, from, message.uses);
         case "allowance-close":
-            return answerClose(world, from, message);
+            return answerClose(world, from, message, now);
         case "allowance-closed":
             return handleClosed(world, from, message, now);
         case "borrow":
@@ -305,9 +305,10 @@
     world: World,
     from: Incarnation,
     message: Extract<PeerMessage, { kind: "allowance-close"; }>,
+    now: number,
 ): void {
     const { holder, epoch, account } = message;
-    const testimony = closeAllowance(world, holder, account, epoch);
+    const testimony = closeAllowance(world, holder, account, epoch, now);
     sendToPeer(world, from, { kind: "allowance-closed", holder, epoch, account, ...testimony });
 }
 
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -78,7 +78,6 @@
     readonly witnessed: readonly WitnessedSettlements[];
     readonly recoveries: readonly Recovery[];
     readonly seal: SealedPage | undefined;
-    readonly duplicates: ReadonlySet<KeyDigest>;
     readonly holdings: ReadonlyMap<BudgetId, Holding>;
 };
 
@@ -102,7 +101,7 @@
     /** Transfers that the other end wrote, still to be marked as seen. */
     writtenTransfers: LedgerTransfer[];
     /** Transfers taken in, so that a repeated one counts once. */
-    readonly receivedTransfers: Set<TransferId>;
+    readonly receivedTransfers: Map<TransferId, number>;
     recoveries: Recovery[];
     /** Epoch and witnesses of the last applied write. */
     epoch: number;
@@ -203,6 +202,8 @@
 export type WitnessRow = {
     readonly bills: Map<KeyDigest, WitnessedBill & { readonly keptAt: number; }>;
     readonly uses: Map<string, WitnessedUse & { readonly keptAt: number; }>;
+    /** Time in ms at which the peer last told something. */
+    touchedAt: number;
     /** Epoch up to which a peer's uses are refused, by account. */
     readonly closed: Map<AccountId, number>;
 };
@@ -422,7 +423,7 @@
         settlements: [],
         transfers: [],
         writtenTransfers: [],
-        receivedTransfers: new Set(),
+        receivedTransfers: new Map(),
         recoveries: [],
         epoch: 0,
         witnesses: [],
