--- a/packages/standins/src/measure/scenarios.ts
+++ b/packages/standins/src/measure/scenarios.ts
@@ -104,7 +104,7 @@
         fleet.at(60_000, () => void (fleet.keyValue.faults.down = false));
     }, { actions: false }),
     scenario("budget-end", 60_000, () => undefined, {
-        options: { ...base, budgets: { large: 24_000, middle: 9_000, small: 4_000 } },
+        options: { ...base, budgets: { large: 12_000, middle: 4_500, small: 3_000 } },
     }),
     scenario("overload", 30_000, () => undefined, { rate: 200, options: { ...base, slots: 6 } }),
 ];
