--- a/packages/core/src/ledger/reconcile.ts
+++ b/packages/core/src/ledger/reconcile.ts
@@ -94,6 +94,8 @@
 export const LONGEST_REQUEST_MS = 20 * 60_000;
 /** Time in ms after which a silent holder's tokens become stranded and its entry is closed. */
 export const HOLDER_RETIREMENT_MS = 2 * 60 * 60_000;
+/** Longest time in ms for which a transfer is remembered that its receiver has not seen written. */
+const TRANSFER_RETENTION_MS = 24 * 60 * 60_000;
 const EMPTY_HOLDER_RETENTION_MS = 60_000;
 const MAX_FREE_SHARE = 0.5;
 
@@ -221,7 +223,7 @@
     if (record.transfers[transfer.id] !== undefined) {
         return;
     }
-    record.transfers[transfer.id] = { ends: [transfer.from, transfer.to], seenBy: [] };
+    record.transfers[transfer.id] = { from: transfer.from, to: transfer.to, at: now, seenBy: [] };
     const source = record.holders[transfer.from]?.budgets[transfer.budget];
     if (source === undefined) {
         return;
@@ -286,7 +288,7 @@
         oldestWrite = Math.min(oldestWrite, holder.at);
     }
     pruneBills(record, oldestWrite - LONGEST_REQUEST_MS);
-    pruneTransfers(record);
+    pruneTransfers(record, now);
 }
 
 function pruneEmptyHolder(record: LedgerRecord, id: Incarnation, now: number): void {
@@ -313,13 +315,13 @@
     }
 }
 
-// A transfer is forgotten only when no end can write it again.
-function pruneTransfers(record: LedgerRecord): void {
+// A transfer is forgotten only when its receiver cannot write it again, whose entry may be gone for a while.
+// Its sender can write it again only while it has an entry.
+function pruneTransfers(record: LedgerRecord, now: number): void {
     for (const [id, transfer] of Object.entries<Transfer>(record.transfers)) {
-        const pending = transfer.ends.some((end) =>
-            !transfer.seenBy.includes(end) && record.holders[end] !== undefined
-        );
-        if (!pending) {
+        const senderDone = transfer.seenBy.includes(transfer.from) || record.holders[transfer.from] === undefined;
+        const settled = senderDone && transfer.seenBy.includes(transfer.to);
+        if (settled || now - transfer.at > TRANSFER_RETENTION_MS) {
             delete record.transfers[id as TransferId];
         }
     }
--- a/packages/core/src/ledger/record.ts
+++ b/packages/core/src/ledger/record.ts
@@ -31,7 +31,7 @@
 export type TopUp = { budget: BudgetId; tokens: number; at: number; };
 
 /** A transfer of allowance that is in force in the record, and the ends that wrote it down. */
-export type Transfer = { ends: Incarnation[]; seenBy: Incarnation[]; };
+export type Transfer = { from: Incarnation; to: Incarnation; at: number; seenBy: Incarnation[]; };
 
 /** A bill of the dedupe window. */
 export type Bill = { tokens: number; at: number; };
--- a/packages/core/src/mocks/counterexamples.ts
+++ b/packages/core/src/mocks/counterexamples.ts
@@ -77,4 +77,22 @@
             ],
         },
     },
+    {
+        name: "a transfer was applied again after its receiver's entry had been returned",
+        schedule: {
+            seed: 695_570,
+            events: [
+                burst(19, 5, 22),
+                burst(663, 1, 9, true),
+                burst(10_113, 2, 3),
+                burst(13_993, 5, 11, true),
+                burst(4_696, 1, 21, true),
+                actions(8_000, 2, 22),
+                { kind: "key-value-down", at: 3_739, time: 7_384 },
+                { kind: "late-writes", at: 8_047, time: 8_540, share: 0.3 },
+                { kind: "isolate", at: 2_926, router: 2, time: 11_205 },
+                { kind: "lost-replies", at: 2_452, time: 9_519, share: 0.3 },
+            ],
+        },
+    },
 ];
--- a/packages/core/src/systems/ledger.ts
+++ b/packages/core/src/systems/ledger.ts
@@ -279,6 +279,9 @@
     }
     account.write = undefined;
     account.stored = current;
+    // What was borrowed may have been returned with this router's entry: it is not spent before the next write
+    // shows what is held. What was lent stays deducted, since the holdings are still those of before.
+    countWrittenTransfers(world, account, record, (transfer) => transfer.to === holderName(world, account));
     account.failures++;
     requestWrite(world, account, now + randomBelow(world.random, CONFLICT_JITTER_MS * account.failures));
 }
@@ -294,7 +297,7 @@
     const settled = new Set(write.settlements);
     account.settlements = account.settlements.filter((settlement) => !settled.has(settlement));
     dropTransfers(world, account, write);
-    countWrittenTransfers(world, account, record);
+    countWrittenTransfers(world, account, record, () => true);
     account.recoveries = account.recoveries.filter((recovery) => !write.recoveries.includes(recovery));
     for (const row of account.budgets.values()) {
         row.unsettled -= sumTokens(write.settlements.filter((settlement) => settlement.budget === row.id));
@@ -332,8 +335,15 @@
 }
 
 // The holdings just read include a transfer that the other end wrote meanwhile; it must not count twice.
-function countWrittenTransfers(world: World, account: AccountRow, record: LedgerRecord): void {
-    const written = account.transfers.filter((transfer) => record.transfers[transfer.id] !== undefined);
+function countWrittenTransfers(
+    world: World,
+    account: AccountRow,
+    record: LedgerRecord,
+    matches: (transfer: LedgerTransfer) => boolean,
+): void {
+    const written = account.transfers.filter((transfer) =>
+        record.transfers[transfer.id] !== undefined && matches(transfer)
+    );
     for (const transfer of written) {
         uncountTransfer(world, account, transfer);
     }
