--- a/packages/router/src/observability/metrics.ts
+++ b/packages/router/src/observability/metrics.ts
@@ -110,6 +110,10 @@
         "1 while the key-value service does not answer.",
         () => world.keyValueFailingSince === undefined ? 0 : 1,
     );
+    gauge("ledger_lag_seconds", "Age of the oldest bill that the ledger does not have.", () => {
+        const oldest = Math.min(...[...world.openBills.values()].map(({ bill }) => bill.at));
+        return Number.isFinite(oldest) ? (Date.now() - oldest) / 1000 : 0;
+    });
     gauge("endpoints_ejected", "Endpoints that get no work for a while.", () => {
         return [...world.endpoints.values()].filter((row) => row.ejectedUntil > Date.now()).length;
     });
