--- a/packages/standins/src/measure/baselines.ts
+++ b/packages/standins/src/measure/baselines.ts
@@ -43,6 +43,7 @@
     private readonly pending = new Map<KeyValueCallId, Pending>();
     private readonly timers: { at: number; action: () => void; }[] = [];
     private readonly random: Random;
+    private readonly bills = new Map<string, { arrival: Arrival; tokens: number; }[]>();
     private nextRun = 1;
     private nextCall = 1;
 
@@ -172,27 +173,46 @@
         this.effects.push({ kind: "caller-refused", call: arrival.call, refusal });
     }
 
+    // Bills are written in batches; one whose write was not answered is written again.
     private bill(arrival: Arrival, tokens: number, now: number): void {
-        this.read(arrival.account, (record, version) => {
+        const waiting = this.bills.get(arrival.account) ?? [];
+        this.bills.set(arrival.account, waiting);
+        waiting.push({ arrival, tokens });
+        if (waiting.length === 1) {
+            this.writeBills(arrival.account, now);
+        }
+    }
+
+    private writeBills(account: string, now: number): void {
+        const waiting = this.bills.get(account)!;
+        const retry = (): void =>
+            void this.timers.push({ at: now + RETRY_MS, action: () => this.writeBills(account, now + RETRY_MS) });
+        this.read(account, (record, version) => {
             if (record === undefined) {
-                this.timers.push({ at: now + RETRY_MS, action: () => this.bill(arrival, tokens, now + RETRY_MS) });
-                return;
+                return retry();
             }
-            (record.budgets[arrival.budget] ??= { granted: 0, billed: 0 }).billed += tokens;
-            record.bills[digestKey(arrival.account, arrival.key)] = { tokens, at: now };
-            this.sealBills(arrival.account, record);
+            const batch = [...waiting];
+            for (const { arrival, tokens } of batch) {
+                (record.budgets[arrival.budget] ??= { granted: 0, billed: 0 }).billed += tokens;
+                record.bills[digestKey(arrival.account, arrival.key)] = { tokens, at: now };
+            }
+            this.sealBills(account, record);
             const call = this.register((result) => {
                 if (result.kind !== "applied") {
-                    this.bill(arrival, tokens, now);
+                    return retry();
+                }
+                waiting.splice(0, batch.length);
+                if (waiting.length > 0) {
+                    this.writeBills(account, now);
                 }
             });
-            const value = formatRecord(record);
+            const key = ledgerKey(account);
             this.effects.push({
                 kind: "key-value-swap",
                 call,
-                key: ledgerKey(arrival.account),
+                key,
                 expected: version,
-                value,
+                value: formatRecord(record),
                 lifetimeMs: undefined,
             });
         });
@@ -200,8 +220,7 @@
 
     // The baselines keep old bills as the fleet does, so that they are compared by their decisions.
     private sealBills(account: string, record: LedgerRecord): void {
-        const page = pageToSeal(record);
-        if (page !== undefined) {
+        for (let page = pageToSeal(record); page !== undefined; page = pageToSeal(record)) {
             applySeal(record, page);
             const call = this.register(() => undefined);
             const key = pageKey(account, page.id);
