--- a/packages/core/src/mocks/fake-fleet.ts
+++ b/packages/core/src/mocks/fake-fleet.ts
@@ -217,8 +217,11 @@
 
     private page(account: string, id: string): ReadonlyMap<KeyDigest, Bill> {
         const known = this.pages.get(id);
-        const page = known ?? parsePage(this.keyValue.values.get(pageKey(account, id))?.value);
-        this.pages.set(id, page);
+        const stored = this.keyValue.values.get(pageKey(account, id))?.value;
+        const page = known ?? parsePage(stored);
+        if (stored !== undefined) {
+            this.pages.set(id, page);
+        }
         return page;
     }
 
