--- a/packages/core/src/fleet.test.ts
+++ b/packages/core/src/fleet.test.ts
@@ -175,6 +175,30 @@
             expectSafe(fleet);
         });
 
+        it("keep what a cut-off router still uses, however long it is silent", () => {
+            const fleet = fleetOf(1_000);
+            const cutOff = fleet.routers[1]!;
+            fleet.routers.forEach((router) => {
+                router.unreachable = router !== cutOff;
+            });
+            for (let index = 0; index < 5; index++) {
+                fleet.send({ account: "a", chunks: 800, outputTokens: 50, timeoutMs: 90_000 });
+            }
+            fleet.run(1_000);
+            fleet.isolated.add(cutOff.address);
+            fleet.routers.forEach((router) => {
+                router.unreachable = router === cutOff;
+            });
+            for (let index = 0; index < 28; index++) {
+                fleet.at(14_000 + index * 200, () => void fleet.send({ account: "a", mostAttempts: 1 }));
+            }
+            fleet.run(20_000);
+            fleet.isolated.clear();
+            fleet.run(60_000);
+            expect(fleet.callers.records.slice(0, 5).every((record) => record.result === "whole")).toBe(true);
+            expectSafe(fleet);
+        });
+
         it("bill an answer though its router dies as it ends", () => {
             for (let index = 0; index < 3; index++) {
                 const fleet = fleetOf();
