Read an account's record in one place, and derive a row's figures

Two branches sent the same read; the row type of the measurement repeated the fields of the verdict. Behaviour is the same: 69 core tests pass, and a scenario gives the same bytes before and after.

--- a/packages/core/src/systems/ledger.ts
+++ b/packages/core/src/systems/ledger.ts
@@ -56,19 +56,15 @@
     if (account.busy) {
         return;
     }
-    if (account.stored === undefined) {
-        account.busy = true;
-        readKey(world, ledgerKey(id), { kind: "ledger-read", account: id });
-        return;
-    }
-    if (account.write !== undefined) {
-        resendWrite(world, account);
+    // A write that was not answered is decided by what the record holds now.
+    if (account.stored === undefined || account.write !== undefined) {
+        readRecord(world, account);
         return;
     }
     startWrite(world, account, listener, now);
 }
 
-function resendWrite(world: World, account: AccountRow): void {
+function readRecord(world: World, account: AccountRow): void {
     account.busy = true;
     readKey(world, ledgerKey(account.id), { kind: "ledger-read", account: account.id });
 }
--- a/packages/standins/src/measure/main.ts
+++ b/packages/standins/src/measure/main.ts
@@ -3,24 +3,22 @@
 import { CheckThenBillBrain, StaticSplitBrain } from "./baselines.js";
 import { runScenario, type Scenario, type ScenarioFigures, scenarios } from "./scenarios.js";
 
+type SafetyFigure =
+    | "overspentTokens"
+    | "billsMissing"
+    | "billsDoubled"
+    | "nonIdempotentDoubles"
+    | "dishonestRefusals"
+    | "brokenAnswers";
+type LoadFigure = "falseRefusals" | "requests" | "strandedTokens" | "crashes" | "strandedLimit";
+
 /** One row of the measurement. */
-type Row = {
+type Row = Pick<ScenarioFigures, SafetyFigure | LoadFigure> & {
     readonly scenario: string;
     readonly policy: string;
-    readonly overspentTokens: number;
-    readonly billsMissing: number;
-    readonly billsDoubled: number;
-    readonly nonIdempotentDoubles: number;
-    readonly dishonestRefusals: number;
-    readonly brokenAnswers: number;
-    readonly falseRefusals: number;
-    readonly requests: number;
-    readonly strandedTokens: number;
     readonly keyValueCallsPerSecond: number;
     readonly keyValueWritesPerSecond: number;
     readonly peerMessagesPerSecond: number;
-    readonly crashes: number;
-    readonly strandedLimit: number;
 };
 
 const { values } = parseArgs({
