Bill what was used when a stream is continued past its last chunk

Cause: the last chunk of a stream tells its usage. A router that continued a stream whose chunks had all arrived, but not the end mark, saw the end only, took the usage for 0 and billed 0 tokens.

Ruled out: a key billed twice (totals and bills agreed), bills in pages (a page that cannot be read was taken for empty by the judge; that is now a failure), two runs with different costs (one start).

Now a stream is continued one chunk before the offset, so that its last chunk is always seen; an end without usage is billed the worst case, which was reserved.

The fakes hid it: they gave the usage with every end. They now give it with the last chunk, and billsWrong checks each bill of a whole answer against what its run used.

The demo names each violation, replaces a replacement that crashes too, and ends its processes when it is stopped.

--- a/packages/cli/src/commands/budget.ts
+++ b/packages/cli/src/commands/budget.ts
@@ -49,7 +49,10 @@
         if (values.history) {
             sections.push(formatTable(["TOP-UP", "BUDGET", "TOKENS", "AT"], topUpRows(record.topUps)));
             const known = await readBills(store.value, account, record);
-            const bills = [...known].map((
+            if (known.isErr()) {
+                return err(known.error);
+            }
+            const bills = [...known.value].map((
                 [key, bill],
             ) => [key, bill.tokens, new Date(bill.at).toISOString()]);
             sections.push(formatTable(["BILL", "TOKENS", "AT"], bills));
--- a/packages/cli/src/operations/budgets.ts
+++ b/packages/cli/src/operations/budgets.ts
@@ -28,11 +28,16 @@
     readonly free: number;
 };
 
+const silentService: CommandFailure = {
+    kind: "unavailable",
+    message: "The key-value service does not answer. Try again later.",
+};
+
 /** Reads the ledger records of all accounts. */
 export async function readLedger(store: KeyValueStore): Promise<Result<Map<string, LedgerRecord>, CommandFailure>> {
     const entries = await store.list(ledgerKey(""));
     if (entries === undefined) {
-        return err({ kind: "unavailable", message: "The key-value service does not answer. Try again later." });
+        return err(silentService);
     }
     return ok(new Map(entries.map((entry) => [entry.key.slice(ledgerKey("").length), parseRecord(entry.value)])));
 }
@@ -42,17 +47,19 @@
     store: KeyValueStore,
     account: string,
     record: LedgerRecord,
-): Promise<Map<KeyDigest, Bill>> {
+): Promise<Result<Map<KeyDigest, Bill>, CommandFailure>> {
     const bills = new Map<KeyDigest, Bill>();
     for (const page of record.pages) {
         const result = await store.get(pageKey(account, page.id));
-        const entries = result.kind === "value" ? parsePage(result.current.value) : new Map<KeyDigest, Bill>();
-        entries.forEach((bill, key) => bills.set(key, bill));
+        if (result.kind !== "value") {
+            return err(silentService);
+        }
+        parsePage(result.current.value).forEach((bill, key) => bills.set(key, bill));
     }
     for (const [key, bill] of Object.entries<Bill>(record.bills)) {
         bills.set(key as KeyDigest, bill);
     }
-    return bills;
+    return ok(bills);
 }
 
 /** Returns the figures of an account's budgets. */
--- a/packages/core/src/fleet.test.ts
+++ b/packages/core/src/fleet.test.ts
@@ -26,6 +26,7 @@
         overspentTokens: 0,
         billsMissing: 0,
         billsDoubled: 0,
+        billsWrong: 0,
         nonIdempotentDoubles: 0,
         dishonestRefusals: 0,
         brokenAnswers: 0,
@@ -215,6 +216,20 @@
             }
         });
 
+        it("bill what was used though the last router only saw the end of the stream", () => {
+            const fleet = fleetOf();
+            const record = fleet.send({ account: "a" });
+            const isBilling = (router: FakeFleet["routers"][number]): boolean =>
+                [...router.brain.world!.runs.values()].some((run) => run.state === "billing");
+            while (!fleet.routers.some(isBilling)) {
+                fleet.run(0.25);
+            }
+            fleet.kill(fleet.routers.find(isBilling)!);
+            fleet.run(60_000);
+            expect(record).toMatchObject({ result: "whole", attempts: 2 });
+            expectSafe(fleet);
+        });
+
         it("last through an outage of the key-value service", () => {
             const fleet = fleetOf();
             for (let index = 0; index < 600; index++) {
--- a/packages/core/src/mocks/fake-endpoints.ts
+++ b/packages/core/src/mocks/fake-endpoints.ts
@@ -174,7 +174,7 @@
             listener.chunk(chunkOf(stream.work, offset));
         }
         if (stream.done) {
-            listener.end(endOf(stream.work));
+            listener.end(endOf(stream.work, from));
             return;
         }
         stream.listeners.add(listener);
@@ -213,7 +213,7 @@
         const finished = this.truth.finished.get(key) ?? [];
         finished.push(promptTokens + outputTokens);
         this.truth.finished.set(key, finished);
-        stream.listeners.forEach((listener) => listener.end(endOf(stream.work)));
+        stream.listeners.forEach((listener) => listener.end(endOf(stream.work, 0)));
         stream.listeners.clear();
     }
 
@@ -232,7 +232,9 @@
     return { offset, tokens, data: `${work.stream}:${offset}` };
 }
 
-function endOf(work: FakeWork): AnswerEnd {
+// The last chunk tells the usage: a connection that begins after it ends without.
+function endOf(work: FakeWork, from: number): AnswerEnd {
     const { chunks, promptTokens, outputTokens } = work;
-    return { chunks, status: 200, promptTokens, outputTokens, contentType: "text/event-stream" };
+    const usage = from < chunks ? { promptTokens, outputTokens } : undefined;
+    return { chunks, status: 200, usage, contentType: "text/event-stream" };
 }
--- a/packages/core/src/mocks/fleet-judge.ts
+++ b/packages/core/src/mocks/fleet-judge.ts
@@ -15,6 +15,8 @@
     readonly overspentTokens: number;
     readonly billsMissing: number;
     readonly billsDoubled: number;
+    /** Whole answers whose bill is not what a finished run of theirs used. */
+    readonly billsWrong: number;
     readonly nonIdempotentDoubles: number;
     readonly dishonestRefusals: number;
     readonly brokenAnswers: number;
@@ -44,6 +46,7 @@
             overspentTokens: accounts.reduce((sum, account) => sum + this.overspent(account, whole), 0),
             billsMissing: whole.filter((record) => !this.isBilled(record) && !this.isLostWithKeepers(record)).length,
             billsDoubled: accounts.filter((account) => this.hasDoubledBills(account)).length,
+            billsWrong: whole.filter((record) => this.isBilledWrong(record)).length,
             nonIdempotentDoubles:
                 records.filter((record) => !record.plan.idempotent && this.startsOf(record) > 1).length,
             dishonestRefusals: records.filter((record) => record.dishonest).length,
@@ -66,6 +69,11 @@
         return this.billsOf(record.plan.account).has(record.keyDigest);
     }
 
+    private isBilledWrong(record: RequestRecord): boolean {
+        const bill = this.billsOf(record.plan.account).get(record.keyDigest);
+        return bill !== undefined && bill.tokens !== costOf(record);
+    }
+
     // The case allowed: all three routers that had the bill died before one could write it, or both of two while
     // the ledger was away.
     private isLostWithKeepers(record: RequestRecord): boolean {
--- a/packages/core/src/mocks/schedule.ts
+++ b/packages/core/src/mocks/schedule.ts
@@ -171,6 +171,7 @@
         "overspentTokens",
         "billsMissing",
         "billsDoubled",
+        "billsWrong",
         "nonIdempotentDoubles",
         "dishonestRefusals",
         "brokenAnswers",
--- a/packages/core/src/systems/answers.ts
+++ b/packages/core/src/systems/answers.ts
@@ -32,7 +32,7 @@
     leaveLane(world, run, now);
     run.end = end;
     run.state = "billing";
-    bill(world, run, run.target.kind === "model" ? end.promptTokens + end.outputTokens : run.worst, now);
+    bill(world, run, usedTokens(run, end), now);
     recordClaimOutcome(world, run, "ran", end.status, now);
     schedule(world.due, now + world.policy.billWaitMs, { kind: "bill-wait", run: run.id });
     if (needsLedger(world, now)) {
@@ -41,6 +41,14 @@
     serveQueue(world, serverOf(run.target), now);
 }
 
+// An answer without a reported usage is paid for as its worst case: it may have used that much.
+function usedTokens(run: Run, end: AnswerEnd): number {
+    if (run.target.kind === "service" || end.usage === undefined) {
+        return run.worst;
+    }
+    return end.usage.promptTokens + end.usage.outputTokens;
+}
+
 /** Ends a run in state billing, whose bill is kept twice or was waited for long enough. */
 export function endBilling(world: World, run: Run | undefined, now: number): void {
     if (run !== undefined && run.state === "billing") {
--- a/packages/core/src/systems/streams.ts
+++ b/packages/core/src/systems/streams.ts
@@ -31,7 +31,8 @@
         call: run.arrival.call,
         endpoint,
         stream: run.stream,
-        resumeAt: run.resuming ? nextOffset(run) : undefined,
+        // The chunk before is asked for again: the last one of a stream tells the usage, which is billed.
+        resumeAt: run.resuming ? Math.max(0, nextOffset(run) - 1) : undefined,
         freshConnection: run.resuming,
         deadline: run.arrival.deadline,
     });
--- a/packages/core/src/types/messages.ts
+++ b/packages/core/src/types/messages.ts
@@ -57,12 +57,15 @@
     readonly data: string;
 };
 
-/** The end mark of an answer, with the totals that prove it whole. */
+/** Tokens that an engine says it used for a whole answer. */
+export type TokenUsage = { readonly promptTokens: number; readonly outputTokens: number; };
+
+/** The end mark of an answer, with the total that proves it whole. */
 export type AnswerEnd = {
     readonly chunks: number;
     readonly status: number;
-    readonly promptTokens: number;
-    readonly outputTokens: number;
+    /** What the engine reported on this connection; undefined when it said nothing, and for plain services. */
+    readonly usage: TokenUsage | undefined;
     readonly contentType: string;
 };
 
--- a/packages/router/src/endpoints/model-client.ts
+++ b/packages/router/src/endpoints/model-client.ts
@@ -1,4 +1,4 @@
-import type { AnswerEnd, EndpointDeclaration } from "@gooseberrybend/core";
+import type { AnswerEnd, EndpointDeclaration, TokenUsage } from "@gooseberrybend/core";
 import { createParser, type EventSourceMessage } from "eventsource-parser";
 import type { Readable } from "node:stream";
 import { finished } from "node:stream/promises";
@@ -112,13 +112,12 @@
 }
 
 function endOf(count: StreamCount): AnswerEnd {
-    return {
-        chunks: count.next,
-        status: 200,
-        promptTokens: count.usage?.prompt_tokens ?? 0,
-        outputTokens: count.usage?.completion_tokens ?? 0,
-        contentType: "text/event-stream",
-    };
+    const { next, usage } = count;
+    return { chunks: next, status: 200, usage: usage && usageOf(usage), contentType: "text/event-stream" };
+}
+
+function usageOf(usage: Usage): TokenUsage {
+    return { promptTokens: usage.prompt_tokens, outputTokens: usage.completion_tokens };
 }
 
 function failureOfStatus(status: number, headers: Readonly<Record<string, unknown>>, call: EndpointCall): FailedCall {
--- a/packages/router/src/endpoints/service-client.ts
+++ b/packages/router/src/endpoints/service-client.ts
@@ -39,7 +39,7 @@
                 chunk: { offset: 0, tokens: 0, data: answer.toString("base64") },
             });
             const type = String(response.headers["content-type"] ?? "application/octet-stream");
-            const end = { chunks: 1, status: response.statusCode, promptTokens: 0, outputTokens: 0, contentType: type };
+            const end = { chunks: 1, status: response.statusCode, usage: undefined, contentType: type };
             sink({ kind: "endpoint-end", run, dispatch, end });
         }
         catch (error) {
--- a/packages/standins/src/bench/admission.ts
+++ b/packages/standins/src/bench/admission.ts
@@ -125,7 +125,7 @@
     for (const effect of effects) {
         if (effect.kind === "dispatch") {
             const { run, dispatch } = effect;
-            const end = { chunks: 0, status: 200, promptTokens: 10, outputTokens: 10, contentType: "" };
+            const end = { chunks: 0, status: 200, usage: { promptTokens: 10, outputTokens: 10 }, contentType: "" };
             tick(world, 1_000, [{ kind: "endpoint-end", run, dispatch, end }]);
         }
     }
--- a/packages/standins/src/demo/main.ts
+++ b/packages/standins/src/demo/main.ts
@@ -1,6 +1,6 @@
 import { collectFiles, publish, readBills, readLedger, RouterCalls, topUp } from "@gooseberrybend/cli";
 import { GooseberrybendClient } from "@gooseberrybend/client";
-import type { BudgetId, Holder, LedgerRecord } from "@gooseberrybend/core";
+import type { Bill, BudgetId, Holder, KeyDigest, LedgerRecord } from "@gooseberrybend/core";
 import { EtcdStore } from "@gooseberrybend/router";
 import { fileURLToPath } from "node:url";
 import { parseArgs } from "node:util";
@@ -10,7 +10,7 @@
 import type { EngineCounts } from "../model-engine/engine.js";
 import type { ServiceCounts } from "../plain-service/service.js";
 import { Processes, type RunningProcess } from "./processes.js";
-import { judge, safetyFigures, type Verdict } from "./truth.js";
+import { describeViolations, type Evidence, judge, safetyFigures, type Verdict } from "./truth.js";
 
 const KEY_VALUE_PORT = 21_101;
 const ROUTER_PORTS = [21_001, 21_002, 21_003, 21_004];
@@ -43,6 +43,9 @@
 });
 const startedAt = Date.now();
 const processes = new Processes();
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+    process.once(signal, () => void processes.endAll().finally(() => process.exit(1)));
+}
 process.exitCode = await runDemo();
 process.exit();
 
@@ -99,7 +102,10 @@
         timeoutMs: 20_000,
         seed: Number(values.seed) * 1_000,
         onLost(router) {
-            cutByDrain += router === drainingRouter ? 1 : 0;
+            if (router === drainingRouter) {
+                cutByDrain++;
+                say("A request was cut at the draining router.");
+            }
         },
     });
     load.start();
@@ -129,7 +135,7 @@
         }],
         [24, "A request that crashes engines comes in.", () => {
             extra.push(sendPoison());
-            restartCrashed(engines);
+            engines.forEach(replaceCrashed);
         }],
     ];
     const begin = Date.now();
@@ -146,20 +152,21 @@
     const live = await settled(store, load.records.filter((record) => record.result === "whole").length);
     const ledger = (await readLedger(store))._unsafeUnwrap();
     const bills = await billsOf(store, ledger);
-    const verdict = judge({
+    const evidence: Evidence = {
         records: load.records,
         engines: await countsOf<EngineCounts>(engines),
         services: await countsOf<ServiceCounts>(services),
         ledger,
         bills,
         liveRouters: live,
-        cutByDrain: cutByDrain + (routers[2]!.exitCode === 0 ? 0 : 1),
+        cutByDrain: cutByDrain + unfinishedDrains(routers[2]!),
         callCosts,
-    });
+    };
     links.forEach((link) => link.close());
     report(load);
     reportStranded(ledger, live);
-    return verdict;
+    describeViolations(evidence).forEach(say);
+    return judge(evidence);
 }
 
 function accountOf(
@@ -209,6 +216,14 @@
     await calls.close();
 }
 
+function unfinishedDrains(router: RunningProcess): number {
+    if (router.exitCode === 0) {
+        return 0;
+    }
+    say(`${router.name} has not ended its drain: ${router.exitCode === undefined ? "it runs" : router.exitCode}.`);
+    return 1;
+}
+
 async function setFaults(running: RunningProcess, faults: object): Promise<void> {
     const response = await request(`http://127.0.0.1:${running.port}/faults`, {
         method: "POST",
@@ -241,14 +256,13 @@
     await client.close();
 }
 
-// The platform replaces a crashed engine.
-function restartCrashed(engines: readonly RunningProcess[]): void {
-    for (const engine of engines) {
-        engine.process.on("exit", () => {
-            say(`${engine.name} crashed and is replaced.`);
-            engine.process = engine.start();
-        });
-    }
+// The platform replaces a crashed engine, and its replacement if that crashes too.
+function replaceCrashed(engine: RunningProcess): void {
+    engine.process.on("exit", () => {
+        say(`${engine.name} crashed and is replaced.`);
+        engine.process = engine.start();
+        replaceCrashed(engine);
+    });
 }
 
 async function settled(store: EtcdStore, answers: number): Promise<Set<string>> {
@@ -278,10 +292,10 @@
 async function billsOf(
     store: EtcdStore,
     ledger: ReadonlyMap<string, LedgerRecord>,
-): Promise<Map<string, Awaited<ReturnType<typeof readBills>>>> {
-    const bills = new Map<string, Awaited<ReturnType<typeof readBills>>>();
+): Promise<Map<string, ReadonlyMap<KeyDigest, Bill>>> {
+    const bills = new Map<string, ReadonlyMap<KeyDigest, Bill>>();
     for (const [account, record] of ledger) {
-        bills.set(account, await readBills(store, account, record));
+        bills.set(account, (await readBills(store, account, record))._unsafeUnwrap());
     }
     return bills;
 }
--- a/packages/standins/src/demo/truth.ts
+++ b/packages/standins/src/demo/truth.ts
@@ -31,6 +31,8 @@
     readonly overspentTokens: number;
     readonly billsMissing: number;
     readonly billsDoubled: number;
+    /** Whole answers whose bill is not what a finished run of theirs used. */
+    readonly billsWrong: number;
     readonly nonIdempotentDoubles: number;
     readonly dishonestRefusals: number;
     readonly brokenAnswers: number;
@@ -44,6 +46,7 @@
     "overspentTokens",
     "billsMissing",
     "billsDoubled",
+    "billsWrong",
     "nonIdempotentDoubles",
     "dishonestRefusals",
     "brokenAnswers",
@@ -62,9 +65,9 @@
         refused: refused.length,
         overspentTokens: overspent(evidence, whole),
         billsMissing: whole.filter((record) => billOf(evidence, record) === undefined).length,
-        billsDoubled: doubledBills(evidence, whole),
-        nonIdempotentDoubles:
-            records.filter((record) => record.kind === "action" && runsOf(evidence, record.key) > 1).length,
+        billsDoubled: accountsWithDoubledBills(evidence).length,
+        billsWrong: whole.filter((record) => isBilledWrong(evidence, record)).length,
+        nonIdempotentDoubles: records.filter((record) => ranTwice(evidence, record)).length,
         dishonestRefusals: refused.filter((record) => isDishonest(evidence, record)).length,
         brokenAnswers: records.filter((record) => record.result === "broken").length,
         cutByDrain: evidence.cutByDrain,
@@ -109,18 +112,57 @@
     return sum;
 }
 
-function doubledBills(evidence: Evidence, whole: readonly CallRecord[]): number {
-    const wrong = whole.filter((record) => {
+function isBilledWrong(evidence: Evidence, record: CallRecord): boolean {
+    const billed = billOf(evidence, record);
+    return billed !== undefined && !trueCost(evidence, record).includes(billed);
+}
+
+// More billed in total than the bills add up to means that some key was billed twice.
+function accountsWithDoubledBills(evidence: Evidence): string[] {
+    const accounts = [...evidence.ledger.keys()];
+    return accounts.filter((account) => billedTotal(evidence, account) !== sumOfBills(evidence, account));
+}
+
+function billedTotal(evidence: Evidence, account: string): number {
+    const totals = Object.values(evidence.ledger.get(account)!.budgets);
+    return totals.reduce((sum, budget) => sum + budget.billed, 0);
+}
+
+function sumOfBills(evidence: Evidence, account: string): number {
+    return [...evidence.bills.get(account)!.values()].reduce((sum, bill) => sum + bill.tokens, 0);
+}
+
+function ranTwice(evidence: Evidence, record: CallRecord): boolean {
+    return record.kind === "action" && runsOf(evidence, record.key) > 1;
+}
+
+/** Names each request and account behind the safety figures, one sentence each. */
+export function describeViolations(evidence: Evidence): string[] {
+    const sentences = accountsWithDoubledBills(evidence).map((account) =>
+        `Doubled: ${account} was billed ${billedTotal(evidence, account)}, its bills are ${
+            sumOfBills(evidence, account)
+        }.`
+    );
+    for (const record of evidence.records) {
+        const name = `${record.kind} ${record.key} of ${record.account}, ${record.attempts} attempts`;
         const billed = billOf(evidence, record);
-        return billed !== undefined && !trueCost(evidence, record).includes(billed);
-    }).length;
-    let unexplained = 0;
-    for (const [account, record] of evidence.ledger) {
-        const billed = Object.values(record.budgets).reduce((sum, budget) => sum + budget.billed, 0);
-        const bills = [...evidence.bills.get(account)!.values()].reduce((sum, bill) => sum + bill.tokens, 0);
-        unexplained += billed === bills ? 0 : 1;
+        if (record.result === "whole" && billed === undefined) {
+            sentences.push(`Not billed: ${name}.`);
+        }
+        if (record.result === "whole" && isBilledWrong(evidence, record)) {
+            sentences.push(`Billed wrong: ${name}: ${billed}, used ${trueCost(evidence, record).join(" or ")}.`);
+        }
+        if (ranTwice(evidence, record)) {
+            sentences.push(`Ran twice: ${name}.`);
+        }
+        if (isDishonest(evidence, record)) {
+            sentences.push(`Ran, but was refused as not run: ${name}.`);
+        }
+        if (record.result === "broken") {
+            sentences.push(`Broken: ${name}.`);
+        }
     }
-    return wrong + unexplained;
+    return sentences;
 }
 
 function isDishonest(evidence: Evidence, record: CallRecord): boolean {
--- a/packages/standins/src/link/link.ts
+++ b/packages/standins/src/link/link.ts
@@ -1,3 +1,4 @@
+import { once } from "node:events";
 import { createConnection, createServer, type Server, type Socket } from "node:net";
 
 /** How a link treats its connections. */
@@ -13,11 +14,10 @@
         this.server = createServer((socket) => this.accept(socket));
     }
 
-    /** Starts to listen on loopback. */
+    /** Starts to listen on loopback. Rejects when the port is in use. */
     async listen(port: number): Promise<void> {
-        await new Promise<void>((resolve) => {
-            this.server.listen(port, "127.0.0.1", resolve);
-        });
+        this.server.listen(port, "127.0.0.1");
+        await once(this.server, "listening");
     }
 
     /** Cuts the link, silences its open connections, or opens it again. */
--- a/packages/standins/src/measure/baselines.ts
+++ b/packages/standins/src/measure/baselines.ts
@@ -17,6 +17,7 @@
     type Random,
     randomElement,
     type Refusal,
+    type TokenUsage,
     type WorldOptions,
 } from "@gooseberrybend/core";
 import { RouterBrain } from "@gooseberrybend/core/mocks";
@@ -109,7 +110,7 @@
                     this.runs.delete(message.run);
                     this.effects.push({ kind: "caller-end", call: run.arrival.call, end: message.end });
                     const isModel = run.arrival.target.kind === "model";
-                    const tokens = isModel ? message.end.promptTokens + message.end.outputTokens : SERVICE_CALL_TOKENS;
+                    const tokens = isModel ? usedTokens(message.end.usage) : SERVICE_CALL_TOKENS;
                     this.noteUse(run.arrival, run.worst, tokens);
                     this.bill(run.arrival, tokens, now);
                 });
@@ -302,3 +303,7 @@
         this.used.set(account, (this.used.get(account) ?? 0) + tokens);
     }
 }
+
+function usedTokens(usage: TokenUsage | undefined): number {
+    return usage === undefined ? 0 : usage.promptTokens + usage.outputTokens;
+}
--- a/packages/standins/src/measure/main.ts
+++ b/packages/standins/src/measure/main.ts
@@ -7,6 +7,7 @@
     | "overspentTokens"
     | "billsMissing"
     | "billsDoubled"
+    | "billsWrong"
     | "nonIdempotentDoubles"
     | "dishonestRefusals"
     | "brokenAnswers";
@@ -54,6 +55,7 @@
         overspentTokens: figures.overspentTokens,
         billsMissing: figures.billsMissing,
         billsDoubled: figures.billsDoubled,
+        billsWrong: figures.billsWrong,
         nonIdempotentDoubles: figures.nonIdempotentDoubles,
         dishonestRefusals: figures.dishonestRefusals,
         brokenAnswers: figures.brokenAnswers,
@@ -75,6 +77,7 @@
         "over",
         "miss",
         "dbl",
+        "wrong",
         "twice",
         "lie",
         "broken",
@@ -94,6 +97,7 @@
             row.overspentTokens,
             row.billsMissing,
             row.billsDoubled,
+            row.billsWrong,
             row.nonIdempotentDoubles,
             row.dishonestRefusals,
             row.brokenAnswers,
