Let innocents go on as soon as a crash is explained, and end suspicion everywhere

Cause: all requests in flight at a crash ran one after the other in the lane, in order of arrival, also when the culprit was convicted. With 40 answers of 3 s and a crash, 4 ran into their deadline of 20 s: false refusals.

Suspects now run in the order of the time they had run when the endpoint crashed, shortest first, and a conviction explains the crashes that the convict was in flight at: whoever is suspect for those alone goes on at once.

Found on the way: routers adopted suspicions of each other as new, so that they kept suspects and convicts alive for ever in place of 10 minutes. Messages now carry the age of each crash, and a body that ran to its end is not suspected again for an older one.

The tests about endpoints have a file of their own.

--- /dev/null
+++ b/packages/core/src/fleet-endpoints.test.ts
@@ -0,0 +1,155 @@
+import { describe, expect, it } from "vitest";
+import { expectSafe, fleetOf, outcomes } from "./mocks/fleet-fixture.js";
+import { FakeFleet } from "./mocks/index.js";
+
+const LONG_ANSWER_MS = 4_000;
+
+describe("a fleet before its endpoints", () => {
+    describe("endpoints", () => {
+        it("lose at most two to a request that crashes them, and the others are answered", () => {
+            const fleet = fleetOf();
+            for (let index = 0; index < 100; index++) {
+                fleet.at(index * 20, () => void fleet.send({ account: "a", chunks: 8 }));
+            }
+            fleet.at(500, () => void fleet.send({ account: "a", poison: true, mostAttempts: 8 }));
+            fleet.at(9_000, () => void fleet.send({ account: "a", poison: true, mostAttempts: 8 }));
+            fleet.run(90_000);
+            expect(fleet.verdict().crashes).toBeLessThanOrEqual(2);
+            expect(fleet.verdict().answeredWhole).toBe(100);
+            expectSafe(fleet);
+        });
+
+        it("keep the others waiting no longer than it takes to convict the request that crashed them", () => {
+            const fleet = fleetOf(1_000_000);
+            for (let index = 0; index < 40; index++) {
+                fleet.at(index * 20, () => void fleet.send({ account: "a", chunks: 100 }));
+            }
+            fleet.at(1_000, () => void fleet.send({ account: "a", poison: true, mostAttempts: 8 }));
+            fleet.run(60_000);
+            const innocents = fleet.callers.records.filter((record) => !record.plan.poison);
+            const waits = innocents.map((record) => record.endedAt! - record.sentAt);
+            expect(innocents.every((record) => record.result === "whole")).toBe(true);
+            expect(Math.max(...waits)).toBeLessThan(3 * LONG_ANSWER_MS);
+            expect(fleet.verdict().crashes).toBe(2);
+            expectSafe(fleet);
+        });
+
+        it("forget suspects and convicts everywhere once their time is over", () => {
+            const fleet = fleetOf(100_000, { convictionMs: 10_000 });
+            for (let index = 0; index < 20; index++) {
+                fleet.at(index * 20, () => void fleet.send({ account: "a", chunks: 8 }));
+            }
+            fleet.at(200, () => void fleet.send({ account: "a", poison: true, mostAttempts: 3 }));
+            fleet.run(5_000);
+            expect(fleet.routers.every((router) => router.brain.world!.convicts.size === 1)).toBe(true);
+            fleet.run(30_000);
+            const known = fleet.routers.map(({ brain }) => brain.world!.convicts.size + brain.world!.suspects.size);
+            expect(known).toEqual([0, 0, 0]);
+        });
+
+        it.each([1, 31, 32, 39])("behind a proxy do not get innocents blamed while one is down, seed %i", (seed) => {
+            const budgets = { a: 1_000_000, b: 1_000_000, c: 1_000_000 };
+            const fleet = new FakeFleet({ seed, routers: 3, engines: 2, services: 1, slots: 24, budgets });
+            fleet.run(3_000);
+            fleet.endpoints.forEach((endpoint) => {
+                endpoint.behindProxy = true;
+            });
+            for (let index = 0; index < 150; index++) {
+                fleet.at(index * 15, () => void fleet.send({ account: "abc"[index % 3]!, chunks: 8, mostAttempts: 6 }));
+            }
+            fleet.at(500, () => void fleet.send({ account: "a", poison: true, mostAttempts: 8 }));
+            fleet.run(90_000);
+            expect(outcomes(fleet).filter((outcome) => outcome.startsWith("poison"))).toHaveLength(1);
+            expect(fleet.verdict().answeredWhole).toBe(150);
+            expectSafe(fleet);
+        });
+
+        it("get no new work a few seconds after they announce that they leave", () => {
+            const fleet = fleetOf();
+            for (let index = 0; index < 300; index++) {
+                fleet.at(index * 40, () => void fleet.send({ account: "a" }));
+            }
+            fleet.run(2_000);
+            [...fleet.endpoints.values()][0]!.leave();
+            fleet.run(30_000);
+            expectSafe(fleet);
+        });
+    });
+
+    describe("limits", () => {
+        it("share full endpoints fairly and refuse the rest at once", () => {
+            const fleet = new FakeFleet({
+                seed: 3,
+                routers: 2,
+                engines: 1,
+                services: 1,
+                slots: 4,
+                budgets: { greedy: 1_000_000, modest: 100_000 },
+                policy: { queueLimit: 40 },
+            });
+            fleet.run(3_000);
+            for (let index = 0; index < 400; index++) {
+                fleet.at(index * 5, () => void fleet.send({ account: "greedy", timeoutMs: 4_000, mostAttempts: 1 }));
+            }
+            for (let index = 0; index < 10; index++) {
+                fleet.at(
+                    200 + index * 150,
+                    () => void fleet.send({ account: "modest", timeoutMs: 4_000, mostAttempts: 1 }),
+                );
+            }
+            fleet.run(30_000);
+            const modest = fleet.callers.records.filter((record) => record.plan.account === "modest");
+            expect(modest.filter((record) => record.result === "whole").length).toBeGreaterThanOrEqual(9);
+            const overloaded = fleet.callers.records.filter((record) =>
+                record.refusals[0]?.refusal.reason === "overloaded"
+            );
+            expect(overloaded.length).toBeGreaterThan(0);
+            expectSafe(fleet);
+        });
+
+        it("do not let retries amplify the load of failing endpoints", () => {
+            const fleet = fleetOf(10_000_000, { retryBurst: 10, retryShare: 0.1 });
+            fleet.endpoints.forEach((endpoint) => {
+                endpoint.busy = true;
+            });
+            for (let index = 0; index < 300; index++) {
+                fleet.at(index * 20, () => void fleet.send({ account: "a", mostAttempts: 1, timeoutMs: 5_000 }));
+            }
+            fleet.run(15_000);
+            expect(fleet.truth.calls).toBeGreaterThanOrEqual(300);
+            expect(fleet.truth.calls).toBeLessThanOrEqual(300 * 1.1 + 3 * 10);
+        });
+    });
+
+    describe("configuration", () => {
+        it("reaches a router that is cut off from the key-value service, and never goes down", () => {
+            const fleet = fleetOf();
+            const router = fleet.routers[0]!;
+            fleet.withoutKeyValue.add(router.address);
+            fleet.run(1_000);
+            fleet.publish("extra", "{}");
+            fleet.publish("extra", '{ "operations": [] }');
+            fleet.run(14_000);
+            expect(router.brain.world!.configuration.version).toBe(3);
+            for (const versions of fleet.adopted.values()) {
+                expect([...versions].sort((first, second) => first - second)).toEqual(versions);
+            }
+        });
+    });
+
+    describe("addresses", () => {
+        it("leave out draining routers and spread accounts evenly", () => {
+            const fleet = fleetOf();
+            fleet.routers[0]!.deliver({ kind: "drain" });
+            fleet.run(3_000);
+            const brain = fleet.routers[1]!.brain;
+            const counts = new Map<string, number>();
+            for (let index = 0; index < 600; index++) {
+                const first = brain.addresses(`account-${index}` as never, fleet.clock.now)[0]!;
+                counts.set(first, (counts.get(first) ?? 0) + 1);
+            }
+            expect(counts.has(fleet.routers[0]!.address)).toBe(false);
+            expect(Math.min(...counts.values())).toBeGreaterThan(200);
+        });
+    });
+});
--- /dev/null
+++ b/packages/core/src/mocks/fleet-fixture.ts
@@ -0,0 +1,38 @@
+import { expect } from "vitest";
+import { FakeFleet } from "./fake-fleet.js";
+
+/** Returns a fleet of three routers and one account that has been running for a while. */
+export function fleetOf(budget = 100_000, policy = {}): FakeFleet {
+    const fleet = new FakeFleet({
+        seed: 3,
+        routers: 3,
+        engines: 3,
+        services: 2,
+        slots: 16,
+        budgets: { a: budget },
+        policy,
+    });
+    fleet.run(3_000);
+    return fleet;
+}
+
+/** Expects that no promise was broken. */
+export function expectSafe(fleet: FakeFleet): void {
+    expect(fleet.violations).toEqual([]);
+    expect(fleet.verdict()).toMatchObject({
+        overspentTokens: 0,
+        billsMissing: 0,
+        billsDoubled: 0,
+        billsWrong: 0,
+        nonIdempotentDoubles: 0,
+        dishonestRefusals: 0,
+        brokenAnswers: 0,
+        startsAfterLeaving: 0,
+    });
+}
+
+/** Returns the distinct refusals that callers got, as reason and outcome. */
+export function outcomes(fleet: FakeFleet): string[] {
+    const refused = fleet.callers.records.flatMap((record) => record.refusals.map(({ refusal }) => refusal));
+    return [...new Set(refused.map((refusal) => `${refusal.reason} ${refusal.outcome}`))].sort();
+}
--- a/packages/core/src/systems/answers.ts
+++ b/packages/core/src/systems/answers.ts
@@ -5,12 +5,13 @@
 import { accountRow, endpointRow, type Run, trace, type World } from "../world.js";
 import { recordClaimOutcome } from "./claims.js";
 import { markLeaving, noteFailure, noteSuccess, serverOf } from "./endpoints.js";
-import { clearSuspect, isConvict, leaveLane, noteCrash } from "./lanes.js";
+import { leaveLane, leaveLaneCleared } from "./lanes.js";
 import { requestWrite } from "./ledger.js";
 import { spreadSuspicion } from "./membership.js";
 import { noteServiceTime } from "./queue.js";
 import { bill, completeRun, refuseRun, seekEndpoint, serveQueue } from "./runs.js";
 import { nextOffset, restartStream, takeRetry, undispatch } from "./streams.js";
+import { clearSuspect, isConvict, noteCrash } from "./suspects.js";
 import { isKeptWell, needsLedger, reofferBill } from "./witness.js";
 
 const GROUP_COMMIT_MS = 20;
@@ -28,7 +29,7 @@
     undispatch(world, run, "ended");
     noteSuccess(row);
     noteServiceTime(world, run, now);
-    clearSuspect(world, run);
+    clearSuspect(world, run, now);
     leaveLane(world, run, now);
     run.end = end;
     run.state = "billing";
@@ -145,6 +146,7 @@
     leaveLane(world, run, now);
     if (isConvict(world, run.arrival.bodyDigest, now)) {
         refuseRun(world, run, "poison-request", world.policy.convictionMs, now);
+        leaveLaneCleared(world, now);
         return;
     }
     retry(world, run, reason, now);
--- a/packages/core/src/systems/lanes.ts
+++ b/packages/core/src/systems/lanes.ts
@@ -3,54 +3,10 @@
 import type { BodyDigest, Incarnation } from "../types/ids.js";
 import type { LaneRow, Run, World } from "../world.js";
 import { isLive, livePeers, sendToPeer } from "./peers.js";
+import { isSuspect } from "./suspects.js";
 
-const CONVICTING_CRASHES = 2;
-
-/** Returns true when a body was in flight at a crashed endpoint and was not cleared since. */
-export function isSuspect(world: World, body: BodyDigest, now: number): boolean {
-    const suspect = world.suspects.get(body);
-    return suspect !== undefined && now - suspect.at < world.policy.convictionMs;
-}
-
-/** Returns true when a body crashed endpoints repeatedly. */
-export function isConvict(world: World, body: BodyDigest, now: number): boolean {
-    const at = world.convicts.get(body);
-    return at !== undefined && now - at < world.policy.convictionMs;
-}
-
-/** Notes that a body was in flight when an endpoint crashed. A second crash while it ran alone convicts it. */
-export function noteCrash(world: World, run: Run, now: number): void {
-    const body = run.arrival.bodyDigest;
-    const crashes = (world.suspects.get(body)?.crashes ?? 0) + 1;
-    world.suspects.set(body, { crashes, at: now });
-    if (crashes >= CONVICTING_CRASHES && run.laneGranted) {
-        world.convicts.set(body, now);
-    }
-}
-
-/** Clears a body that ran to its end. */
-export function clearSuspect(world: World, run: Run): void {
-    world.suspects.delete(run.arrival.bodyDigest);
-}
-
-/** Takes in suspects and convicts that a peer knows. */
-export function adoptSuspicion(
-    world: World,
-    suspects: readonly BodyDigest[],
-    convicts: readonly BodyDigest[],
-    now: number,
-): void {
-    for (const body of suspects) {
-        if (!world.suspects.has(body)) {
-            world.suspects.set(body, { crashes: 1, at: now });
-        }
-    }
-    for (const body of convicts) {
-        if (!world.convicts.has(body)) {
-            world.convicts.set(body, now);
-        }
-    }
-}
+/** A suspect that waits for the lane. */
+export type LaneRequest = LaneRow["waiting"][number];
 
 /** Asks for the lane in which the fleet's suspects run one at a time. */
 export function askForLane(world: World, run: Run, now: number): void {
@@ -59,12 +15,23 @@
     run.lane = lane;
     schedule(world.due, now + world.policy.laneMs, { kind: "lane-wait", run: run.id });
     const keeper = laneKeeper(world, lane, now);
-    const body = run.arrival.bodyDigest;
+    const request = { body: run.arrival.bodyDigest, ranMs: run.ranMs };
     if (keeper === world.self.incarnation) {
-        queueForLane(world, lane, keeper, body, now);
+        queueForLane(world, lane, { ...request, incarnation: keeper }, now);
         return;
     }
-    sendToPeer(world, keeper, { kind: "lane-wanted", lane, body });
+    sendToPeer(world, keeper, { kind: "lane-wanted", lane, ...request });
+}
+
+/** Lets runs go on that waited for the lane and are not suspect any more, since a convict explains their crash. */
+export function leaveLaneCleared(world: World, now: number): void {
+    for (const run of world.runs.values()) {
+        if (run.state === "lane" && !run.laneGranted && !isSuspect(world, run.arrival.bodyDigest, now)) {
+            leaveLane(world, run, now);
+            run.state = "queue";
+            schedule(world.due, now, { kind: "retry", run: run.id });
+        }
+    }
 }
 
 function laneKeeper(world: World, lane: string, now: number): Incarnation {
@@ -76,15 +43,8 @@
 }
 
 /** Queues a suspect for a lane that this router keeps. */
-export function queueForLane(
-    world: World,
-    lane: string,
-    incarnation: Incarnation,
-    body: BodyDigest,
-    now: number,
-): void {
-    const row = laneRow(world, lane);
-    row.waiting.push({ incarnation, body });
+export function queueForLane(world: World, lane: string, request: LaneRequest, now: number): void {
+    laneRow(world, lane).waiting.push(request);
     grantLane(world, lane, now);
 }
 
@@ -96,17 +56,25 @@
         return;
     }
     row.holder = undefined;
-    const next = row.waiting.shift();
+    const next = takeMostSuspect(row);
     if (next === undefined) {
         return;
     }
-    row.holder = { ...next, until: now + world.policy.laneMs };
+    const { incarnation, body } = next;
+    row.holder = { incarnation, body, until: now + world.policy.laneMs };
     schedule(world.due, row.holder.until, { kind: "lane", lane });
-    if (next.incarnation === world.self.incarnation) {
-        enterLane(world, lane, next.body, now);
+    if (incarnation === world.self.incarnation) {
+        enterLane(world, lane, body, now);
         return;
     }
-    sendToPeer(world, next.incarnation, { kind: "lane-granted", lane, body: next.body });
+    sendToPeer(world, incarnation, { kind: "lane-granted", lane, body });
+}
+
+// A request that crashes endpoints mostly does so soon: the shorter one ran, the more suspect it is.
+function takeMostSuspect(row: LaneRow): LaneRequest | undefined {
+    const shortest = Math.min(...row.waiting.map((request) => request.ranMs));
+    const index = row.waiting.findIndex((request) => request.ranMs === shortest);
+    return row.waiting.splice(index, index < 0 ? 0 : 1)[0];
 }
 
 function isReachable(world: World, incarnation: Incarnation, now: number): boolean {
--- a/packages/core/src/systems/membership.ts
+++ b/packages/core/src/systems/membership.ts
@@ -6,10 +6,11 @@
 import type { Heartbeat, PeerMessage } from "../types/messages.js";
 import { accountRow, type World } from "../world.js";
 import { markLeaving } from "./endpoints.js";
-import { adoptSuspicion, isConvict, isSuspect } from "./lanes.js";
+import { leaveLaneCleared } from "./lanes.js";
 import { requestPacedWrite } from "./ledger.js";
 import { livePeers, sendToPeer } from "./peers.js";
 import { hasLostHolder } from "./recovery.js";
+import { adoptSuspicions, forgetSuspects, knownSuspicions, suspicionsOf } from "./suspects.js";
 import { accountsToSettle, dropSettled, forgetWitnessed, oldestOpenAt } from "./witness.js";
 
 const BROADCAST_LIMIT = 32;
@@ -38,8 +39,7 @@
         own,
         heard: heardLately(world, now),
         leavingEndpoints: [...world.leavingEndpoints],
-        suspects: [...world.suspects.keys()].filter((body) => isSuspect(world, body, now)),
-        convicts: [...world.convicts.keys()].filter((body) => isConvict(world, body, now)),
+        ...knownSuspicions(world, now),
     };
     for (const address of heartbeatTargets(world, now)) {
         world.effects.push({ kind: "peer-send", to: undefined, address, message });
@@ -110,7 +110,9 @@
             markLeaving(world, endpoint);
         }
     }
-    adoptSuspicion(world, message.suspects, message.convicts, now);
+    if (adoptSuspicions(world, message, now)) {
+        leaveLaneCleared(world, now);
+    }
     if (message.own.configurationVersion > world.configuration.version) {
         sendToPeer(world, message.own.incarnation, {
             kind: "configuration-wanted",
@@ -140,16 +142,7 @@
 }
 
 function forgetOldEntries(world: World, now: number): void {
-    for (const [body, suspect] of world.suspects) {
-        if (now - suspect.at > world.policy.convictionMs) {
-            world.suspects.delete(body);
-        }
-    }
-    for (const [body, at] of world.convicts) {
-        if (now - at > world.policy.convictionMs) {
-            world.convicts.delete(body);
-        }
-    }
+    forgetSuspects(world, now);
     for (const account of world.accounts.values()) {
         for (const [transfer, at] of account.receivedTransfers) {
             if (now - at > HOLDER_RETIREMENT_MS) {
@@ -177,8 +170,7 @@
         own: ownHeartbeat(world, now),
         heard: [],
         leavingEndpoints: [],
-        suspects: [body],
-        convicts: isConvict(world, body, now) ? [body] : [],
+        ...suspicionsOf(world, body, now),
     };
     for (const peer of livePeers(world, now).slice(0, BROADCAST_LIMIT)) {
         sendToPeer(world, peer, message);
--- a/packages/core/src/systems/runs.ts
+++ b/packages/core/src/systems/runs.ts
@@ -8,11 +8,12 @@
 import { borrowedTransfers, holderName, releaseTokens, useTokens } from "./budgets.js";
 import { recordClaimOutcome, startClaim } from "./claims.js";
 import { chooseEndpoint, serverOf } from "./endpoints.js";
-import { askForLane, isConvict, isSuspect, leaveLane } from "./lanes.js";
+import { askForLane, leaveLane } from "./lanes.js";
 import { requestPacedWrite } from "./ledger.js";
 import { leaveQueue, nextQueued, queueRun } from "./queue.js";
 import { detailOf } from "./refusals.js";
 import { dispatchRun, nextOffset, replayChunks, undispatch } from "./streams.js";
+import { isConvict, isSuspect } from "./suspects.js";
 import { closeUse, openBill } from "./witness.js";
 
 const EXHAUSTED_RETRY_MS = 60_000;
@@ -110,6 +111,7 @@
         lane: undefined,
         laneGranted: false,
         laneGrantedAt: -Infinity,
+        ranMs: 0,
     };
     world.runs.set(run.id, run);
     world.runsByKey.set(keyDigest, run.id);
--- a/packages/core/src/systems/streams.ts
+++ b/packages/core/src/systems/streams.ts
@@ -9,11 +9,11 @@
     const row = endpointRow(world, endpoint);
     run.endpoint = endpoint;
     run.dispatch++;
-    run.dispatchedAt = now;
     run.lastProgress = now;
     run.writtenBefore = run.written;
     run.written = true;
     if (!run.resuming) {
+        run.dispatchedAt = now;
         run.attempts++;
         run.tried.push(endpoint);
         run.stream = `${run.keyDigest}.${world.self.incarnation}.${run.id}.${run.dispatch}`;
--- a/packages/core/src/tick.ts
+++ b/packages/core/src/tick.ts
@@ -267,7 +267,12 @@
         case "allowance-returned":
             return requestWrite(world, accountRow(world, message.account), now);
         case "lane-wanted":
-            return queueForLane(world, message.lane, from, message.body, now);
+            return queueForLane(
+                world,
+                message.lane,
+                { incarnation: from, body: message.body, ranMs: message.ranMs },
+                now,
+            );
         case "lane-granted":
             return enterLane(world, message.lane, message.body, now);
         case "lane-released":
--- a/packages/core/src/types/messages.ts
+++ b/packages/core/src/types/messages.ts
@@ -129,6 +129,16 @@
 /** A use of which nothing came, with the time that tells it from a later use of its key. */
 export type ClosedUse = { readonly key: string; readonly at: number; };
 
+/** A crash of an endpoint that a body was in flight at. */
+export type Crash = {
+    readonly endpoint: EndpointId;
+    /** Time in ms since it was seen; an age, since the clocks of two routers differ. */
+    readonly ageMs: number;
+};
+
+/** A body that may crash endpoints, with the crashes that speak against it. */
+export type Suspicion = { readonly body: BodyDigest; readonly crashes: readonly Crash[]; };
+
 /** What a router tells its peers of itself with each heartbeat. */
 export type Heartbeat = {
     readonly incarnation: Incarnation;
@@ -148,8 +158,8 @@
         readonly own: Heartbeat;
         readonly heard: readonly Heartbeat[];
         readonly leavingEndpoints: readonly EndpointId[];
-        readonly suspects: readonly BodyDigest[];
-        readonly convicts: readonly BodyDigest[];
+        readonly suspects: readonly Suspicion[];
+        readonly convicts: readonly Suspicion[];
     }
     | { readonly kind: "goodbye"; readonly incarnation: Incarnation; }
     | { readonly kind: "configuration-wanted"; readonly above: number; }
@@ -187,7 +197,13 @@
     | { readonly kind: "lend"; readonly account: AccountId; readonly transfer: LedgerTransfer; }
     | { readonly kind: "lend-received"; readonly transfer: TransferId; }
     | { readonly kind: "borrow-refused"; readonly account: AccountId; }
-    | { readonly kind: "lane-wanted"; readonly lane: string; readonly body: BodyDigest; }
+    | {
+        readonly kind: "lane-wanted";
+        readonly lane: string;
+        readonly body: BodyDigest;
+        /** Time in ms for which the body ran before its endpoint crashed: the shorter, the more suspect. */
+        readonly ranMs: number;
+    }
     | { readonly kind: "lane-granted"; readonly lane: string; readonly body: BodyDigest; }
     | { readonly kind: "lane-released"; readonly lane: string; readonly body: BodyDigest; };
 
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -147,6 +147,7 @@
     reserved: number;
     endpoint: EndpointId | undefined;
     dispatch: number;
+    /** Time in ms at which its stream was started, wherever it was continued since. */
     dispatchedAt: number;
     stream: string;
     tried: EndpointId[];
@@ -167,6 +168,8 @@
     lane: string | undefined;
     laneGranted: boolean;
     laneGrantedAt: number;
+    /** Time in ms for which it had run when its endpoint crashed; 0 before. */
+    ranMs: number;
 };
 
 /** One caller that follows a run. */
@@ -223,10 +226,21 @@
     allowed: boolean;
 };
 
-/** A request for the lane in which suspects run alone. */
+/** The lane in which suspects run alone, at the router that keeps it. */
 export type LaneRow = {
     holder: { incarnation: Incarnation; body: BodyDigest; until: number; } | undefined;
-    waiting: { incarnation: Incarnation; body: BodyDigest; }[];
+    waiting: { incarnation: Incarnation; body: BodyDigest; ranMs: number; }[];
+};
+
+/** A crash of an endpoint, and the time in ms at which this router saw it. */
+export type SeenCrash = { readonly endpoint: EndpointId; readonly at: number; };
+
+/** A body that was in flight when endpoints crashed. */
+export type SuspectRow = {
+    /** Crashes that no convict explains. */
+    crashes: SeenCrash[];
+    /** Time in ms of its last run to the end: earlier crashes do not speak against it. */
+    clearedAt: number;
 };
 
 /** What a key-value call was made for. */
@@ -320,8 +334,8 @@
     witnesses: readonly Incarnation[];
     readonly lends: Map<TransferId, LendRow>;
     readonly lanes: Map<string, LaneRow>;
-    readonly suspects: Map<BodyDigest, { crashes: number; at: number; }>;
-    readonly convicts: Map<BodyDigest, number>;
+    readonly suspects: Map<BodyDigest, SuspectRow>;
+    readonly convicts: Map<BodyDigest, readonly SeenCrash[]>;
     readonly keyValueCalls: Map<KeyValueCallId, KeyValuePurpose>;
     /** Time since which the key-value service has not answered, if it fails. */
     keyValueFailingSince: number | undefined;
