Let a caller say that its earlier attempts did not run, and be honest at the door

Cause: a call that may not be repeated was refused as not-run in an outage, tried again with attempt 2, and was then told may-have-run: the second router could not know of the first refusal.

The caller now says through which attempt all were refused as not run; attempt N + 1 after that is provably first. Actions are then retried through the outage.

Found on the way, each a dishonest refusal: a fault at the door (unknown model, bad body, unknown credential) said not-run for a second attempt, too; and a fresh router without a configuration told callers that their account was unknown, which is final. It now says not-ready (503, back in 1 s).

The fakes' rule is stricter: any refusal as not-run of the latest attempt is dishonest if the key was ever started, not only that of attempt 1.

Also: usage is recognised with blanks in the JSON, and a null usage is not taken for one in a whole answer.

--- a/packages/client/src/client.ts
+++ b/packages/client/src/client.ts
@@ -28,7 +28,14 @@
     /** sent is false when the request surely did not reach the router. */
     | { readonly kind: "lost"; readonly sent: boolean; };
 
-type Progress = { readonly key: string; readonly deadline: number; attempts: number; outcome: CallOutcome; };
+type Progress = {
+    readonly key: string;
+    readonly deadline: number;
+    attempts: number;
+    /** Attempts that surely did not run, from the first on without a gap. */
+    notRunThrough: number;
+    outcome: CallOutcome;
+};
 
 /**
  * Calls a fleet of routers: asks for addresses, retries by key with attempt numbers, continues streams
@@ -85,7 +92,7 @@
         attempt: (address: string, progress: Progress) => Promise<Attempt<Answer>>,
     ): Promise<Result<{ answer: Answer; progress: Progress; }, CallFailure>> {
         const deadline = Date.now() + (this.settings.timeoutMs ?? DEFAULT_TIMEOUT_MS);
-        const progress: Progress = { key, deadline, attempts: 0, outcome: "not-run" };
+        const progress: Progress = { key, deadline, attempts: 0, notRunThrough: 0, outcome: "not-run" };
         const mostAttempts = this.settings.mostAttempts ?? DEFAULT_ATTEMPTS;
         let last: RefusalBody | undefined;
         while (Date.now() < deadline) {
@@ -207,6 +214,7 @@
             "content-type": "application/json",
             "idempotency-key": progress.key,
             "gooseberrybend-attempt": String(progress.attempts),
+            "gooseberrybend-not-run-through": String(progress.notRunThrough),
             "gooseberrybend-timeout-ms": String(Math.max(1, progress.deadline - Date.now())),
             "gooseberrybend-client": "1",
             ...(this.settings.budget === undefined ? {} : { "gooseberrybend-budget": this.settings.budget }),
@@ -266,6 +274,9 @@
     if (outcome === "ran" || progress.outcome === "not-run") {
         progress.outcome = outcome;
     }
+    if (progress.outcome === "not-run") {
+        progress.notRunThrough = progress.attempts;
+    }
 }
 
 const finalReasons = new Set([
--- a/packages/core/src/fleet.test.ts
+++ b/packages/core/src/fleet.test.ts
@@ -239,6 +239,17 @@
     });
 
     describe("refusals", () => {
+        it("say not run again when all attempts before were refused as not run", () => {
+            const fleet = fleetOf();
+            fleet.send({ account: "a" });
+            fleet.run(2_000);
+            fleet.keyValue.faults.down = true;
+            const record = fleet.sendAction("a", { mostAttempts: 4 });
+            fleet.run(10_000);
+            expect(record.refusals.map(({ refusal }) => refusal.outcome)).toEqual(Array(4).fill("not-run"));
+            expectSafe(fleet);
+        });
+
         it("of a second attempt never say not run", () => {
             const fleet = fleetOf(60);
             fleet.send({ account: "a", mostAttempts: 3, impatientAfterMs: 1 });
--- a/packages/core/src/mocks/fake-callers.ts
+++ b/packages/core/src/mocks/fake-callers.ts
@@ -34,6 +34,8 @@
     refusals: { refusal: Refusal; attempt: number; at: number; hadRoom: boolean; }[];
     /** Attempts whose end, as not run, binds the fleet. */
     notRunUpTo: number;
+    /** Attempts that were all refused as not run, from the first on. */
+    notRunThrough: number;
     dishonest: boolean;
     /** Routers that had the bill when the answer ended. */
     keepers: readonly string[];
@@ -93,6 +95,7 @@
             broken: false,
             refusals: [],
             notRunUpTo: 0,
+            notRunThrough: 0,
             dishonest: false,
             keepers: [],
             ledgerAway: false,
@@ -146,6 +149,7 @@
             key: record.key,
             keyMinted: false,
             attempt: record.attempts,
+            notRunThrough: record.notRunThrough,
             deadline: record.sentAt + record.plan.timeoutMs,
             target: record.plan.target,
             bodyDigest: digestBody(record.plan.account, record.plan.poison ? "poison" : record.key),
@@ -231,7 +235,8 @@
         record.refusals.push({ refusal, attempt: open.attempt, at: this.clock.now, hadRoom });
         if (refusal.outcome === "not-run") {
             record.notRunUpTo = Math.max(record.notRunUpTo, open.attempt);
-            record.dishonest ||= open.attempt === 1 && record.attempts === 1 && this.wasStarted(record.key);
+            record.notRunThrough += open.attempt === record.notRunThrough + 1 ? 1 : 0;
+            record.dishonest ||= open.attempt === record.attempts && this.wasStarted(record.key);
         }
         const unsafe = !record.plan.idempotent && refusal.outcome !== "not-run" && randomBelow(this.random, 2) === 0;
         if (record.result !== "open") {
--- a/packages/core/src/systems/refusals.ts
+++ b/packages/core/src/systems/refusals.ts
@@ -18,6 +18,7 @@
     "key-reused": "The idempotency key was used with another body. Use a new key.",
     "ledger-unavailable": "The key-value service does not answer and no tokens are at hand. Try again shortly.",
     "no-endpoint": "No endpoint serves this model or service.",
+    "not-ready": "This router has no configuration yet. Use another address.",
     "overloaded": "All endpoints are busy for longer than the deadline allows. Try again later.",
     "poison-request": "This body crashed endpoints repeatedly. It is not run again for a while.",
     "retry-budget-spent": "Too many requests are being retried. Try again later.",
--- a/packages/core/src/systems/runs.ts
+++ b/packages/core/src/systems/runs.ts
@@ -2,7 +2,7 @@
 import { digestKey } from "../support/digest.js";
 import { schedule } from "../support/due-queue.js";
 import type { Arrival, Target } from "../types/messages.js";
-import type { Outcome, RefusalReason } from "../types/outcomes.js";
+import { isProvablyFirst, type Outcome, type RefusalReason } from "../types/outcomes.js";
 import { accountRow, budgetRow, type Call, type Run, trace, type World } from "../world.js";
 import { seekTokens } from "./admission.js";
 import { borrowedTransfers, holderName, releaseTokens, useTokens } from "./budgets.js";
@@ -21,7 +21,7 @@
 
 /** Takes in a request: follows the run of its key, starts one, or refuses. */
 export function arrive(world: World, arrival: Arrival, now: number): void {
-    const provablyFirst = arrival.keyMinted || arrival.attempt === 1;
+    const provablyFirst = isProvablyFirst(arrival);
     const keyDigest = digestKey(arrival.account, arrival.key);
     const known = world.runs.get(world.runsByKey.get(keyDigest) ?? 0);
     if (known !== undefined) {
--- a/packages/core/src/types/messages.ts
+++ b/packages/core/src/types/messages.ts
@@ -43,6 +43,8 @@
     readonly keyMinted: boolean;
     /** The caller's attempt number from 1, or undefined when it gave none. */
     readonly attempt: number | undefined;
+    /** The caller's word that all its attempts up to this one were refused as not run; 0 for none. */
+    readonly notRunThrough: number;
     /** Time in ms at which the caller stops waiting. */
     readonly deadline: number;
     readonly target: Target;
--- a/packages/core/src/types/outcomes.ts
+++ b/packages/core/src/types/outcomes.ts
@@ -15,6 +15,7 @@
     "key-reused",
     "ledger-unavailable",
     "no-endpoint",
+    "not-ready",
     "overloaded",
     "poison-request",
     "retry-budget-spent",
@@ -35,6 +36,21 @@
 /** Why a run was tried again at an endpoint. */
 export type RetryReason = typeof retryReasons[number];
 
+/** What a caller tells of its attempts at a request. */
+export type AttemptHistory = {
+    /** True when the router minted the key, so that there was no attempt before. */
+    readonly keyMinted: boolean;
+    /** The caller's attempt number from 1, or undefined when it gave none. */
+    readonly attempt: number | undefined;
+    /** All attempts up to this one were refused as not run; 0 for none. */
+    readonly notRunThrough: number;
+};
+
+/** Returns true when no attempt before this one can have run: only then may a refusal say so. */
+export function isProvablyFirst({ keyMinted, attempt, notRunThrough }: AttemptHistory): boolean {
+    return keyMinted || attempt === notRunThrough + 1;
+}
+
 /** A typed refusal: reason, what may have run, and when to come back. */
 export type Refusal = {
     readonly reason: RefusalReason;
--- a/packages/router/src/callers/callers.controller.ts
+++ b/packages/router/src/callers/callers.controller.ts
@@ -4,11 +4,12 @@
 import { type Router } from "../router.js";
 import { ROUTER } from "../tokens.js";
 import { readModelRequest } from "./model-request.js";
-import { accountOf, type HeaderFault, readHeaders, type RequestHeaders } from "./request-headers.js";
+import { accountOf, type HeaderFault, outcomeAtDoor, readHeaders, type RequestHeaders } from "./request-headers.js";
 import { sendJson, sendRefusal, ServiceResponse, StreamResponse, WholeModelResponse } from "./responses.js";
 import { matchOperation } from "./service-request.js";
 
 const FAULT_RETRY_MS = 0;
+const NOT_READY_RETRY_MS = 1_000;
 
 /** The callers' side: model requests, service calls, addresses and the state of a request. */
 @Controller("v1")
@@ -21,15 +22,15 @@
         reply.hijack();
         const headers = readHeaders(request.raw, this.router.world.configuration);
         if (headers.isErr()) {
-            return sendFault(reply, headers.error);
+            return sendFault(request, reply, headers.error);
         }
         const parsed = readModelRequest(bodyOf(request), this.router.settings.limits);
         if (parsed.isErr()) {
-            return sendFault(reply, parsed.error);
+            return sendFault(request, reply, parsed.error);
         }
         const { target, stream, body } = parsed.value;
         if (!this.router.world.configuration.servers.has(`model:${target.model}`)) {
-            return sendFault(reply, {
+            return sendFault(request, reply, {
                 status: 404,
                 reason: "no-endpoint",
                 detail: `No endpoint serves the model ${target.model}.`,
@@ -56,11 +57,15 @@
         const configuration = this.router.world.configuration;
         const headers = readHeaders(request.raw, configuration);
         if (headers.isErr()) {
-            return sendFault(reply, headers.error);
+            return sendFault(request, reply, headers.error);
         }
         const { service } = request.params as { service: string; };
         if (!configuration.servers.has(`service:${service}`)) {
-            return sendFault(reply, { status: 404, reason: "no-endpoint", detail: `No endpoint serves ${service}.` });
+            return sendFault(request, reply, {
+                status: 404,
+                reason: "no-endpoint",
+                detail: `No endpoint serves ${service}.`,
+            });
         }
         const path = request.url.slice(`/v1/services/${service}`.length);
         const operation = matchOperation(configuration, service, request.method, path.split("?")[0]!);
@@ -88,7 +93,7 @@
         const account = accountOf(request.raw, this.router.world.configuration);
         if (account === undefined) {
             const detail = "The credential is missing or not known.";
-            return sendFault(reply, { status: 401, reason: "account-unknown", detail });
+            return sendFault(request, reply, { status: 401, reason: "account-unknown", detail });
         }
         const addresses = addressesFor(this.router.world, account, Date.now());
         sendJson(reply.raw, 200, { addresses, lifetimeMs: this.router.world.policy.addressLifetimeMs });
@@ -101,13 +106,13 @@
         const account = accountOf(request.raw, this.router.world.configuration);
         if (account === undefined) {
             const detail = "The credential is missing or not known.";
-            return sendFault(reply, { status: 401, reason: "account-unknown", detail });
+            return sendFault(request, reply, { status: 401, reason: "account-unknown", detail });
         }
         const { key } = request.params as { key: string; };
         const world = this.router.world;
         const run = world.runs.get(world.runsByKey.get(digestKey(account, brand<RequestKey>(key))) ?? 0);
         if (run === undefined) {
-            return sendFault(reply, {
+            return sendFault(request, reply, {
                 status: 404,
                 reason: "bad-request",
                 detail: "This router knows no such request.",
@@ -132,13 +137,10 @@
 }
 
 /** Answers with a typed fault before anything was reserved or sent. */
-export function sendFault(reply: FastifyReply, fault: HeaderFault): void {
-    const refusal = {
-        reason: fault.reason,
-        outcome: "not-run",
-        retryAfterMs: FAULT_RETRY_MS,
-        detail: fault.detail,
-    } as const;
+export function sendFault(request: FastifyRequest, reply: FastifyReply, fault: HeaderFault): void {
+    const { reason, detail } = fault;
+    const retryAfterMs = reason === "not-ready" ? NOT_READY_RETRY_MS : FAULT_RETRY_MS;
+    const refusal = { reason, outcome: outcomeAtDoor(request.raw), retryAfterMs, detail };
     sendRefusal(reply.raw, fault.status, refusal, undefined);
 }
 
--- a/packages/router/src/callers/fault.filter.ts
+++ b/packages/router/src/callers/fault.filter.ts
@@ -1,5 +1,5 @@
 import { type ArgumentsHost, Catch, type ExceptionFilter } from "@nestjs/common";
-import type { FastifyReply } from "fastify";
+import type { FastifyReply, FastifyRequest } from "fastify";
 import { sendFault } from "./callers.controller.js";
 import type { HeaderFault } from "./request-headers.js";
 
@@ -13,10 +13,11 @@
 export class FaultFilter implements ExceptionFilter {
     /** Sends the fault; nothing was reserved or sent to an endpoint. */
     catch(failure: Failure, host: ArgumentsHost): void {
-        const reply = host.switchToHttp().getResponse<FastifyReply>();
+        const http = host.switchToHttp();
+        const reply = http.getResponse<FastifyReply>();
         reply.hijack();
         const status = failure.getStatus?.() ?? failure.statusCode ?? 500;
-        sendFault(reply, faultOf(status));
+        sendFault(http.getRequest<FastifyRequest>(), reply, faultOf(status));
     }
 }
 
--- a/packages/router/src/callers/request-headers.ts
+++ b/packages/router/src/callers/request-headers.ts
@@ -1,15 +1,22 @@
-import type { AccountId, BudgetId, Configuration, RefusalReason, RequestKey } from "@gooseberrybend/core";
+import {
+    type AccountId,
+    type AttemptHistory,
+    type BudgetId,
+    type Configuration,
+    isProvablyFirst,
+    type Outcome,
+    type RefusalReason,
+    type RequestKey,
+} from "@gooseberrybend/core";
 import { err, ok, type Result } from "neverthrow";
 import { createHash, randomUUID, timingSafeEqual } from "node:crypto";
 import type { IncomingMessage } from "node:http";
 
 /** What the headers of a request say. */
-export type RequestHeaders = {
+export type RequestHeaders = AttemptHistory & {
     readonly account: AccountId;
     readonly budget: BudgetId;
     readonly key: RequestKey;
-    readonly keyMinted: boolean;
-    readonly attempt: number | undefined;
     /** Time in ms that the caller waits from now, or undefined when it gave none. */
     readonly timeoutMs: number | undefined;
     readonly resumeToken: string | undefined;
@@ -26,11 +33,14 @@
     "content-type",
     "gooseberrybend-attempt",
     "gooseberrybend-budget",
+    "gooseberrybend-not-run-through",
     "gooseberrybend-offset",
     "gooseberrybend-resume",
     "gooseberrybend-timeout-ms",
     "idempotency-key",
 ];
+const ATTEMPT_HEADER = "gooseberrybend-attempt";
+const NOT_RUN_HEADER = "gooseberrybend-not-run-through";
 const DEFAULT_BUDGET = "main";
 const MOST_ATTEMPTS = 1_000_000;
 const KEY_PATTERN = /^[\x21-\x7e]{1,128}$/;
@@ -44,6 +54,9 @@
     if (repeated !== undefined) {
         return err(badRequest(`The header ${repeated} stands twice.`));
     }
+    if (configuration.version === 0) {
+        return err({ status: 503, reason: "not-ready", detail: "This router has no configuration yet." });
+    }
     const account = accountOf(request, configuration);
     if (account === undefined) {
         return err({ status: 401, reason: "account-unknown", detail: "The credential is missing or not known." });
@@ -52,10 +65,11 @@
     if (key !== undefined && !KEY_PATTERN.test(key)) {
         return err(badRequest("Idempotency-Key must have 1 to 128 printable characters without spaces."));
     }
-    const attempt = wholeNumber(request, "gooseberrybend-attempt", 1, MOST_ATTEMPTS);
+    const attempt = wholeNumber(request, ATTEMPT_HEADER, 1, MOST_ATTEMPTS);
+    const notRunThrough = wholeNumber(request, NOT_RUN_HEADER, 0, MOST_ATTEMPTS);
     const timeoutMs = wholeNumber(request, "gooseberrybend-timeout-ms", 1, Number.MAX_SAFE_INTEGER);
     const offset = wholeNumber(request, "gooseberrybend-offset", 0, Number.MAX_SAFE_INTEGER);
-    for (const number of [attempt, timeoutMs, offset]) {
+    for (const number of [attempt, notRunThrough, timeoutMs, offset]) {
         if (number.isErr()) {
             return err(number.error);
         }
@@ -66,6 +80,7 @@
         key: (key ?? randomUUID()) as RequestKey,
         keyMinted: key === undefined,
         attempt: attempt._unsafeUnwrap(),
+        notRunThrough: notRunThrough._unsafeUnwrap() ?? 0,
         timeoutMs: timeoutMs._unsafeUnwrap(),
         resumeToken: headerOf(request, "gooseberrybend-resume"),
         offset: offset._unsafeUnwrap() ?? 0,
@@ -73,6 +88,16 @@
     });
 }
 
+/** Returns what a request that is turned away at the door says of its earlier attempts: they may have run. */
+export function outcomeAtDoor(request: IncomingMessage): Outcome {
+    const history = {
+        keyMinted: headerOf(request, "idempotency-key") === undefined,
+        attempt: wholeNumber(request, ATTEMPT_HEADER, 1, MOST_ATTEMPTS).unwrapOr(undefined),
+        notRunThrough: wholeNumber(request, NOT_RUN_HEADER, 0, MOST_ATTEMPTS).unwrapOr(undefined) ?? 0,
+    };
+    return isProvablyFirst(history) ? "not-run" : "may-have-run";
+}
+
 /** Returns the account whose credential a request shows. */
 export function accountOf(request: IncomingMessage, configuration: Configuration): AccountId | undefined {
     const credential = bearerOf(request);
--- a/packages/router/src/callers/responses.ts
+++ b/packages/router/src/callers/responses.ts
@@ -139,7 +139,7 @@
             created: first?.created,
             model: first?.model,
             choices: [{ index: 0, message: { role: "assistant", content }, finish_reason: finish }],
-            usage: this.pieces.find((piece) => piece.usage !== undefined)?.usage,
+            usage: this.pieces.find((piece) => Boolean(piece.usage))?.usage,
         };
         sendJson(this.response, 200, completion, { "idempotency-key": this.key });
     }
@@ -180,6 +180,7 @@
     "key-reused": 409,
     "ledger-unavailable": 503,
     "no-endpoint": 503,
+    "not-ready": 503,
     "overloaded": 429,
     "poison-request": 422,
     "retry-budget-spent": 503,
--- a/packages/router/src/endpoints/model-client.ts
+++ b/packages/router/src/endpoints/model-client.ts
@@ -14,6 +14,9 @@
 
 type Usage = { readonly prompt_tokens: number; readonly completion_tokens: number; };
 
+// Engines send "usage": null with all chunks but the last.
+const USAGE_PATTERN = /"usage"\s*:\s*\{/;
+
 /** Counts of a stream as it comes in. */
 type StreamCount = { next: number; usage: Usage | undefined; ended: boolean; };
 
@@ -103,7 +106,7 @@
     }
     const offset = event.id === undefined ? count.next : Number(event.id);
     count.next = offset + 1;
-    const isUsage = event.data.includes('"usage":{');
+    const isUsage = USAGE_PATTERN.test(event.data);
     if (isUsage) {
         count.usage = (JSON.parse(event.data) as { usage: Usage; }).usage;
     }
--- a/packages/router/src/operators/operators.controller.ts
+++ b/packages/router/src/operators/operators.controller.ts
@@ -28,7 +28,7 @@
     async receive(@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
         reply.hijack();
         if (!this.admits(request)) {
-            return sendFault(reply, {
+            return sendFault(request, reply, {
                 status: 401,
                 reason: "account-unknown",
                 detail: "The operator key is missing or wrong.",
@@ -43,7 +43,7 @@
     async metrics(@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
         reply.hijack();
         if (!this.admits(request)) {
-            return sendFault(reply, {
+            return sendFault(request, reply, {
                 status: 401,
                 reason: "account-unknown",
                 detail: "The operator key is missing or wrong.",
--- a/packages/router/src/peers/peers.controller.ts
+++ b/packages/router/src/peers/peers.controller.ts
@@ -23,7 +23,7 @@
         reply.hijack();
         const key = this.router.settings.keys?.peer;
         if (key !== undefined && !showsKey(request.raw, key)) {
-            return sendFault(reply, {
+            return sendFault(request, reply, {
                 status: 401,
                 reason: "account-unknown",
                 detail: "The peer key is missing or wrong.",
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -148,6 +148,7 @@
             key: headers.key,
             keyMinted: headers.keyMinted,
             attempt: headers.attempt,
+            notRunThrough: headers.notRunThrough,
             deadline: now + (headers.timeoutMs ?? this.settings.timeouts.requestMs),
             target: request.target,
             bodyDigest: digestBody(headers.account, request.body),
--- a/packages/router/src/server.test.ts
+++ b/packages/router/src/server.test.ts
@@ -35,8 +35,9 @@
         path: string,
         body: string | undefined,
         credential: string,
+        more: Record<string, string> = {},
     ): Promise<{ status: number; body: unknown; }> {
-        const headers = { "authorization": `Bearer ${credential}`, "content-type": "application/json" };
+        const headers = { "authorization": `Bearer ${credential}`, "content-type": "application/json", ...more };
         const options = body === undefined ? { headers } : { method: "POST" as const, headers, body };
         const response = await request(`${address}${path}`, options);
         return { status: response.statusCode, body: await response.body.json() };
@@ -68,12 +69,46 @@
             expect(answer.body).toMatchObject({ error: { type: "ledger-unavailable", outcome: "not-run" } });
         });
 
+        it.each([
+            [{ "idempotency-key": "k", "gooseberrybend-attempt": "1" }, "not-run"],
+            [{ "idempotency-key": "k", "gooseberrybend-attempt": "2" }, "may-have-run"],
+            [{ "idempotency-key": "k" }, "may-have-run"],
+            [
+                { "idempotency-key": "k", "gooseberrybend-attempt": "3", "gooseberrybend-not-run-through": "2" },
+                "not-run",
+            ],
+            [
+                { "idempotency-key": "k", "gooseberrybend-attempt": "3", "gooseberrybend-not-run-through": "1" },
+                "may-have-run",
+            ],
+        ])("tells at the door what earlier attempts may have done: %j is %s", async (more, outcome) => {
+            const withdrawn = await send("/v1/chat/completions", chat({ model: "withdrawn" }), "credential", more);
+            expect(withdrawn.body).toMatchObject({ error: { outcome } });
+            const refused = await send("/v1/chat/completions", chat({}), "credential", more);
+            expect(refused.body).toMatchObject({ error: { type: "ledger-unavailable", outcome } });
+        });
+
         it("does not show one account's request to another", async () => {
             expect((await send("/v1/requests/some-key", undefined, "other")).status).toBe(401);
             expect((await send("/v1/requests/some-key", undefined, "credential")).status).toBe(404);
         });
     });
 
+    describe("without a configuration", () => {
+        it("does not call an account unknown, but sends its callers elsewhere", async () => {
+            const port = PORT + 1;
+            const settings = { listen: { port }, domain: "r/a", platform: { keyValue: "http://127.0.0.1:9" } };
+            const fresh = await startRouter(settingsSchema.parse({ ...settings, log: { level: "error" } }));
+            const headers = { "authorization": "Bearer credential", "content-type": "application/json" };
+            const url = `http://127.0.0.1:${port}/v1/chat/completions`;
+            const answer = await request(url, { method: "POST", headers, body: chat({}) });
+            expect(answer.statusCode).toBe(503);
+            expect(answer.headers["retry-after"]).toBe("1");
+            expect(await answer.body.json()).toMatchObject({ error: { type: "not-ready", outcome: "not-run" } });
+            await fresh.close();
+        });
+    });
+
     describe("towards operators and peers", () => {
         const call = (method: string): string => JSON.stringify({ jsonrpc: "2.0", id: 1, method, params: {} });
 
--- a/packages/standins/src/bench/admission.ts
+++ b/packages/standins/src/bench/admission.ts
@@ -76,6 +76,7 @@
         key: `key-${index}` as Arrival["key"],
         keyMinted: true,
         attempt: 1,
+        notRunThrough: 0,
         deadline: 60_000,
         target: { kind: "model", model: "m", promptTokens: 100, maxTokens: 100, prefix: `prefix-${index % 50}` },
         bodyDigest: `body-${index}` as Arrival["bodyDigest"],
