Judge the silence of a peer by how often news come in a fleet of its size

Cause: news of each peer come every routers/42 s, 9 s at 380, but 4 s of silence took a router out of address answers and 10 s started the recovery of what it held.

--- /dev/null
+++ b/packages/core/src/fleet-size.test.ts
@@ -0,0 +1,64 @@
+import { beforeAll, describe, expect, it } from "vitest";
+import { expectSafe } from "./mocks/fleet-fixture.js";
+import { FakeFleet } from "./mocks/index.js";
+
+const ROUTERS = 60;
+
+// With a fan-out of 2 and 2 entries news take as long here as among 420 routers with the usual figures.
+function largeFleet(): FakeFleet {
+    const fleet = new FakeFleet({
+        seed: 3,
+        routers: ROUTERS,
+        engines: 6,
+        services: 2,
+        slots: 64,
+        budgets: { a: 10_000_000, b: 1_000_000 },
+        policy: { heartbeatFanout: 2, heartbeatEntries: 2 },
+    });
+    fleet.run(20_000);
+    return fleet;
+}
+
+function closedAllowances(fleet: FakeFleet): number {
+    const rows = fleet.routers.flatMap((router) => [...router.brain.world!.witnessed.values()]);
+    return rows.reduce((sum, row) => sum + row.closed.size, 0);
+}
+
+describe("a fleet in which news take long", () => {
+    let fleet: FakeFleet;
+    const namedShares: number[] = [];
+    beforeAll(() => {
+        fleet = largeFleet();
+        for (let index = 0; index < 300; index++) {
+            fleet.at(index * 100, () => void fleet.send({ account: index % 2 === 0 ? "a" : "b" }));
+        }
+        for (let second = 0; second < 40; second++) {
+            fleet.run(1_000);
+            const named = fleet.routers.map((router) => router.brain.addresses("a" as never, fleet.clock.now).length);
+            namedShares.push(named.reduce((sum, count) => sum + count, 0) / ROUTERS / ROUTERS);
+        }
+    });
+
+    it("names most routers to callers at any time", () => {
+        expect(Math.min(...namedShares)).toBeGreaterThan(0.8);
+    });
+
+    it("closes no allowance of a router that lives", () => {
+        expect(closedAllowances(fleet)).toBe(0);
+        expect(fleet.verdict()).toMatchObject({ answeredWhole: 300, falseRefusals: 0 });
+        expectSafe(fleet);
+    });
+
+    it("gets back what a router held that died", () => {
+        const holders = new Set(Object.keys(fleet.record("a").holders));
+        const router = fleet.routers.find(({ incarnation }) => holders.has(incarnation))!;
+        fleet.kill(router);
+        for (let index = 0; index < 60; index++) {
+            fleet.at(index * 2_000, () => void fleet.send({ account: "a" }));
+        }
+        fleet.run(200_000);
+        expect(fleet.verdict().strandedTokens).toBe(0);
+        expect(fleet.record("a").holders[router.incarnation]).toBeUndefined();
+        expectSafe(fleet);
+    });
+});
--- a/packages/core/src/policy.ts
+++ b/packages/core/src/policy.ts
@@ -26,9 +26,9 @@
     readonly heartbeatFanout: number;
     /** Heartbeats of other peers that one heartbeat carries along. */
     readonly heartbeatEntries: number;
-    /** Silence after which a peer is not named to callers. */
+    /** Silence after which a peer is not named to callers; longer in fleets in which news take longer. */
     readonly peerSilentMs: number;
-    /** Silence after which a peer's bills are written and its allowance is recovered. */
+    /** Silence after which a peer's bills are written and its allowance is recovered; longer in large fleets. */
     readonly peerLostMs: number;
     /** Silence after which a peer is forgotten. */
     readonly peerForgottenMs: number;
--- a/packages/core/src/systems/membership.ts
+++ b/packages/core/src/systems/membership.ts
@@ -8,7 +8,7 @@
 import { markLeaving } from "./endpoints.js";
 import { leaveLaneCleared } from "./lanes.js";
 import { requestPacedWrite } from "./ledger.js";
-import { livePeers, sendToPeer } from "./peers.js";
+import { livePeers, sendToPeer, silentAfterMs } from "./peers.js";
 import { hasLostHolder } from "./recovery.js";
 import { adoptSuspicions, forgetSuspects, knownSuspicions, suspicionsOf } from "./suspects.js";
 import { accountsToSettle, dropSettled, forgetWitnessed, oldestOpenAt } from "./witness.js";
@@ -60,7 +60,8 @@
 }
 
 function heardLately(world: World, now: number): Heartbeat[] {
-    const rows = [...world.peers.values()].filter((row) => now - row.heardAt < world.policy.peerSilentMs);
+    const silentMs = silentAfterMs(world);
+    const rows = [...world.peers.values()].filter((row) => now - row.heardAt < silentMs);
     const entries: Heartbeat[] = [];
     while (rows.length > 0 && entries.length < world.policy.heartbeatEntries) {
         const [row] = rows.splice(randomBelow(world.random, rows.length), 1);
@@ -163,6 +164,21 @@
     }
 }
 
+/** Passes a peer's latest heartbeat on to another one. */
+export function tellOf(world: World, to: Incarnation, peer: Incarnation, now: number): void {
+    const known = world.peers.get(peer);
+    if (known !== undefined) {
+        sendToPeer(world, to, {
+            kind: "heartbeat",
+            own: ownHeartbeat(world, now),
+            heard: [known.heartbeat],
+            leavingEndpoints: [],
+            suspects: [],
+            convicts: [],
+        });
+    }
+}
+
 /** Tells all peers at once that a body is suspected or convicted of crashing endpoints. */
 export function spreadSuspicion(world: World, body: BodyDigest, now: number): void {
     const message: PeerMessage = {
--- a/packages/core/src/tick.ts
+++ b/packages/core/src/tick.ts
@@ -9,6 +9,7 @@
     serveWaiting,
 } from "./systems/admission.js";
 import { checkProgress, continueRetry, endBilling, handleFailure, receiveEnd, waitForBill } from "./systems/answers.js";
+import { holderIncarnation } from "./systems/budgets.js";
 import { handleClaimReply, handleOutcomeReply, writeOutcome } from "./systems/claims.js";
 import {
     adoptSnapshot,
@@ -39,8 +40,8 @@
     receiveTransfer,
     resendTransfer,
 } from "./systems/lending.js";
-import { beat, receiveHeartbeat } from "./systems/membership.js";
-import { sendToPeer } from "./systems/peers.js";
+import { beat, receiveHeartbeat, tellOf } from "./systems/membership.js";
+import { isLive, sendToPeer } from "./systems/peers.js";
 import { unservable } from "./systems/queue.js";
 import { closeAllowance, noteTestimony } from "./systems/recovery.js";
 import {
@@ -322,6 +323,10 @@
     now: number,
 ): void {
     const { holder, epoch, account } = message;
+    // A holder sends its witnesses every heartbeat: who has not heard of it lately is told that it lives.
+    if (isLive(world, holder, now)) {
+        return tellOf(world, from, holderIncarnation(holder), now);
+    }
     const testimony = closeAllowance(world, holder, account, epoch, now);
     sendToPeer(world, from, { kind: "allowance-closed", holder, epoch, account, ...testimony });
 }
