Try calls that may not be repeated again under their key

It now tries again and gets the answer, or is told that the key ran or may have. The caller need not say any more what is idempotent: the fleet has it from the configuration.

The judges took a router that had come back under a second holder name for a lost one and counted its allowance as stranded.

--- a/packages/client/src/client.ts
+++ b/packages/client/src/client.ts
@@ -66,7 +66,7 @@
         });
         const attempt = (address: string, progress: Progress): Promise<Attempt<StreamState>> =>
             this.streamOnce(address, body, call, state, progress);
-        const result = await this.repeat(call.key ?? randomUUID(), true, attempt);
+        const result = await this.repeat(call.key ?? randomUUID(), attempt);
         return result.map(({ answer, progress }) => ({
             key: progress.key,
             text: answer.texts.join(""),
@@ -78,17 +78,19 @@
         }));
     }
 
-    /** Calls a plain service and returns its answer, whatever its status. */
+    /**
+     * Calls a plain service and returns its answer, whatever its status. A call that may not be repeated is tried
+     * again under its key, too: the fleet runs such a key at most once, and says so if it has.
+     */
     async call(call: ServiceCall): Promise<Result<ServiceAnswer, CallFailure>> {
         const attempt = (address: string, progress: Progress): Promise<Attempt<Omit<ServiceAnswer, "attempts">>> =>
             this.callOnce(address, call, progress);
-        const result = await this.repeat(call.key ?? randomUUID(), call.idempotent, attempt);
+        const result = await this.repeat(call.key ?? randomUUID(), attempt);
         return result.map(({ answer, progress }) => ({ ...answer, attempts: progress.attempts }));
     }
 
     private async repeat<Answer>(
         key: string,
-        idempotent: boolean,
         attempt: (address: string, progress: Progress) => Promise<Attempt<Answer>>,
     ): Promise<Result<{ answer: Answer; progress: Progress; }, CallFailure>> {
         const deadline = Date.now() + (this.settings.timeoutMs ?? DEFAULT_TIMEOUT_MS);
@@ -109,8 +111,7 @@
             }
             last = ended.kind === "refused" ? ended.refusal : undefined;
             const final = last !== undefined && isFinal(last);
-            const unsafe = !idempotent && progress.outcome !== "not-run";
-            if (final || unsafe || progress.attempts >= mostAttempts) {
+            if (final || progress.attempts >= mostAttempts) {
                 return err(failureOf(progress, last));
             }
             this.leave(address, ended.kind === "lost");
--- a/packages/client/src/types.ts
+++ b/packages/client/src/types.ts
@@ -65,6 +65,4 @@
     readonly path: string;
     readonly body?: string;
     readonly key?: string;
-    /** Whether the call may be sent again after an attempt that may have run. */
-    readonly idempotent: boolean;
 };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./support/digest.js";
 export * from "./support/random.js";
 export * from "./support/rendezvous.js";
+export { holderIncarnation } from "./systems/budgets.js";
 export { type Claim, claimKey } from "./systems/claims.js";
 export { adoptSnapshot } from "./systems/configuration.js";
 export { runsLeft } from "./systems/drain.js";
--- a/packages/core/src/mocks/fleet-judge.ts
+++ b/packages/core/src/mocks/fleet-judge.ts
@@ -1,5 +1,6 @@
 import type { Bill, Holder, Holding } from "../ledger/record.js";
-import type { BudgetId, KeyDigest } from "../types/ids.js";
+import { holderIncarnation } from "../systems/budgets.js";
+import type { BudgetId, Incarnation, KeyDigest } from "../types/ids.js";
 import type { RequestRecord } from "./fake-callers.js";
 import type { FakeFleet } from "./fake-fleet.js";
 
@@ -134,7 +135,7 @@
             ),
         );
         for (const [name, holder] of Object.entries<Holder>(record.holders)) {
-            if (!live.has(name.split("~")[0]!)) {
+            if (!live.has(holderIncarnation(name as Incarnation))) {
                 sum += Object.values<Holding>(holder.budgets).reduce((total, holding) => total + tokensOf(holding), 0);
             }
         }
--- a/packages/standins/src/demo/main.ts
+++ b/packages/standins/src/demo/main.ts
@@ -1,6 +1,14 @@
 import { collectFiles, publish, readBills, readLedger, RouterCalls, topUp } from "@gooseberrybend/cli";
 import { GooseberrybendClient } from "@gooseberrybend/client";
-import type { Bill, BudgetId, Holder, KeyDigest, LedgerRecord } from "@gooseberrybend/core";
+import {
+    type Bill,
+    type BudgetId,
+    type Holder,
+    holderIncarnation,
+    type Incarnation,
+    type KeyDigest,
+    type LedgerRecord,
+} from "@gooseberrybend/core";
 import { EtcdStore } from "@gooseberrybend/router";
 import { fileURLToPath } from "node:url";
 import { parseArgs } from "node:util";
@@ -334,7 +342,7 @@
 function reportStranded(ledger: ReadonlyMap<string, LedgerRecord>, live: ReadonlySet<string>): void {
     for (const [account, record] of ledger) {
         for (const [router, holder] of Object.entries<Holder>(record.holders)) {
-            if (!live.has(router) && Object.keys(holder.budgets).length > 0) {
+            if (!live.has(holderIncarnation(router as Incarnation)) && Object.keys(holder.budgets).length > 0) {
                 const witnesses = holder.witnesses.map((witness) => live.has(witness) ? "live" : "gone").join(", ");
                 say(`Stranded: ${account}: ${JSON.stringify(holder.budgets)}, witnesses: ${witnesses}`);
             }
--- a/packages/standins/src/demo/truth.ts
+++ b/packages/standins/src/demo/truth.ts
@@ -2,6 +2,8 @@
     type AccountId,
     type Bill,
     digestKey,
+    holderIncarnation,
+    type Incarnation,
     type KeyDigest,
     type LedgerRecord,
     type RequestKey,
@@ -175,7 +177,7 @@
     for (const record of evidence.ledger.values()) {
         sum += Object.values(record.stranded).reduce((total, tokens) => total + tokens, 0);
         for (const [router, holder] of Object.entries(record.holders)) {
-            if (!evidence.liveRouters.has(router)) {
+            if (!evidence.liveRouters.has(holderIncarnation(router as Incarnation))) {
                 const holdings = Object.values(holder.budgets);
                 sum += holdings.reduce((total, holding) => total + holding.allowance, 0);
             }
--- a/packages/standins/src/load/load.ts
+++ b/packages/standins/src/load/load.ts
@@ -131,7 +131,6 @@
             path: action ? account.actionPath : account.lookupPath,
             ...(action ? { body: JSON.stringify({ key }) } : {}),
             key,
-            idempotent: !action,
         });
         const kind = action ? "action" : "lookup";
         if (result.isErr()) {
