Stay until no caller can have the address of a router that drains

Cause: a drain ended one address lifetime after it began, though other routers name the drained one until they hear of it, and callers keep that for a lifetime more.

A drain now lasts two lifetimes at least, after which requests are refused as draining, as before. Each answer during the drain ends its connection, and the process stops listening and lets the last answers out before it ends: a caller whose connection is refused knows that nothing ran.

The fakes asked for addresses before each request, so that they could not see it.

--- a/packages/core/src/fleet.test.ts
+++ b/packages/core/src/fleet.test.ts
@@ -299,6 +299,36 @@
             expectSafe(fleet);
         });
 
+        it("find their router until its address has expired, though others hear of its drain late", () => {
+            const addressLifetimeMs = 2_000;
+            const accounts = ["a", "b", "c", "d", "e", "f", "g", "h"];
+            const fleet = new FakeFleet({
+                seed: 3,
+                routers: 3,
+                engines: 3,
+                services: 2,
+                slots: 16,
+                budgets: Object.fromEntries(accounts.map((account) => [account, 100_000])),
+                policy: { addressLifetimeMs },
+                addressLifetimeMs,
+            });
+            fleet.run(3_000);
+            for (let index = 0; index < 150; index++) {
+                fleet.at(index * 100, () => void fleet.send({ account: accounts[index % accounts.length]! }));
+            }
+            fleet.run(3_050);
+            const router = fleet.routers.find((other) => fleet.callers.openAt(other) > 0)!;
+            fleet.withoutPeers.add(router.address);
+            router.deliver({ kind: "drain" });
+            fleet.run(1_000);
+            fleet.withoutPeers.clear();
+            fleet.run(30_000);
+            expect(router.hasDrained).toBe(true);
+            expect(fleet.callers.lateAddresses).toBe(0);
+            expect(fleet.verdict().answeredWhole).toBe(150);
+            expectSafe(fleet);
+        });
+
         it("are not cut by a drain", () => {
             const fleet = fleetOf(100_000, { addressLifetimeMs: 1_000 });
             for (let index = 0; index < 200; index++) {
--- a/packages/core/src/mocks/fake-callers.ts
+++ b/packages/core/src/mocks/fake-callers.ts
@@ -65,6 +65,9 @@
     private nextCall = 1;
     private nextKey = 1;
     private preferred: FakeRouter | undefined;
+    /** Requests whose named router had ended its drain before the address expired. */
+    lateAddresses = 0;
+    private readonly named = new Map<AccountId, { readonly addresses: readonly string[]; readonly until: number; }>();
 
     constructor(
         private readonly clock: FakeClock,
@@ -72,6 +75,8 @@
         private readonly routers: () => readonly FakeRouter[],
         private readonly wasStarted: (key: string) => boolean,
         private readonly hasRoom: (kind: "model" | "service") => boolean,
+        /** Time in ms for which callers keep addresses; undefined to ask before each request. */
+        private readonly addressLifetimeMs: number | undefined,
     ) {}
 
     /** Sends a request to a router of the test's choice first. */
@@ -181,10 +186,24 @@
         }
         const live = this.routers().filter((router) => router.isReachable());
         const asked = randomElement(this.random, live.filter((router) => router.state === "running"));
-        const addresses = asked?.brain.addresses(record.plan.account, asked.now) ?? [];
+        const addresses = this.addressesOf(record.plan.account, asked);
         const named = addresses.map((address) => live.find((router) => router.address === address));
-        const first = named[Math.min(record.attempts, named.length - 1)];
-        return first ?? asked;
+        const index = Math.min(record.attempts, named.length - 1);
+        const isLate = this.routers().some((router) => router.address === addresses[index] && router.hasDrained);
+        this.lateAddresses += isLate ? 1 : 0;
+        return named[index] ?? asked;
+    }
+
+    private addressesOf(account: AccountId, asked: FakeRouter | undefined): readonly string[] {
+        const known = this.named.get(account);
+        if (known !== undefined && this.clock.now < known.until) {
+            return known.addresses;
+        }
+        const addresses = asked?.brain.addresses(account, asked.now) ?? [];
+        if (this.addressLifetimeMs !== undefined) {
+            this.named.set(account, { addresses, until: this.clock.now + this.addressLifetimeMs });
+        }
+        return addresses;
     }
 
     /** Takes in what a router sends to a caller. */
--- a/packages/core/src/mocks/fake-fleet.ts
+++ b/packages/core/src/mocks/fake-fleet.ts
@@ -35,6 +35,8 @@
     readonly budgets: Readonly<Record<string, number>>;
     readonly policy?: Partial<Policy>;
     readonly createBrain?: (options: WorldOptions, routers: number) => RouterBrain;
+    /** Time in ms for which callers keep addresses; undefined to ask before each request. */
+    readonly addressLifetimeMs?: number;
     /** Ms by which the routers' clocks are apart at most. */
     readonly skewMs?: number;
     /** Ms per step of an engine; an answer takes a few steps. */
@@ -63,6 +65,8 @@
     readonly routers: FakeRouter[] = [];
     /** Addresses that cannot exchange messages with the others or the key-value service. */
     readonly isolated = new Set<string>();
+    /** Addresses that cannot exchange messages with the others. */
+    readonly withoutPeers = new Set<string>();
     /** Addresses that cannot reach the key-value service. */
     readonly withoutKeyValue = new Set<string>();
     /** Broken rules, as they were seen. */
@@ -84,6 +88,7 @@
             () => this.routers,
             (key) => this.truth.starts.has(key),
             (kind) => this.hasRoom(kind),
+            options.addressLifetimeMs,
         );
         this.addEndpoints();
         this.publish("base", this.declaration());
@@ -319,6 +324,7 @@
             case "drained":
                 this.drainedCuts += this.callers.openAt(router);
                 router.state = "dead";
+                router.hasDrained = true;
                 return;
             case "body-released":
             case "retried":
@@ -409,7 +415,9 @@
         this.peerMessages++;
         this.clock.after(1 + randomBelow(this.random, PEER_DELAY_MS), () => {
             const target = this.routers.find((other) => other.address === effect.address && other.state !== "dead");
-            const cut = this.isolated.has(router.address) !== this.isolated.has(effect.address);
+            const cut = [this.isolated, this.withoutPeers].some((group) =>
+                group.has(router.address) !== group.has(effect.address)
+            );
             if (target !== undefined && !cut && router.state !== "dead") {
                 // Messages are data: what is delivered shares nothing with the sender.
                 const message = structuredClone(effect.message);
--- a/packages/core/src/mocks/fake-routers.ts
+++ b/packages/core/src/mocks/fake-routers.ts
@@ -6,6 +6,8 @@
 /** One router process on a virtual clock: it can be paused, and it can die. */
 export class FakeRouter {
     state: "running" | "paused" | "dead" = "running";
+    /** True once it has ended its drain. */
+    hasDrained = false;
     /** True while callers cannot reach it. */
     unreachable = false;
     /** Endpoint calls by run, the latest only. */
--- a/packages/core/src/systems/drain.ts
+++ b/packages/core/src/systems/drain.ts
@@ -5,6 +5,8 @@
 import { sendToPeer } from "./peers.js";
 
 const DRAIN_CHECK_MS = 200;
+// Others may name this router until they hear of its drain, and callers keep that address for a lifetime.
+const ADDRESS_LIFETIMES = 2;
 
 /** Starts to drain: no caller is sent here any more, all that runs is finished. */
 export function startDrain(world: World, now: number): void {
@@ -22,7 +24,7 @@
         return;
     }
     schedule(world.due, now + DRAIN_CHECK_MS, { kind: "drain" });
-    if (now - world.drainingSince! < world.policy.addressLifetimeMs || runsLeft(world) > 0) {
+    if (!hasLeftAddresses(world, now) || runsLeft(world) > 0) {
         return;
     }
     let left = 0;
@@ -43,6 +45,12 @@
     world.effects.push({ kind: "drained" });
 }
 
+/** Returns true when this router drains and no caller has its address any more. */
+export function hasLeftAddresses(world: World, now: number): boolean {
+    const since = world.drainingSince ?? Infinity;
+    return now - since >= ADDRESS_LIFETIMES * world.policy.addressLifetimeMs;
+}
+
 /** Returns the number of requests that are not answered yet. */
 export function runsLeft(world: World): number {
     let left = 0;
--- a/packages/core/src/systems/runs.ts
+++ b/packages/core/src/systems/runs.ts
@@ -7,6 +7,7 @@
 import { seekTokens } from "./admission.js";
 import { borrowedTransfers, holderName, releaseTokens, useTokens } from "./budgets.js";
 import { recordClaimOutcome, startClaim } from "./claims.js";
+import { hasLeftAddresses } from "./drain.js";
 import { chooseEndpoint, serverOf } from "./endpoints.js";
 import { askForLane, leaveLane } from "./lanes.js";
 import { requestPacedWrite } from "./ledger.js";
@@ -59,8 +60,7 @@
     if (arrival.deadline <= now) {
         return "deadline-exceeded";
     }
-    const draining = world.drainingSince;
-    return draining !== undefined && now - draining > 2 * world.policy.addressLifetimeMs ? "draining" : undefined;
+    return hasLeftAddresses(world, now) ? "draining" : undefined;
 }
 
 function refuseArrival(
--- a/packages/router/src/server.ts
+++ b/packages/router/src/server.ts
@@ -4,6 +4,7 @@
 import { FastifyAdapter, type NestFastifyApplication } from "@nestjs/platform-fastify";
 import type { FastifyRequest } from "fastify";
 import { readFileSync } from "node:fs";
+import type { Server } from "node:http";
 import { CallersController } from "./callers/callers.controller.js";
 import { FaultFilter } from "./callers/fault.filter.js";
 import { OperatorsController } from "./operators/operators.controller.js";
@@ -12,6 +13,8 @@
 import type { Settings } from "./settings.js";
 import { ROUTER } from "./tokens.js";
 
+const LAST_ANSWERS_MS = 1_000;
+
 /** A router that serves requests. */
 export type RunningRouter = {
     readonly router: Router;
@@ -32,8 +35,8 @@
 
 /** Starts a router. Rejects when its address cannot be listened on. */
 export async function startRouter(settings: Settings): Promise<RunningRouter> {
-    const adapter = createAdapter(settings);
     const router = new Router(settings, settings.listen.port);
+    const adapter = createAdapter(settings, router);
     const options = { bodyParser: false, logger: false, abortOnError: false } as const;
     const application = await NestFactory.create<NestFastifyApplication>(RouterModule.of(router), adapter, options);
     application.useGlobalFilters(new FaultFilter());
@@ -42,14 +45,23 @@
     return {
         router,
         async close() {
+            await endConnections(adapter.getInstance().server);
             await router.stop();
-            adapter.getInstance().server.closeAllConnections();
             await application.close();
         },
     };
 }
 
-function createAdapter(settings: Settings): FastifyAdapter {
+// A caller whose connection is refused knows that nothing ran; one whose connection is cut does not.
+async function endConnections(server: Server): Promise<void> {
+    const closed = new Promise<void>((resolve) => server.close(() => resolve()));
+    server.closeIdleConnections();
+    const cut = setTimeout(() => server.closeAllConnections(), LAST_ANSWERS_MS);
+    await closed;
+    clearTimeout(cut);
+}
+
+function createAdapter(settings: Settings, router: Router): FastifyAdapter {
     const common = {
         bodyLimit: settings.limits.bodyBytes,
         forceCloseConnections: true,
@@ -60,6 +72,11 @@
         https: { cert: readFileSync(tls.certificate), key: readFileSync(tls.key) },
     });
     const instance = adapter.getInstance();
+    // A router that drains ends each connection with an answer, so that none is in use when it exits.
+    instance.addHook("onRequest", (unusedRequest, reply, done) => {
+        reply.raw.shouldKeepAlive &&= router.world.drainingSince === undefined;
+        done();
+    });
     instance.removeAllContentTypeParsers();
     instance.addContentTypeParser("*", { parseAs: "buffer" }, (unusedRequest: FastifyRequest, body, done) => {
         done(undefined as never, body);
--- a/packages/standins/src/bench/main.ts
+++ b/packages/standins/src/bench/main.ts
@@ -133,21 +133,23 @@
     const firstToken = build({ highestTrackableValue: 100_000_000 });
     const before = (await calls.status([address]))[0]!.report!;
     const startedAt = Date.now();
-    const running: Promise<number>[] = [];
+    const running: Promise<number | undefined>[] = [];
     const total = REQUESTS_PER_SECOND * THROUGHPUT_SECONDS;
     for (let index = 0; index < total; index++) {
         const due = startedAt + index * 1_000 / REQUESTS_PER_SECOND;
         if (due > Date.now()) {
             await new Promise((resolve) => setTimeout(resolve, due - Date.now()));
         }
-        running.push(callOnce(PORTS.router, TOKENS_PER_REQUEST, firstToken));
+        running.push(callOnce(PORTS.router, TOKENS_PER_REQUEST, firstToken).catch(() => undefined));
     }
     const peak = (await calls.status([address]))[0]!.report!;
-    const chunks = (await Promise.all(running)).reduce((sum, count) => sum + count, 0);
+    const answers = (await Promise.all(running)).filter((chunks) => chunks !== undefined);
+    const chunks = answers.reduce((sum, count) => sum + count, 0);
     const seconds = (Date.now() - startedAt) / 1000;
     await calls.close();
     return {
-        requestsPerSecond: Math.round(total / seconds),
+        requestsPerSecond: Math.round(answers.length / seconds),
+        lostCalls: total - answers.length,
         chunksPerSecond: Math.round(chunks / seconds),
         firstTokenMs: {
             median: firstToken.getValueAtPercentile(50) / 1000,
