--- a/scripts/check-proofs.mjs
+++ b/scripts/check-proofs.mjs
@@ -25,6 +25,12 @@
     ["exit from a drain with requests left", "systems/drain.ts", "left += run.state === \"done\" ? 0 : 1;", "left += run.state === \"done\" ? 0 : 0;", "systems/drain.ts", "    if (left > 0) {\n        return;\n    }\n", ""],
     ["write a transfer before its receiver has it", "systems/lending.ts", "    openUse(world, account, use, now);\n    resendTransfer", "    openUse(world, account, use, now);\n    account.transfers.push(transfer);\n    resendTransfer"],
     ["keep spending after the entry was closed", "ledger/reconcile.ts", "if (change.known && record.holders[change.holder] === undefined) {", "if (change.now < 0) {"],
+    ["continue a stream behind its last chunk", "systems/streams.ts", "Math.max(0, nextOffset(run) - 1)", "nextOffset(run)"],
+    ["keep suspicion alive by passing it on", "systems/suspects.ts", "at: now - crash.ageMs", "at: now - 0 * crash.ageMs"],
+    ["let suspects wait though their crash is explained", "systems/suspects.ts", "row.crashes.filter((crash) => !isExplained(world, crash));", "row.crashes.filter((crash) => crash.at > -Infinity);"],
+    ["end a drain after one address lifetime", "systems/drain.ts", "const ADDRESS_LIFETIMES = 2;", "const ADDRESS_LIFETIMES = 1;"],
+    ["close the allowance of a router that lives", "tick.ts", "if (isLive(world, holder, now)) {", "if (now < 0) {"],
+    ["take any peer for silent after a fixed time", "systems/peers.ts", "return Math.max(world.policy.peerSilentMs, SILENT_TURNS * newsIntervalMs(world));", "return world.policy.peerSilentMs;"],
     ["retry without a budget", "systems/streams.ts", "|| world.retryTokens < 1) {", "|| world.retryTokens < -1e9) {"],
 ];
 
