--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,4 +17,5 @@
 export * from "./types/ids.js";
 export * from "./types/messages.js";
 export * from "./types/outcomes.js";
-export { createWorld, type Identity, type Run, type World, type WorldOptions } from "./world.js";
+export type { Run } from "./types/rows.js";
+export { createWorld, type Identity, type World, type WorldOptions } from "./world.js";
--- a/packages/core/src/systems/admission.ts
+++ b/packages/core/src/systems/admission.ts
@@ -1,6 +1,7 @@
 import { freeTokens, parseRecord } from "../ledger/record.js";
 import { schedule } from "../support/due-queue.js";
-import { type AccountRow, accountRow, budgetRow, type Run, trace, type World } from "../world.js";
+import type { AccountRow, Run } from "../types/rows.js";
+import { accountRow, budgetRow, trace, type World } from "../world.js";
 import { holderName, releaseTokens, reserveTokens, spendableTokens } from "./budgets.js";
 import { requestPacedWrite, requestWrite } from "./ledger.js";
 import { askToLend, cancelUnsentTransfers } from "./lending.js";
--- a/packages/core/src/systems/budgets.ts
+++ b/packages/core/src/systems/budgets.ts
@@ -1,5 +1,6 @@
 import type { Want } from "../ledger/reconcile.js";
-import type { AccountRow, BudgetRow, World } from "../world.js";
+import type { AccountRow, BudgetRow } from "../types/rows.js";
+import type { World } from "../world.js";
 
 const RATE_WINDOW_MS = 30_000;
 const WORST_CASE_WEIGHT = 0.1;
--- a/packages/core/src/systems/claims.ts
+++ b/packages/core/src/systems/claims.ts
@@ -1,7 +1,8 @@
 import { schedule } from "../support/due-queue.js";
 import type { Incarnation, OperationId } from "../types/ids.js";
 import type { KeyValueResult, Versioned } from "../types/messages.js";
-import { nextOperation, type Run, type World } from "../world.js";
+import type { Run } from "../types/rows.js";
+import { nextOperation, type World } from "../world.js";
 import { readKey, swapKey } from "./key-value.js";
 
 /** State of a non-idempotent request key in the key-value service. */
--- a/packages/core/src/systems/endpoints.ts
+++ b/packages/core/src/systems/endpoints.ts
@@ -3,7 +3,8 @@
 import { rendezvousFirst, rendezvousOrder } from "../support/rendezvous.js";
 import type { EndpointId } from "../types/ids.js";
 import type { LoadReport, Target } from "../types/messages.js";
-import { type EndpointRow, endpointRow, type Run, type World } from "../world.js";
+import type { EndpointRow, Run } from "../types/rows.js";
+import { endpointRow, type World } from "../world.js";
 import { awaitsReports } from "./probes.js";
 
 const FULL_LOAD = 1.25;
--- a/packages/core/src/systems/lanes.ts
+++ b/packages/core/src/systems/lanes.ts
@@ -1,7 +1,8 @@
 import { schedule } from "../support/due-queue.js";
 import { rendezvousOrder } from "../support/rendezvous.js";
 import type { BodyDigest, Incarnation } from "../types/ids.js";
-import type { LaneRow, Run, World } from "../world.js";
+import type { LaneRow, Run } from "../types/rows.js";
+import type { World } from "../world.js";
 import { isLive, livePeers, sendToPeer } from "./peers.js";
 import { isSuspect } from "./suspects.js";
 
--- a/packages/core/src/systems/probes.ts
+++ b/packages/core/src/systems/probes.ts
@@ -1,7 +1,8 @@
 import { randomElement } from "../support/random.js";
 import { rendezvousFirst } from "../support/rendezvous.js";
 import type { EndpointId } from "../types/ids.js";
-import { type EndpointRow, endpointRow, type Run, type World } from "../world.js";
+import type { EndpointRow, Run } from "../types/rows.js";
+import { endpointRow, type World } from "../world.js";
 import { candidatesOf, isFresh } from "./endpoints.js";
 
 const USED_LATELY_MS = 60_000;
--- a/packages/core/src/systems/queue.ts
+++ b/packages/core/src/systems/queue.ts
@@ -1,6 +1,7 @@
 import { schedule } from "../support/due-queue.js";
 import type { AccountId } from "../types/ids.js";
-import type { Run, World } from "../world.js";
+import type { Run } from "../types/rows.js";
+import type { World } from "../world.js";
 import { hasUsableEndpoint, serverOf, slotsOf } from "./endpoints.js";
 
 const UNUSABLE_WAIT_MS = 4_000;
--- a/packages/core/src/systems/streams.ts
+++ b/packages/core/src/systems/streams.ts
@@ -2,7 +2,8 @@
 import type { EndpointId } from "../types/ids.js";
 import type { Chunk } from "../types/messages.js";
 import type { RetryReason } from "../types/outcomes.js";
-import { type Call, endpointRow, type Run, trace, type World } from "../world.js";
+import type { Call, Run } from "../types/rows.js";
+import { endpointRow, trace, type World } from "../world.js";
 
 /** Sends a run to an endpoint: a new stream, or the rest of one that was cut. */
 export function dispatchRun(world: World, run: Run, endpoint: EndpointId, now: number): void {
--- a/packages/core/src/systems/suspects.ts
+++ b/packages/core/src/systems/suspects.ts
@@ -1,6 +1,7 @@
 import type { BodyDigest } from "../types/ids.js";
 import type { Crash, Suspicion } from "../types/messages.js";
-import type { Run, SeenCrash, SuspectRow, World } from "../world.js";
+import type { Run, SeenCrash, SuspectRow } from "../types/rows.js";
+import type { World } from "../world.js";
 
 // Routers see one crash at different times: the last ones when their connections have been silent for too long.
 const SAME_CRASH_MS = 10_000;
--- a/packages/core/src/systems/witness.ts
+++ b/packages/core/src/systems/witness.ts
@@ -2,7 +2,8 @@
 import { rendezvousOrder } from "../support/rendezvous.js";
 import type { AccountId, Incarnation, KeyDigest } from "../types/ids.js";
 import type { ClosedUse, Heartbeat, WitnessedBill, WitnessedUse } from "../types/messages.js";
-import type { AccountRow, OpenUseRow, WitnessRow, World } from "../world.js";
+import type { AccountRow, OpenUseRow, WitnessRow } from "../types/rows.js";
+import type { World } from "../world.js";
 import { holderIncarnation } from "./budgets.js";
 import { isLive, isLost, livePeers, sendToPeer } from "./peers.js";
 
--- a/packages/core/src/tick.ts
+++ b/packages/core/src/tick.ts
@@ -73,7 +73,8 @@
 } from "./systems/witness.js";
 import { brand, type Incarnation, type KeyDigest, type KeyValueCallId, type TransferId } from "./types/ids.js";
 import type { Effect, KeyValueResult, Message, PeerMessage } from "./types/messages.js";
-import { type AccountRow, accountRow, type LedgerWrite, type Run, type Task, type World } from "./world.js";
+import type { AccountRow, LedgerWrite, Run } from "./types/rows.js";
+import { accountRow, type Task, type World } from "./world.js";
 
 const OVERDUE_RETRY_MS = 1_000;
 
