Show callers that wait a sign of life before the first chunk

Cause: a stream's headers went out with its first chunk, and keep-alive comments only after them. A caller that waited in a queue, or behind a connection that had gone silent, heard nothing for its 6 s (10 s by default), took the router for lost and sent the request elsewhere while the first run went on.

Callers of the library now get headers after 1.5 s at the next keep-alive; the resume token comes as a comment with the first chunk, a refusal as an event. Other callers still get the status of a refusal.

--- a/packages/client/src/model-stream.test.ts
+++ b/packages/client/src/model-stream.test.ts
@@ -43,6 +43,11 @@
         expect(state).toMatchObject({ texts: ["x"], restarts: 1, resumeToken: "token", ended: true });
     });
 
+    it("takes a resume token that comes after its start", () => {
+        const state = read(createStreamState(), ": keep-alive\n\n", ": resume token\n\n", event(0, "a"));
+        expect(state).toMatchObject({ resumeToken: "token", texts: ["a"], restarts: 0 });
+    });
+
     it("keeps a refusal that comes after its start", () => {
         const refusal = { type: "endpoint-failed", outcome: "may-have-run", retryAfterMs: 5 };
         const state = read(
--- a/packages/client/src/model-stream.ts
+++ b/packages/client/src/model-stream.ts
@@ -66,6 +66,9 @@
             if (word === "end") {
                 expectedEnd = Number(value);
             }
+            if (word === "resume") {
+                state.resumeToken = value;
+            }
             if (word === "restart") {
                 restart(state, value, listener);
             }
--- a/packages/router/src/callers/call-table.ts
+++ b/packages/router/src/callers/call-table.ts
@@ -41,10 +41,10 @@
     }
 
     /** Shows the callers of streams that their connections are alive. */
-    keepAlive(): void {
+    keepAlive(now: number): void {
         for (const call of this.open.values()) {
             if (call.response instanceof StreamResponse) {
-                call.response.keepAlive();
+                call.response.keepAlive(now - call.arrivedAt);
             }
         }
     }
--- a/packages/router/src/callers/responses.ts
+++ b/packages/router/src/callers/responses.ts
@@ -1,6 +1,8 @@
 import type { AnswerEnd, Chunk, Refusal, RefusalReason } from "@gooseberrybend/core";
 import type { ServerResponse } from "node:http";
 
+const EARLY_HEADERS_MS = 1_500;
+
 /** Writes the answer to one caller. */
 export abstract class CallerResponse {
     constructor(protected readonly response: ServerResponse, protected readonly key: string) {}
@@ -38,8 +40,14 @@
         super(response, key);
     }
 
-    /** Shows the caller that the connection is alive. */
-    keepAlive(): void {
+    /**
+     * Shows the caller that the connection is alive. One that has waited for long gets the headers before the
+     * first chunk if it understands a token, or a refusal, that comes later; others may need the status.
+     */
+    keepAlive(waitedMs: number): void {
+        if (!this.response.headersSent && this.restarts && waitedMs >= EARLY_HEADERS_MS) {
+            this.start();
+        }
         if (this.response.headersSent && !this.response.writableEnded) {
             this.response.write(": keep-alive\n\n");
         }
@@ -50,6 +58,9 @@
         if (!this.response.headersSent) {
             this.start();
         }
+        else if (resumeToken !== undefined && !this.restarted) {
+            this.queue(`: resume ${resumeToken}\n\n`);
+        }
         if (this.restarted) {
             this.restarted = false;
             this.queue(`: restart ${this.token ?? ""}\n\n`);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -106,7 +106,7 @@
             CONFIGURATION_HEAD_KEY,
             () => this.host.deliver({ kind: "configuration-changed" }),
         );
-        this.every(KEEP_ALIVE_MS, async () => this.calls.keepAlive());
+        this.every(KEEP_ALIVE_MS, async () => this.calls.keepAlive(Date.now()));
         this.logs.host.info("Started.", { incarnation: this.incarnation, address: this.world.self.address });
     }
 
