Split the tables' largest systems by side

What a router keeps as a witness of others, the pages of a record and the handling of peer messages have files of their own; the logic is unchanged.

--- a/packages/core/src/systems/ledger.ts
+++ b/packages/core/src/systems/ledger.ts
@@ -1,4 +1,4 @@
-import { PAGE_LIFETIME_MS, pageKey, pageToSeal, parsePage, type SealedPage } from "../ledger/pages.js";
+import { parsePage } from "../ledger/pages.js";
 import { type LedgerTransfer, reconcile, type Want, type WitnessedSettlements } from "../ledger/reconcile.js";
 import { formatRecord, type Holder, ledgerKey, type LedgerRecord, parseRecord } from "../ledger/record.js";
 import { schedule } from "../support/due-queue.js";
@@ -9,8 +9,10 @@
 import { accountRow, nextOperation, type World } from "../world.js";
 import { holderName, sumTokens, wantOf } from "./budgets.js";
 import { readKey, swapKey } from "./key-value.js";
+import { readMissingPages, sealBills } from "./ledger-pages.js";
 import { recoverLostHolders } from "./recovery.js";
-import { closeBills, closeUse, witnessedSettlements, witnessesFor } from "./witness.js";
+import { closeBills, closeUse, witnessesFor } from "./witness.js";
+import { witnessedSettlements } from "./witnessed.js";
 
 const CONFLICT_JITTER_MS = 20;
 
@@ -155,16 +157,6 @@
     return [...account.budgets.values()].map((row) => wantOf(world, account, row, needed.get(row.id) ?? 0, now));
 }
 
-// A key can only be told to be new when all pages of the record are at hand.
-function readMissingPages(world: World, account: AccountRow, record: LedgerRecord): boolean {
-    const missing = record.pages.filter((page) => !account.pages.has(page.id));
-    for (const page of missing) {
-        account.busy = true;
-        readKey(world, pageKey(account.id, page.id), { kind: "page-read", account: account.id, page: page.id });
-    }
-    return missing.length > 0;
-}
-
 /** Takes in a page; with the last one that was missing the write goes on. */
 export function receivePage(
     world: World,
@@ -190,38 +182,6 @@
     }
 }
 
-function sealBills(world: World, account: AccountRow, record: LedgerRecord, write: LedgerWrite): void {
-    if (account.seal === write.seal) {
-        account.seal = undefined;
-    }
-    dropOldPages(account, record);
-    const page = account.seal === undefined && !account.sealing ? pageToSeal(record) : undefined;
-    if (page === undefined) {
-        return;
-    }
-    account.sealing = true;
-    const purpose = { kind: "page-write", account: account.id, page } as const;
-    swapKey(world, pageKey(account.id, page.id), 0, page.text, purpose, PAGE_LIFETIME_MS);
-}
-
-function dropOldPages(account: AccountRow, record: LedgerRecord): void {
-    for (const id of account.pages.keys()) {
-        if (id !== account.seal?.id && !record.pages.some((page) => page.id === id)) {
-            account.pages.delete(id);
-        }
-    }
-}
-
-/** Notes that a page is stored; a conflict shows that the same page was stored before. */
-export function noteSealed(world: World, id: AccountId, page: SealedPage, result: KeyValueResult): void {
-    const account = accountRow(world, id);
-    account.sealing = false;
-    if (result.kind === "applied" || result.kind === "conflict") {
-        account.seal = page;
-        account.pages.set(page.id, page.bills);
-    }
-}
-
 /** Continues an account's read or write with the service's answer. */
 export function handleLedgerReply(
     world: World,
--- a/packages/core/src/systems/membership.ts
+++ b/packages/core/src/systems/membership.ts
@@ -11,7 +11,8 @@
 import { isLive, livePeers, sendToPeer, silentAfterMs } from "./peers.js";
 import { hasLostHolder } from "./recovery.js";
 import { adoptSuspicions, forgetSuspects, knownSuspicions, suspicionsOf } from "./suspects.js";
-import { accountsToSettle, dropSettled, forgetWitnessed, oldestOpenAt } from "./witness.js";
+import { oldestOpenAt } from "./witness.js";
+import { accountsToSettle, dropSettled, forgetWitnessed } from "./witnessed.js";
 
 const BROADCAST_LIMIT = 32;
 const WIDTH_STEP = 16;
--- /dev/null
+++ b/packages/core/src/systems/peer-inbox.ts
@@ -0,0 +1,145 @@
+import { brand, type Incarnation, type KeyDigest, type TransferId } from "../types/ids.js";
+import type { PeerMessage } from "../types/messages.js";
+import type { AccountRow } from "../types/rows.js";
+import { accountRow, type World } from "../world.js";
+import { continueWitnessed, serveWaiting } from "./admission.js";
+import { endBilling } from "./answers.js";
+import { holderIncarnation } from "./budgets.js";
+import { adoptSnapshot } from "./configuration.js";
+import { enterLane, freeLane, queueForLane } from "./lanes.js";
+import { requestWrite } from "./ledger.js";
+import { continueTransfer, lend, noteReceived, receiveTransfer } from "./lending.js";
+import { receiveHeartbeat, tellOf } from "./membership.js";
+import { isLive, sendToPeer } from "./peers.js";
+import { closeAllowance, noteTestimony } from "./recovery.js";
+import { refuseRun } from "./runs.js";
+import { noteKept, noteWitnessed } from "./witness.js";
+import { forgetBills, forgetUses, keepBills, witnessUses } from "./witnessed.js";
+
+const OVERDUE_RETRY_MS = 1_000;
+
+/** Takes in a message of another router. */
+export function handlePeerMessage(world: World, from: Incarnation, message: PeerMessage, now: number): void {
+    switch (message.kind) {
+        case "heartbeat":
+            return receiveHeartbeat(world, message, now);
+        case "goodbye":
+            world.peers.delete(message.incarnation);
+            return;
+        case "configuration-wanted":
+            if (world.snapshot.version > message.above) {
+                sendToPeer(world, from, { kind: "configuration", snapshot: world.snapshot });
+            }
+            return;
+        case "configuration":
+            return adoptSnapshot(world, message.snapshot);
+        case "witness-bills":
+            return keepBills(world, from, message.bills, message.batch, now);
+        case "witness-bills-kept":
+            return endBills(world, noteKept(world, from, message.batch), now);
+        case "witness-bills-settled":
+            return forgetBills(world, from, message.keys);
+        case "uses-open":
+            return witnessUses(world, from, message.uses, now);
+        case "uses-witnessed":
+            return handleWitnessed(world, from, message, now);
+        case "uses-closed":
+            return forgetUses(world, from, message.uses);
+        case "allowance-close":
+            return answerClose(world, from, message, now);
+        case "allowance-closed":
+            return handleClosed(world, from, message, now);
+        case "borrow":
+            return lend(world, from, message, now);
+        case "lend":
+            return serveWaiting(world, receiveTransfer(world, from, message.account, message.transfer, now), now);
+        case "lend-received":
+            return noteReceived(world, message.transfer, now);
+        case "borrow-refused":
+            return noteBorrowRefused(world, from, accountRow(world, message.account), now);
+        case "allowance-returned":
+            return requestWrite(world, accountRow(world, message.account), now);
+        case "lane-wanted":
+            return queueForLane(
+                world,
+                message.lane,
+                { incarnation: from, body: message.body, server: message.server, ranMs: message.ranMs },
+                now,
+            );
+        case "lane-granted":
+            return enterLane(world, message.lane, message.body, message.endpoint, now);
+        case "lane-released":
+            return freeLane(world, message.lane, from, message.body, now);
+    }
+}
+
+function handleWitnessed(
+    world: World,
+    from: Incarnation,
+    message: Extract<PeerMessage, { kind: "uses-witnessed"; }>,
+    now: number,
+): void {
+    for (const use of noteWitnessed(world, from, message.accepted)) {
+        continueUse(world, use.key, now);
+    }
+    // Allowances that were closed are held anew with the next write.
+    for (const key of message.refused) {
+        const account = world.openUses.get(key)?.use.account;
+        if (account !== undefined) {
+            requestWrite(world, accountRow(world, account), now);
+        }
+    }
+}
+
+/** Lets the request or transfer behind a use go on that a witness knows now. */
+export function continueUse(world: World, key: string, now: number): void {
+    const run = world.runs.get(world.runsByKey.get(brand<KeyDigest>(key)) ?? 0);
+    if (run !== undefined) {
+        continueWitnessed(world, run, now);
+    }
+    continueTransfer(world, brand<TransferId>(key));
+}
+
+function answerClose(
+    world: World,
+    from: Incarnation,
+    message: Extract<PeerMessage, { kind: "allowance-close"; }>,
+    now: number,
+): void {
+    const { holder, epoch, account } = message;
+    // A holder sends its witnesses every heartbeat: who has not heard of it lately is told that it lives.
+    if (isLive(world, holder, now)) {
+        return tellOf(world, from, holderIncarnation(holder), now);
+    }
+    const testimony = closeAllowance(world, holder, account, epoch, now);
+    sendToPeer(world, from, { kind: "allowance-closed", holder, epoch, account, ...testimony });
+}
+
+function handleClosed(
+    world: World,
+    from: Incarnation,
+    message: Extract<PeerMessage, { kind: "allowance-closed"; }>,
+    now: number,
+): void {
+    const account = accountRow(world, message.account);
+    if (noteTestimony(account, message.holder, message.epoch, from, message)) {
+        requestWrite(world, account, now);
+    }
+}
+
+function noteBorrowRefused(world: World, from: Incarnation, account: AccountRow, now: number): void {
+    if (!account.lenders.delete(from) || account.lenders.size > 0) {
+        return;
+    }
+    const reason = world.keyValueFailingSince === undefined ? "budget-held-elsewhere" : "ledger-unavailable";
+    for (const id of [...account.waiting]) {
+        refuseRun(world, world.runs.get(id)!, reason, OVERDUE_RETRY_MS, now);
+    }
+}
+
+/** Ends the answers whose bills are kept well enough. */
+export function endBills(world: World, keys: readonly KeyDigest[], now: number): void {
+    for (const key of keys) {
+        endBilling(world, world.runs.get(world.runsByKey.get(key) ?? 0), now);
+    }
+}
--- a/packages/core/src/systems/recovery.ts
+++ b/packages/core/src/systems/recovery.ts
@@ -6,7 +6,7 @@
 import type { World } from "../world.js";
 import { holderIncarnation, holderName } from "./budgets.js";
 import { isLive, isLost, sendToPeer } from "./peers.js";
-import { witnessRow } from "./witness.js";
+import { witnessRow } from "./witnessed.js";
 
 /** What a witness knows of a lost holder's allowance once it has closed it. */
 export type Testimony = Pick<Extract<PeerMessage, { kind: "allowance-closed"; }>, "uses" | "bills">;
--- /dev/null
+++ b/packages/core/src/systems/witnessed.ts
@@ -0,0 +1,154 @@
+import { HOLDER_RETIREMENT_MS, LONGEST_REQUEST_MS, type WitnessedSettlements } from "../ledger/reconcile.js";
+import type { AccountId, Incarnation, KeyDigest } from "../types/ids.js";
+import type { ClosedUse, Heartbeat, WitnessedBill, WitnessedUse } from "../types/messages.js";
+import type { WitnessRow } from "../types/rows.js";
+import type { World } from "../world.js";
+import { holderIncarnation } from "./budgets.js";
+import { isLost, sendToPeer } from "./peers.js";
+
+const KEPT_BILL_LIMIT_MS = LONGEST_REQUEST_MS * 0.75;
+
+/** Takes in a peer's uses, but for those of allowances that were closed, and tells which. */
+export function witnessUses(world: World, from: Incarnation, uses: readonly WitnessedUse[], now: number): void {
+    const row = witnessRow(world, from, now);
+    const accepted: string[] = [];
+    const refused: string[] = [];
+    for (const use of uses) {
+        if (use.epoch <= (row.closed.get(use.account) ?? -1)) {
+            refused.push(use.key);
+            continue;
+        }
+        accepted.push(use.key);
+        row.uses.set(use.key, { ...use, keptAt: now });
+    }
+    sendToPeer(world, from, { kind: "uses-witnessed", accepted, refused });
+}
+
+/** Forgets uses of a peer of which nothing came. */
+export function forgetUses(world: World, from: Incarnation, closed: readonly ClosedUse[]): void {
+    const row = world.witnessed.get(from);
+    for (const { key, at } of closed) {
+        if ((row?.uses.get(key)?.at ?? Infinity) <= at) {
+            row!.uses.delete(key);
+        }
+    }
+}
+
+/** Keeps a peer's bills until the ledger has them. */
+export function keepBills(
+    world: World,
+    from: Incarnation,
+    bills: readonly WitnessedBill[],
+    batch: number,
+    now: number,
+): void {
+    const row = witnessRow(world, from, now);
+    for (const bill of bills) {
+        row.uses.delete(bill.key);
+        row.bills.set(bill.key, { ...bill, keptAt: now });
+    }
+    sendToPeer(world, from, { kind: "witness-bills-kept", batch });
+}
+
+/** Forgets what a peer has settled by its own word, should the message about it be lost. */
+export function dropSettled(world: World, heartbeat: Heartbeat): void {
+    const row = world.witnessed.get(heartbeat.incarnation);
+    if (row === undefined) {
+        return;
+    }
+    for (const entries of [row.bills, row.uses] as readonly Map<string, { readonly at: number; }>[]) {
+        for (const [key, entry] of entries) {
+            if (entry.at < heartbeat.oldestOpenAt) {
+                entries.delete(key);
+            }
+        }
+    }
+}
+
+/** Forgets bills that the ledger has. */
+export function forgetBills(world: World, from: Incarnation, keys: readonly KeyDigest[]): void {
+    const row = world.witnessed.get(from);
+    for (const key of keys) {
+        row?.bills.delete(key);
+    }
+}
+
+/** Returns the accounts for which this router keeps bills that their router seems unable to write. */
+export function accountsToSettle(world: World, now: number): Set<AccountId> {
+    const accounts = new Set<AccountId>();
+    for (const [peer, row] of world.witnessed) {
+        dropOldEntries(row, now);
+        for (const bill of row.bills.values()) {
+            if (isOverdue(world, peer, bill, now)) {
+                accounts.add(bill.account);
+            }
+        }
+    }
+    return accounts;
+}
+
+// The ledger forgets bills after a while; a bill as old as that could be written a second time.
+function dropOldEntries(row: WitnessRow, now: number): void {
+    for (const bill of row.bills.values()) {
+        if (now - bill.keptAt > KEPT_BILL_LIMIT_MS) {
+            row.bills.delete(bill.key);
+        }
+    }
+    for (const use of row.uses.values()) {
+        if (now - use.keptAt > HOLDER_RETIREMENT_MS) {
+            row.uses.delete(use.key);
+        }
+    }
+}
+
+// The ledger takes a bill once, so it does no harm when both its router and a witness write it.
+function isOverdue(world: World, peer: Incarnation, bill: { readonly keptAt: number; }, now: number): boolean {
+    return isLost(world, peer, now) || now - bill.keptAt > world.policy.witnessSettleMs;
+}
+
+/** Returns the overdue bills of peers for an account, to be written on their behalf. */
+export function witnessedSettlements(world: World, account: AccountId, now: number): WitnessedSettlements[] {
+    const all: WitnessedSettlements[] = [];
+    for (const [peer, row] of world.witnessed) {
+        dropOldEntries(row, now);
+        for (const bill of row.bills.values()) {
+            if (bill.account === account && isOverdue(world, peer, bill, now)) {
+                addWitnessed(all, bill);
+            }
+        }
+    }
+    return all;
+}
+
+function addWitnessed(all: WitnessedSettlements[], bill: WitnessedBill): void {
+    const known = all.find((entry) => entry.holder === bill.holder);
+    if (known === undefined) {
+        all.push({ holder: bill.holder, settlements: [bill] });
+        return;
+    }
+    known.settlements.push(bill);
+}
+
+/** Forgets bills that were written on behalf of peers. */
+export function dropWitnessed(world: World, written: readonly WitnessedSettlements[]): void {
+    for (const { holder, settlements } of written) {
+        forgetBills(world, holderIncarnation(holder), settlements.map((settlement) => settlement.key));
+    }
+}
+
+/** Returns what this router witnesses of a peer, created on first use. */
+export function witnessRow(world: World, peer: Incarnation, now: number): WitnessRow {
+    const row = world.witnessed.get(peer) ?? { bills: new Map(), uses: new Map(), closed: new Map(), touchedAt: now };
+    row.touchedAt = now;
+    world.witnessed.set(peer, row);
+    return row;
+}
+
+/** Forgets peers that were silent for longer than the ledger keeps their entries. */
+export function forgetWitnessed(world: World, now: number): void {
+    for (const [peer, row] of world.witnessed) {
+        if (now - row.touchedAt > 2 * HOLDER_RETIREMENT_MS) {
+            world.witnessed.delete(peer);
+        }
+    }
+}
--- a/packages/core/src/tick.ts
+++ b/packages/core/src/tick.ts
@@ -1,6 +1,5 @@
 import { earliestDue, takeDue } from "./support/due-queue.js";
 import {
-    continueWitnessed,
     dropUncoveredUses,
     endBudgetWait,
     judgeWaiting,
@@ -8,43 +7,20 @@
     seekTokensInOutage,
     serveWaiting,
 } from "./systems/admission.js";
-import { checkProgress, continueRetry, endBilling, handleFailure, receiveEnd, waitForBill } from "./systems/answers.js";
-import { holderIncarnation } from "./systems/budgets.js";
+import { checkProgress, continueRetry, handleFailure, receiveEnd, waitForBill } from "./systems/answers.js";
 import { handleClaimReply, handleOutcomeReply, writeOutcome } from "./systems/claims.js";
-import {
-    adoptSnapshot,
-    pollConfiguration,
-    readHead,
-    receiveHead,
-    receiveHeadVersion,
-    receivePart,
-} from "./systems/configuration.js";
+import { pollConfiguration, readHead, receiveHead, receiveHeadVersion, receivePart } from "./systems/configuration.js";
 import { checkDrain, startDrain } from "./systems/drain.js";
 import { noteReport } from "./systems/endpoints.js";
 import { takePurpose } from "./systems/key-value.js";
-import { askForLaneAgain, enterLane, freeLane, grantLane, queueForLane } from "./systems/lanes.js";
-import {
-    handleLedgerReply,
-    type LedgerListener,
-    noteSealed,
-    receivePage,
-    requestWrite,
-    runDueWrite,
-} from "./systems/ledger.js";
-import {
-    announceReturned,
-    cancelUnsentTransfers,
-    continueTransfer,
-    lend,
-    noteReceived,
-    receiveTransfer,
-    resendTransfer,
-} from "./systems/lending.js";
-import { beat, receiveHeartbeat, tellOf } from "./systems/membership.js";
-import { isLive, sendToPeer } from "./systems/peers.js";
+import { askForLaneAgain, grantLane } from "./systems/lanes.js";
+import { noteSealed } from "./systems/ledger-pages.js";
+import { handleLedgerReply, type LedgerListener, receivePage, runDueWrite } from "./systems/ledger.js";
+import { announceReturned, cancelUnsentTransfers, resendTransfer } from "./systems/lending.js";
+import { beat } from "./systems/membership.js";
+import { continueUse, endBills, handlePeerMessage } from "./systems/peer-inbox.js";
 import { probeEndpoints } from "./systems/probes.js";
 import { unservable } from "./systems/queue.js";
-import { closeAllowance, noteTestimony } from "./systems/recovery.js";
 import {
     arrive,
     continueClaimed,
@@ -57,23 +33,12 @@
     serveQueue,
 } from "./systems/runs.js";
 import { receiveChunk } from "./systems/streams.js";
-import {
-    closeBills,
-    dropWitnessed,
-    forgetBills,
-    forgetUses,
-    informWitnesses,
-    keepBills,
-    noteKept,
-    noteWitnessed,
-    reofferUse,
-    waitingUses,
-    witnessUses,
-} from "./systems/witness.js";
-import { brand, type Incarnation, type KeyDigest, type KeyValueCallId, type TransferId } from "./types/ids.js";
-import type { Effect, KeyValueResult, Message, PeerMessage } from "./types/messages.js";
+import { closeBills, informWitnesses, reofferUse, waitingUses } from "./systems/witness.js";
+import { dropWitnessed } from "./systems/witnessed.js";
+import type { KeyValueCallId } from "./types/ids.js";
+import type { Effect, KeyValueResult, Message } from "./types/messages.js";
 import type { AccountRow, LedgerWrite, Run } from "./types/rows.js";
-import { accountRow, type Task, type World } from "./world.js";
+import type { Task, World } from "./world.js";
 
 const OVERDUE_RETRY_MS = 1_000;
 
@@ -213,12 +178,6 @@
     },
 };
 
-function endBills(world: World, keys: readonly KeyDigest[], now: number): void {
-    for (const key of keys) {
-        endBilling(world, world.runs.get(world.runsByKey.get(key) ?? 0), now);
-    }
-}
-
 function handleClaim(world: World, id: number, result: KeyValueResult, now: number): void {
     const run = world.runs.get(id);
     if (run === undefined || run.state !== "claim") {
@@ -237,123 +196,6 @@
     }
 }
 
-function handlePeerMessage(world: World, from: Incarnation, message: PeerMessage, now: number): void {
-    switch (message.kind) {
-        case "heartbeat":
-            return receiveHeartbeat(world, message, now);
-        case "goodbye":
-            world.peers.delete(message.incarnation);
-            return;
-        case "configuration-wanted":
-            if (world.snapshot.version > message.above) {
-                sendToPeer(world, from, { kind: "configuration", snapshot: world.snapshot });
-            }
-            return;
-        case "configuration":
-            return adoptSnapshot(world, message.snapshot);
-        case "witness-bills":
-            return keepBills(world, from, message.bills, message.batch, now);
-        case "witness-bills-kept":
-            return endBills(world, noteKept(world, from, message.batch), now);
-        case "witness-bills-settled":
-            return forgetBills(world, from, message.keys);
-        case "uses-open":
-            return witnessUses(world, from, message.uses, now);
-        case "uses-witnessed":
-            return handleWitnessed(world, from, message, now);
-        case "uses-closed":
-            return forgetUses(world, from, message.uses);
-        case "allowance-close":
-            return answerClose(world, from, message, now);
-        case "allowance-closed":
-            return handleClosed(world, from, message, now);
-        case "borrow":
-            return lend(world, from, message, now);
-        case "lend":
-            return serveWaiting(world, receiveTransfer(world, from, message.account, message.transfer, now), now);
-        case "lend-received":
-            return noteReceived(world, message.transfer, now);
-        case "borrow-refused":
-            return noteBorrowRefused(world, from, accountRow(world, message.account), now);
-        case "allowance-returned":
-            return requestWrite(world, accountRow(world, message.account), now);
-        case "lane-wanted":
-            return queueForLane(
-                world,
-                message.lane,
-                { incarnation: from, body: message.body, server: message.server, ranMs: message.ranMs },
-                now,
-            );
-        case "lane-granted":
-            return enterLane(world, message.lane, message.body, message.endpoint, now);
-        case "lane-released":
-            return freeLane(world, message.lane, from, message.body, now);
-    }
-}
-
-function handleWitnessed(
-    world: World,
-    from: Incarnation,
-    message: Extract<PeerMessage, { kind: "uses-witnessed"; }>,
-    now: number,
-): void {
-    for (const use of noteWitnessed(world, from, message.accepted)) {
-        continueUse(world, use.key, now);
-    }
-    // Allowances that were closed are held anew with the next write.
-    for (const key of message.refused) {
-        const account = world.openUses.get(key)?.use.account;
-        if (account !== undefined) {
-            requestWrite(world, accountRow(world, account), now);
-        }
-    }
-}
-
-function continueUse(world: World, key: string, now: number): void {
-    const run = world.runs.get(world.runsByKey.get(brand<KeyDigest>(key)) ?? 0);
-    if (run !== undefined) {
-        continueWitnessed(world, run, now);
-    }
-    continueTransfer(world, brand<TransferId>(key));
-}
-
-function answerClose(
-    world: World,
-    from: Incarnation,
-    message: Extract<PeerMessage, { kind: "allowance-close"; }>,
-    now: number,
-): void {
-    const { holder, epoch, account } = message;
-    // A holder sends its witnesses every heartbeat: who has not heard of it lately is told that it lives.
-    if (isLive(world, holder, now)) {
-        return tellOf(world, from, holderIncarnation(holder), now);
-    }
-    const testimony = closeAllowance(world, holder, account, epoch, now);
-    sendToPeer(world, from, { kind: "allowance-closed", holder, epoch, account, ...testimony });
-}
-
-function handleClosed(
-    world: World,
-    from: Incarnation,
-    message: Extract<PeerMessage, { kind: "allowance-closed"; }>,
-    now: number,
-): void {
-    const account = accountRow(world, message.account);
-    if (noteTestimony(account, message.holder, message.epoch, from, message)) {
-        requestWrite(world, account, now);
-    }
-}
-
-function noteBorrowRefused(world: World, from: Incarnation, account: AccountRow, now: number): void {
-    if (!account.lenders.delete(from) || account.lenders.size > 0) {
-        return;
-    }
-    const reason = world.keyValueFailingSince === undefined ? "budget-held-elsewhere" : "ledger-unavailable";
-    for (const id of [...account.waiting]) {
-        refuseRun(world, world.runs.get(id)!, reason, OVERDUE_RETRY_MS, now);
-    }
-}
-
 function runTask(world: World, task: Task, now: number): void {
     switch (task.kind) {
         case "ledger":
--- a/scripts/check-proofs.mjs
+++ b/scripts/check-proofs.mjs
@@ -29,7 +29,7 @@
     ["keep suspicion alive by passing it on", "systems/suspects.ts", "at: now - crash.ageMs", "at: now - 0 * crash.ageMs"],
     ["let suspects wait though their crash is explained", "systems/suspects.ts", "row.crashes.filter((crash) => !isExplained(world, crash));", "row.crashes.filter((crash) => crash.at > -Infinity);"],
     ["end a drain after one address lifetime", "systems/drain.ts", "const ADDRESS_LIFETIMES = 2;", "const ADDRESS_LIFETIMES = 1;"],
-    ["close the allowance of a router that lives", "tick.ts", "if (isLive(world, holder, now)) {", "if (now < 0) {"],
+    ["close the allowance of a router that lives", "systems/peer-inbox.ts", "if (isLive(world, holder, now)) {", "if (now < 0) {"],
     ["take any peer for silent after a fixed time", "systems/peers.ts", "return Math.max(world.policy.peerSilentMs, SILENT_TURNS * newsIntervalMs(world));", "return world.policy.peerSilentMs;"],
     ["retry without a budget", "systems/streams.ts", "|| world.retryTokens < 1) {", "|| world.retryTokens < -1e9) {"],
 ];
