--- a/packages/core/src/mocks/fake-fleet.ts
+++ b/packages/core/src/mocks/fake-fleet.ts
@@ -1,19 +1,10 @@
 import { CONFIGURATION_HEAD_KEY, mergePublication, parseHead, partKey } from "../configuration/publication.js";
 import { pageKey, parsePage } from "../ledger/pages.js";
-import {
-    applyTopUp,
-    type Bill,
-    formatRecord,
-    type Holder,
-    type Holding,
-    ledgerKey,
-    type LedgerRecord,
-    parseRecord,
-} from "../ledger/record.js";
+import { applyTopUp, type Bill, formatRecord, ledgerKey, type LedgerRecord, parseRecord } from "../ledger/record.js";
 import type { Policy } from "../policy.js";
 import { digestText } from "../support/digest.js";
 import { createRandom, type Random, randomBelow } from "../support/random.js";
-import type { AccountId, BudgetId, EndpointId, FailureDomain, Incarnation, KeyDigest } from "../types/ids.js";
+import type { AccountId, EndpointId, FailureDomain, Incarnation, KeyDigest } from "../types/ids.js";
 import type { Effect, Message, PeerMessage } from "../types/messages.js";
 import type { WorldOptions } from "../world.js";
 import { CoreBrain, type RouterBrain } from "./brain.js";
@@ -23,6 +14,7 @@
 import { FakeKeyValue } from "./fake-key-value.js";
 import { FakeRouter } from "./fake-routers.js";
 import { FleetJudge, type FleetVerdict, MAIN, SERVICE_CALL_TOKENS } from "./fleet-judge.js";
+import { brokenLedgerRules } from "./ledger-rules.js";
 
 /** What a fake fleet consists of. */
 export type FleetOptions = {
@@ -83,7 +75,11 @@
 
     constructor(readonly options: FleetOptions) {
         this.random = createRandom(options.seed);
-        this.keyValue = new FakeKeyValue(this.clock, this.random, (key, value) => this.checkRecord(key, value));
+        this.keyValue = new FakeKeyValue(
+            this.clock,
+            this.random,
+            (key, value) => this.violations.push(...brokenLedgerRules(this, key, value)),
+        );
         this.callers = new FakeCallers(
             this.clock,
             this.random,
@@ -431,59 +427,6 @@
         });
     }
 
-    private checkRecord(key: string, value: string): void {
-        if (!key.startsWith("ledger/")) {
-            return;
-        }
-        const record = parseRecord(value);
-        for (const [budget, totals] of Object.entries(record.budgets)) {
-            const holdings = Object.values<Holder>(record.holders).map((holder) => holder.budgets[budget as BudgetId]);
-            const held = holdings.reduce((sum, holding) => sum + tokensOf(holding), 0);
-            const charged = totals.billed + held + (record.stranded[budget as BudgetId] ?? 0);
-            if (charged > totals.granted) {
-                this.violations.push(`${key}: ${charged} charged of ${totals.granted} granted`);
-            }
-            if (holdings.some((holding) => tokensOf(holding) < 0)) {
-                this.violations.push(`${key}: a holding is below 0`);
-            }
-        }
-        this.checkPromised(key, record);
-    }
-
-    // Billed, to be billed and reserved anywhere must fit in what was granted.
-    private checkPromised(key: string, record: LedgerRecord): void {
-        const account = key.slice(ledgerKey("").length) as AccountId;
-        const seen = new Set(this.bills(account).keys());
-        const totals = record.budgets[MAIN] ?? { granted: 0, billed: 0 };
-        let promised = totals.billed;
-        for (const router of this.routers) {
-            const row = router.state === "dead" ? undefined : router.brain.world?.accounts.get(account);
-            for (const settlement of row?.settlements ?? []) {
-                promised += seen.has(settlement.key) ? 0 : settlement.tokens;
-                seen.add(settlement.key);
-            }
-            promised += this.reservedTokens(router, account, seen);
-        }
-        if (promised > totals.granted) {
-            this.violations.push(`${key}: ${promised} promised of ${totals.granted} granted`);
-        }
-    }
-
-    // A key that two routers run is billed once, so its reservation counts once. A reservation that is not
-    // witnessed yet cannot be used.
-    private reservedTokens(router: FakeRouter, account: AccountId, seen: Set<KeyDigest>): number {
-        let reserved = 0;
-        const world = router.brain.world;
-        for (const run of router.state === "dead" || world === undefined ? [] : world.runs.values()) {
-            const usable = run.arrival.account === account && world!.openUses.get(run.keyDigest)?.allowed === true;
-            if (usable && run.reserved > 0 && !seen.has(run.keyDigest)) {
-                seen.add(run.keyDigest);
-                reserved += run.reserved;
-            }
-        }
-        return reserved;
-    }
-
     /** Judges the run so far by the fakes' own truth. */
     verdict(): FleetVerdict {
         return new FleetJudge(this).verdict();
@@ -495,7 +438,3 @@
         return granted.filter((grant) => grant.at <= at).reduce((sum, grant) => sum + grant.tokens, 0);
     }
 }
-
-function tokensOf(holding: Holding | undefined): number {
-    return holding?.allowance ?? 0;
-}
