Count, log and explain what is turned away at the door; name the fields of logs

Cause: following the README as a new user, `explain` knew nothing of a request whose cap was too high, and no counter showed it: faults were answered without a trace. Log lines had fields called 0, 1 and 2 and a host name "unknown", and refusals no key to look for. All three are mended, with tests.

--- a/packages/router/src/callers/call-table.ts
+++ b/packages/router/src/callers/call-table.ts
@@ -1,9 +1,10 @@
-import type { CallId, Effect } from "@gooseberrybend/core";
+import type { AccountId, CallId, Effect } from "@gooseberrybend/core";
 import type { EndpointRequest } from "../endpoints/endpoint-client.js";
 import { type CallerResponse, StreamResponse } from "./responses.js";
 
 /** A caller's open request. */
 export type OpenCall = {
+    readonly account: AccountId;
     readonly response: CallerResponse;
     readonly request: EndpointRequest;
     readonly arrivedAt: number;
--- a/packages/router/src/callers/callers.controller.ts
+++ b/packages/router/src/callers/callers.controller.ts
@@ -22,19 +22,16 @@
         reply.hijack();
         const headers = readHeaders(request.raw, this.router.world.configuration);
         if (headers.isErr()) {
-            return sendFault(request, reply, headers.error);
+            return this.turnAway(request, reply, headers.error);
         }
         const parsed = readModelRequest(bodyOf(request), this.router.settings.limits);
         if (parsed.isErr()) {
-            return sendFault(request, reply, parsed.error);
+            return this.turnAway(request, reply, parsed.error, headers.value);
         }
         const { target, stream, body } = parsed.value;
         if (!this.router.world.configuration.servers.has(`model:${target.model}`)) {
-            return sendFault(request, reply, {
-                status: 404,
-                reason: "no-endpoint",
-                detail: `No endpoint serves the model ${target.model}.`,
-            });
+            const detail = `No endpoint serves the model ${target.model}.`;
+            return this.turnAway(request, reply, { status: 404, reason: "no-endpoint", detail }, headers.value);
         }
         const { key, restarts, offset } = headers.value;
         const response = stream
@@ -57,7 +54,7 @@
         const configuration = this.router.world.configuration;
         const headers = readHeaders(request.raw, configuration);
         if (headers.isErr()) {
-            return sendFault(request, reply, headers.error);
+            return this.turnAway(request, reply, headers.error);
         }
         const { service } = request.params as { service: string; };
         if (!configuration.servers.has(`service:${service}`)) {
@@ -126,6 +123,16 @@
         sendJson(reply.raw, 200, { state: run.state, outcome, chunks: run.base + run.chunks.length, end: run.end });
     }
 
+    private turnAway(
+        request: FastifyRequest,
+        reply: FastifyReply,
+        fault: HeaderFault,
+        headers?: RequestHeaders,
+    ): void {
+        this.router.noteTurnedAway(fault.reason, outcomeAtDoor(request.raw), fault.detail, headers);
+        sendFault(request, reply, fault, headers?.key);
+    }
+
     private accept(
         reply: FastifyReply,
         headers: RequestHeaders,
@@ -137,11 +144,11 @@
 }
 
 /** Answers with a typed fault before anything was reserved or sent. */
-export function sendFault(request: FastifyRequest, reply: FastifyReply, fault: HeaderFault): void {
+export function sendFault(request: FastifyRequest, reply: FastifyReply, fault: HeaderFault, key?: string): void {
     const { reason, detail } = fault;
     const retryAfterMs = reason === "not-ready" ? NOT_READY_RETRY_MS : FAULT_RETRY_MS;
     const refusal = { reason, outcome: outcomeAtDoor(request.raw), retryAfterMs, detail };
-    sendRefusal(reply.raw, fault.status, refusal, undefined);
+    sendRefusal(reply.raw, fault.status, refusal, key);
 }
 
 function bodyOf(request: FastifyRequest): Buffer {
--- a/packages/router/src/observability/log.ts
+++ b/packages/router/src/observability/log.ts
@@ -9,6 +9,20 @@
 /** Loggers by part. */
 export type Logs = Readonly<Record<LogPart, Logger<unknown>>>;
 
+type Entry = {
+    readonly 0?: string;
+    readonly 1?: string;
+    readonly 2?: Readonly<Record<string, unknown>>;
+    readonly _meta: { readonly date: Date; readonly logLevelName: string; };
+};
+
+// A line has its time, level, part and sentence, and the fields that were logged with it.
+function writeLine(entry: unknown): void {
+    const { 0: prefix, 1: message, 2: fields, _meta: meta } = entry as Entry;
+    const line = { at: meta.date, level: meta.logLevelName, part: prefix?.replace(/:$/, ""), message, ...fields };
+    process.stdout.write(`${JSON.stringify(line)}\n`);
+}
+
 /** Creates the loggers: JSON lines, or readable text on a terminal. */
 export function createLogs(settings: Settings["log"]): Logs {
     const format = settings.format ?? (process.stdout.isTTY ? "pretty" : "json");
@@ -16,6 +30,7 @@
         type: format,
         minLevel: levels[settings.level],
         hideLogPositionForProduction: true,
+        overwrite: { transportJSON: writeLine },
     });
     const part = (name: LogPart): Logger<unknown> => root.getSubLogger({ prefix: [`${name}:`] });
     return {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -9,7 +9,9 @@
     type FailureDomain,
     type Incarnation,
     type KeyValueResult,
+    type Outcome,
     type Policy,
+    type RefusalReason,
     type World,
 } from "@gooseberrybend/core";
 import { randomBytes } from "node:crypto";
@@ -132,6 +134,7 @@
         const { headers } = request;
         const now = Date.now();
         const call: OpenCall = {
+            account: headers.account,
             response: request.response,
             request: request.endpointRequest,
             arrivedAt: now,
@@ -167,6 +170,18 @@
         };
     }
 
+    /** Counts, logs and remembers a request that was turned away before it reached the decisions. */
+    noteTurnedAway(reason: RefusalReason, outcome: Outcome, detail: string, headers: RequestHeaders | undefined): void {
+        this.metrics.refusals.inc({ reason, outcome });
+        const request = headers === undefined ? {} : { account: headers.account, key: headers.key };
+        this.logs.admission.info("Turned away.", { ...request, reason, outcome });
+        if (headers !== undefined) {
+            const { account, key } = headers;
+            const figures = { reason, outcome, detail };
+            addTrace(this.trail, { at: Date.now(), account, key, decision: "turned away", figures });
+        }
+    }
+
     private carryOut(effect: Effect): void {
         countEffect(this.metrics, effect);
         switch (effect.kind) {
@@ -180,6 +195,8 @@
                 return;
             case "caller-refused":
                 this.logs.admission.info("Refused.", {
+                    account: this.calls.get(effect.call)?.account,
+                    key: this.calls.get(effect.call)?.request.key,
                     reason: effect.refusal.reason,
                     outcome: effect.refusal.outcome,
                 });
--- a/packages/router/src/server.test.ts
+++ b/packages/router/src/server.test.ts
@@ -2,6 +2,7 @@
 import { createHash } from "node:crypto";
 import { request } from "undici";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { explainKey } from "./observability/trail.js";
 import { type RunningRouter, startRouter } from "./server.js";
 import { settingsSchema } from "./settings.js";
 
@@ -84,6 +85,11 @@
         ])("tells at the door what earlier attempts may have done: %j is %s", async (more, outcome) => {
             const withdrawn = await send("/v1/chat/completions", chat({ model: "withdrawn" }), "credential", more);
             expect(withdrawn.body).toMatchObject({ error: { outcome } });
+            const traces = explainKey(running.router.trail, "k").map(({ decision, figures }) => ({
+                decision,
+                ...figures,
+            }));
+            expect(traces).toContainEqual(expect.objectContaining({ decision: "turned away", outcome }));
             const refused = await send("/v1/chat/completions", chat({}), "credential", more);
             expect(refused.body).toMatchObject({ error: { type: "ledger-unavailable", outcome } });
         });
