--- a/packages/core/src/fleet-endpoints.test.ts
+++ b/packages/core/src/fleet-endpoints.test.ts
@@ -79,9 +79,7 @@
         });
 
         it("are asked for their load for each request, not all the time, when they are many", () => {
-            const budgets = { a: 10_000_000 };
-            const fleet = new FakeFleet({ seed: 3, routers: 3, engines: 60, services: 2, slots: 16, budgets });
-            fleet.run(3_000);
+            const fleet = fleetOf(10_000_000, {}, { engines: 60 });
             const probes = fleet.probes;
             for (let index = 0; index < 100; index++) {
                 fleet.at(index * 200, () => void fleet.send({ account: "a" }));
--- a/packages/core/src/fleet.test.ts
+++ b/packages/core/src/fleet.test.ts
@@ -302,17 +302,8 @@
         it("find their router until its address has expired, though others hear of its drain late", () => {
             const addressLifetimeMs = 2_000;
             const accounts = ["a", "b", "c", "d", "e", "f", "g", "h"];
-            const fleet = new FakeFleet({
-                seed: 3,
-                routers: 3,
-                engines: 3,
-                services: 2,
-                slots: 16,
-                budgets: Object.fromEntries(accounts.map((account) => [account, 100_000])),
-                policy: { addressLifetimeMs },
-                addressLifetimeMs,
-            });
-            fleet.run(3_000);
+            const budgets = Object.fromEntries(accounts.map((account) => [account, 100_000]));
+            const fleet = fleetOf(0, { addressLifetimeMs }, { budgets, addressLifetimeMs });
             for (let index = 0; index < 150; index++) {
                 fleet.at(index * 100, () => void fleet.send({ account: accounts[index % accounts.length]! }));
             }
--- a/packages/core/src/mocks/fleet-fixture.ts
+++ b/packages/core/src/mocks/fleet-fixture.ts
@@ -1,8 +1,8 @@
 import { expect } from "vitest";
-import { FakeFleet } from "./fake-fleet.js";
+import { FakeFleet, type FleetOptions } from "./fake-fleet.js";
 
 /** Returns a fleet of three routers and one account that has been running for a while. */
-export function fleetOf(budget = 100_000, policy = {}): FakeFleet {
+export function fleetOf(budget = 100_000, policy = {}, options: Partial<FleetOptions> = {}): FakeFleet {
     const fleet = new FakeFleet({
         seed: 3,
         routers: 3,
@@ -11,6 +11,7 @@
         slots: 16,
         budgets: { a: budget },
         policy,
+        ...options,
     });
     fleet.run(3_000);
     return fleet;
