--- /dev/null
+++ b/packages/core/src/systems/peer-inbox.test.ts
@@ -0,0 +1,54 @@
+import { describe, expect, it } from "vitest";
+import { nextTickAt, tick } from "../tick.js";
+import { type AccountId, brand, type FailureDomain, type Incarnation } from "../types/ids.js";
+import type { Heartbeat, Message, PeerMessage } from "../types/messages.js";
+import { createWorld, type World } from "../world.js";
+
+const holder = brand<Incarnation>("holder");
+const asker = brand<Incarnation>("asker");
+
+function heartbeatOf(incarnation: Incarnation): PeerMessage {
+    const own: Heartbeat = {
+        incarnation,
+        address: `http://${incarnation}`,
+        domain: brand<FailureDomain>("r/a"),
+        sequence: 1,
+        draining: false,
+        configurationVersion: 0,
+        oldestOpenAt: 0,
+    };
+    return { kind: "heartbeat", own, heard: [], leavingEndpoints: [], suspects: [], convicts: [] };
+}
+
+function from(peer: Incarnation, message: PeerMessage): Message {
+    return { kind: "peer-message", from: peer, to: undefined, message };
+}
+
+function answersToAsker(world: World, now: number): PeerMessage[] {
+    const close: PeerMessage = { kind: "allowance-close", holder, epoch: 1, account: brand<AccountId>("a") };
+    const effects = tick(world, now, [from(asker, close)]);
+    return effects.flatMap((effect) => effect.kind === "peer-send" && effect.to === asker ? [effect.message] : []);
+}
+
+describe("a witness that is asked to close an allowance", () => {
+    const self = {
+        incarnation: brand<Incarnation>("witness"),
+        address: "http://w",
+        domain: brand<FailureDomain>("r/b"),
+    };
+    const world = createWorld({ self, seed: 1, now: 0 });
+    tick(world, 0, [from(holder, heartbeatOf(holder)), from(asker, heartbeatOf(asker))]);
+
+    it("passes on that its holder lives while it hears of it", () => {
+        const answers = answersToAsker(world, 2_000);
+        expect(answers.map((answer) => answer.kind)).toEqual(["heartbeat"]);
+        expect(answers[0]).toMatchObject({ heard: [{ incarnation: holder }] });
+        expect(world.witnessed.get(holder)?.closed.size ?? 0).toBe(0);
+    });
+
+    it("closes it once its holder is silent", () => {
+        expect(nextTickAt(world)).toBeLessThan(10_000);
+        const answers = answersToAsker(world, 10_000);
+        expect(answers.map((answer) => answer.kind)).toContain("allowance-closed");
+    });
+});
--- a/scripts/check-proofs.mjs
+++ b/scripts/check-proofs.mjs
@@ -48,7 +48,9 @@
 
 async function work() {
     for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
-        results.push({ index: next.index, name: next.fault[0], caughtBy: await tryFault(next.fault) });
+        const caughtBy = await tryFault(next.fault);
+        console.error(`${next.fault[0]}: ${caughtBy.length === 0 ? "NOT CAUGHT" : "caught"}`);
+        results.push({ index: next.index, name: next.fault[0], caughtBy });
     }
 }
 
