--- a/packages/core/src/fleet.test.ts
+++ b/packages/core/src/fleet.test.ts
@@ -189,9 +189,10 @@
             const record = fleet.send({ account: "a" });
             const isBilling = (router: FakeFleet["routers"][number]): boolean =>
                 [...router.brain.world!.runs.values()].some((run) => run.state === "billing");
-            while (!fleet.routers.some(isBilling)) {
+            for (let step = 0; step < 4_000 && !fleet.routers.some(isBilling); step++) {
                 fleet.run(0.25);
             }
+            expect(fleet.routers.some(isBilling)).toBe(true);
             fleet.kill(fleet.routers.find(isBilling)!);
             fleet.run(60_000);
             expect(record).toMatchObject({ result: "whole", attempts: 2 });
