Derive what was kept twice after a last read of the change

- That a suspect was granted an endpoint is told by the endpoint itself; the flag beside it is gone.
- The three places that put a heartbeat together call one function.
- The time to come back after waiting in vain is named once, for the tick and for messages of peers.

--- a/packages/core/src/systems/answers.ts
+++ b/packages/core/src/systems/answers.ts
@@ -171,7 +171,7 @@
 
 /** Sends a run again after its pause. */
 export function continueRetry(world: World, run: Run, now: number): void {
-    if (run.state === "queue" || (run.state === "lane" && run.laneGranted)) {
+    if (run.state === "queue" || (run.state === "lane" && run.laneEndpoint !== undefined)) {
         seekEndpoint(world, run, now);
     }
 }
--- a/packages/core/src/systems/endpoints.ts
+++ b/packages/core/src/systems/endpoints.ts
@@ -38,7 +38,7 @@
  * that meets a crash is blamed for it, so its endpoint must have answered a probe made since it entered the lane.
  */
 export function isFresh(world: World, row: EndpointRow, run: Run, now: number): boolean {
-    if (run.laneGranted) {
+    if (run.laneEndpoint !== undefined) {
         return row.reportProbedAt >= run.laneGrantedAt;
     }
     return now - row.reportedAt <= world.policy.reportLifetimeMs;
--- a/packages/core/src/systems/lanes.ts
+++ b/packages/core/src/systems/lanes.ts
@@ -2,7 +2,7 @@
 import { randomElement } from "../support/random.js";
 import { rendezvousOrder } from "../support/rendezvous.js";
 import type { BodyDigest, EndpointId, Incarnation } from "../types/ids.js";
-import { type LaneHolder, type LaneRequest, type LaneRow, type Run } from "../types/rows.js";
+import type { LaneHolder, LaneRequest, LaneRow, Run } from "../types/rows.js";
 import { endpointRow, type World } from "../world.js";
 import { isUsable, serverOf } from "./endpoints.js";
 import { isLive, livePeers, sendToPeer } from "./peers.js";
@@ -31,7 +31,7 @@
     if (run.state !== "lane") {
         return;
     }
-    if (run.laneGranted) {
+    if (run.laneEndpoint !== undefined) {
         leaveLane(world, run, now);
     }
     askForLane(world, run, now);
@@ -46,7 +46,8 @@
 /** Lets runs go on that waited for the lane and are not suspect any more, since a convict explains their crash. */
 export function leaveLaneCleared(world: World, now: number): void {
     for (const run of world.runs.values()) {
-        if (run.state === "lane" && !run.laneGranted && !isSuspect(world, run.arrival.bodyDigest, now)) {
+        const isWaiting = run.state === "lane" && run.laneEndpoint === undefined;
+        if (isWaiting && !isSuspect(world, run.arrival.bodyDigest, now)) {
             leaveLane(world, run, now);
             run.state = "queue";
             schedule(world.due, now, { kind: "retry", run: run.id });
@@ -130,7 +131,7 @@
 /** Lets one waiting run of a body go to its endpoint, or gives that back when none waits any more. */
 export function enterLane(world: World, lane: string, body: BodyDigest, endpoint: EndpointId, now: number): void {
     const runs = [...world.runs.values()].filter((run) => run.lane === lane && run.arrival.bodyDigest === body);
-    if (runs.some((run) => run.laneGranted)) {
+    if (runs.some((run) => run.laneEndpoint !== undefined)) {
         return;
     }
     // A suspect that nobody waits for is not worth an endpoint.
@@ -139,7 +140,6 @@
         releaseLane(world, lane, body, now);
         return;
     }
-    next.laneGranted = true;
     next.laneGrantedAt = now;
     next.laneEndpoint = endpoint;
     schedule(world.due, now, { kind: "retry", run: next.id });
@@ -152,13 +152,12 @@
         return;
     }
     run.lane = undefined;
-    run.laneGranted = false;
     run.laneEndpoint = undefined;
     releaseLane(world, lane, run.arrival.bodyDigest, now);
 }
 
-/** Tells a lane's keeper that a body runs or waits no longer. */
-export function releaseLane(world: World, lane: string, body: BodyDigest, now: number): void {
+// Tells a lane's keeper that a body runs or waits no longer.
+function releaseLane(world: World, lane: string, body: BodyDigest, now: number): void {
     const keeper = laneKeeper(world, lane, now);
     if (keeper === world.self.incarnation) {
         freeLane(world, lane, world.self.incarnation, body, now);
--- a/packages/core/src/systems/membership.ts
+++ b/packages/core/src/systems/membership.ts
@@ -19,6 +19,8 @@
 const NARROWEST = 2;
 const WIDEST = 4;
 
+type HeartbeatMessage = Extract<PeerMessage, { kind: "heartbeat"; }>;
+
 /** An address that callers may use. */
 export type RouterAddress = { readonly address: string; readonly domain: string; };
 
@@ -34,19 +36,21 @@
 
 /** Sends this router's heartbeat to some of its peers. */
 export function sendHeartbeats(world: World, now: number): void {
-    const own = ownHeartbeat(world, now);
-    const message: PeerMessage = {
-        kind: "heartbeat",
-        own,
+    const message = heartbeatWith(world, now, {
         heard: heardLately(world, now),
         leavingEndpoints: [...world.leavingEndpoints],
         ...knownSuspicions(world, now),
-    };
+    });
     for (const address of heartbeatTargets(world, now)) {
         world.effects.push({ kind: "peer-send", to: undefined, address, message });
     }
 }
 
+function heartbeatWith(world: World, now: number, news: Partial<HeartbeatMessage>): HeartbeatMessage {
+    const own = ownHeartbeat(world, now);
+    return { kind: "heartbeat", own, heard: [], leavingEndpoints: [], suspects: [], convicts: [], ...news };
+}
+
 function ownHeartbeat(world: World, now: number): Heartbeat {
     world.heartbeatSequence++;
     return {
@@ -100,7 +104,7 @@
 /** Takes in a peer's heartbeat and what it passes on. */
 export function receiveHeartbeat(
     world: World,
-    message: Extract<PeerMessage, { kind: "heartbeat"; }>,
+    message: HeartbeatMessage,
     now: number,
 ): void {
     notePeer(world, message.own, now);
@@ -169,26 +173,13 @@
 export function tellOf(world: World, to: Incarnation, peer: Incarnation, now: number): void {
     const known = world.peers.get(peer);
     if (known !== undefined) {
-        sendToPeer(world, to, {
-            kind: "heartbeat",
-            own: ownHeartbeat(world, now),
-            heard: [known.heartbeat],
-            leavingEndpoints: [],
-            suspects: [],
-            convicts: [],
-        });
+        sendToPeer(world, to, heartbeatWith(world, now, { heard: [known.heartbeat] }));
     }
 }
 
 /** Tells all peers at once that a body is suspected or convicted of crashing endpoints. */
 export function spreadSuspicion(world: World, body: BodyDigest, now: number): void {
-    const message: PeerMessage = {
-        kind: "heartbeat",
-        own: ownHeartbeat(world, now),
-        heard: [],
-        leavingEndpoints: [],
-        ...suspicionsOf(world, body, now),
-    };
+    const message = heartbeatWith(world, now, suspicionsOf(world, body, now));
     // Routers that drain take requests for a while, too.
     const peers = [...world.peers.keys()].filter((peer) => isLive(world, peer, now));
     for (const peer of peers.slice(0, BROADCAST_LIMIT)) {
--- a/packages/core/src/systems/peer-inbox.ts
+++ b/packages/core/src/systems/peer-inbox.ts
@@ -12,12 +12,11 @@
 import { receiveHeartbeat, tellOf } from "./membership.js";
 import { isLive, sendToPeer } from "./peers.js";
 import { closeAllowance, noteTestimony } from "./recovery.js";
+import { OVERDUE_RETRY_MS } from "./refusals.js";
 import { refuseRun } from "./runs.js";
 import { noteKept, noteWitnessed } from "./witness.js";
 import { forgetBills, forgetUses, keepBills, witnessUses } from "./witnessed.js";
 
-const OVERDUE_RETRY_MS = 1_000;
-
 /** Takes in a message of another router. */
 export function handlePeerMessage(world: World, from: Incarnation, message: PeerMessage, now: number): void {
     switch (message.kind) {
--- a/packages/core/src/systems/peers.ts
+++ b/packages/core/src/systems/peers.ts
@@ -7,8 +7,8 @@
 const SILENT_TURNS = 4;
 const LOST_TURNS = 10;
 
-/** Returns the time in ms in which a peer is heard of once on average: the more peers, the longer. */
-export function newsIntervalMs(world: World): number {
+// Time in ms in which a peer is heard of once on average: the more peers, the longer.
+function newsIntervalMs(world: World): number {
     const { heartbeatIntervalMs, heartbeatFanout, heartbeatEntries } = world.policy;
     return heartbeatIntervalMs * world.peers.size / (heartbeatFanout * (heartbeatEntries + 1));
 }
--- a/packages/core/src/systems/probes.ts
+++ b/packages/core/src/systems/probes.ts
@@ -73,7 +73,7 @@
     now: number,
 ): void {
     const isDue = (row: EndpointRow): boolean =>
-        now - row.probedAt >= REFRESH_MS || (run.laneGranted && row.probedAt < run.laneGrantedAt);
+        now - row.probedAt >= REFRESH_MS || (run.laneEndpoint !== undefined && row.probedAt < run.laneGrantedAt);
     const due = stale.filter(isDue);
     let left = count - (stale.length - due.length);
     const first = due.find((row) => row.id === holder);
--- a/packages/core/src/systems/refusals.ts
+++ b/packages/core/src/systems/refusals.ts
@@ -1,5 +1,8 @@
 import type { RefusalReason } from "../types/outcomes.js";
 
+/** Time in ms after which a request may come back that waited in vain. */
+export const OVERDUE_RETRY_MS = 1_000;
+
 /** Returns a sentence that tells a caller what a refusal means and what to do. */
 export function detailOf(reason: RefusalReason): string {
     return details[reason];
--- a/packages/core/src/systems/runs.ts
+++ b/packages/core/src/systems/runs.ts
@@ -111,7 +111,6 @@
         end: undefined,
         claim: undefined,
         lane: undefined,
-        laneGranted: false,
         laneGrantedAt: -Infinity,
         laneEndpoint: undefined,
         ranMs: 0,
@@ -219,7 +218,7 @@
         dispatchRun(world, run, run.endpoint!, now);
         return;
     }
-    if (isSuspect(world, run.arrival.bodyDigest, now) && !run.laneGranted) {
+    if (isSuspect(world, run.arrival.bodyDigest, now) && run.laneEndpoint === undefined) {
         run.state = "lane";
         askForLane(world, run, now);
         return;
@@ -229,7 +228,7 @@
         proceed(world, run, endpoint, now);
         return;
     }
-    if (run.laneGranted) {
+    if (run.laneEndpoint !== undefined) {
         awaitLaneEndpoint(world, run, now);
         return;
     }
--- a/packages/core/src/systems/suspects.ts
+++ b/packages/core/src/systems/suspects.ts
@@ -34,7 +34,7 @@
     const row = suspectRow(world, body);
     const wasSuspect = isSuspect(world, body, now);
     row.crashes.push(crash);
-    if (wasSuspect && run.laneGranted) {
+    if (wasSuspect && run.laneEndpoint !== undefined) {
         convict(world, body, row.crashes);
     }
 }
--- a/packages/core/src/tick.ts
+++ b/packages/core/src/tick.ts
@@ -21,6 +21,7 @@
 import { continueUse, endBills, handlePeerMessage } from "./systems/peer-inbox.js";
 import { probeEndpoints } from "./systems/probes.js";
 import { unservable } from "./systems/queue.js";
+import { OVERDUE_RETRY_MS } from "./systems/refusals.js";
 import {
     arrive,
     continueClaimed,
@@ -40,8 +41,6 @@
 import type { AccountRow, LedgerWrite, Run } from "./types/rows.js";
 import type { Task, World } from "./world.js";
 
-const OVERDUE_RETRY_MS = 1_000;
-
 /**
  * Runs the systems over the tables: takes in messages, runs the tasks that are due, and returns what
  * the host is to do. Neither clock nor network is touched; now is the present time in ms.
--- a/packages/core/src/types/rows.ts
+++ b/packages/core/src/types/rows.ts
@@ -153,9 +153,8 @@
     end: AnswerEnd | undefined;
     claim: { operation: OperationId; value: string; version: number; } | undefined;
     lane: string | undefined;
-    laneGranted: boolean;
     laneGrantedAt: number;
-    /** The endpoint that it has to itself among the suspects. */
+    /** The endpoint that it has to itself among the suspects; undefined while it has none. */
     laneEndpoint: EndpointId | undefined;
     /** Time in ms for which it had run when its endpoint crashed; 0 before. */
     ranMs: number;
