--- /dev/null
+++ b/packages/core/src/dispatch/retry-quota.ts
@@ -0,0 +1,60 @@
+import type { ServiceName } from "./types.js";
+
+/** The share of repeated sends that the fleet may make to a service. */
+export type RetryBounds = {
+    /** Repeats per request. */
+    readonly ratio: number;
+    /** Repeats on top of the ratio that the whole fleet may make in a window. */
+    readonly slack: number;
+    readonly windowMs: number;
+};
+
+type Sends = { readonly firsts: number[]; readonly repeats: number[]; };
+
+/** Times in ms of the first and repeated sends of this router, by service. */
+export type RetryQuota = Map<ServiceName, Sends>;
+
+/** Share of the bound that is used; the rest covers routers that are not known yet. */
+const USED_SHARE = 0.8;
+
+/** Counts a first send to a service. */
+export function noteFirstSend(quota: RetryQuota, service: ServiceName, now: number): void {
+    sendsOf(quota, service).firsts.push(now);
+}
+
+/**
+ * Takes a repeat out of the quota. The ratio counts this router's own requests only and the slack is
+ * divided among the routers, so that all of them together stay within the bound of the fleet.
+ */
+export function takeRepeat(
+    quota: RetryQuota,
+    service: ServiceName,
+    bounds: RetryBounds,
+    fleetSize: number,
+    now: number,
+): boolean {
+    const sends = sendsOf(quota, service);
+    dropBefore(sends.firsts, now - bounds.windowMs);
+    dropBefore(sends.repeats, now - bounds.windowMs);
+    const allowed = USED_SHARE * (bounds.ratio * sends.firsts.length + bounds.slack / Math.max(1, fleetSize));
+    if (sends.repeats.length + 1 > allowed) {
+        return false;
+    }
+    sends.repeats.push(now);
+    return true;
+}
+
+function sendsOf(quota: RetryQuota, service: ServiceName): Sends {
+    const known = quota.get(service);
+    if (known !== undefined) {
+        return known;
+    }
+    const created = { firsts: [], repeats: [] };
+    quota.set(service, created);
+    return created;
+}
+
+function dropBefore(times: number[], limit: number): void {
+    const kept = times.findIndex((time) => time > limit);
+    times.splice(0, kept < 0 ? times.length : kept);
+}
--- /dev/null
+++ b/packages/core/src/dispatch/types.ts
@@ -0,0 +1,111 @@
+import type { AccountId, Branded, EndpointId, FailureDomain, Incarnation } from "../types/ids.js";
+
+/** A service: a group of endpoints that answer the same requests. */
+export type ServiceName = Branded<string, "ServiceName">;
+/** A secret that a caller presents for its client account. */
+export type AccessKey = Branded<string, "AccessKey">;
+/** One part of a prompt; equal parts have equal ids. */
+export type PromptPartId = Branded<string, "PromptPartId">;
+
+/** How a request may be repeated: always, never, or as a stream of events. */
+export type RouteKind = "safe" | "unsafe" | "stream";
+
+/** A share of a route's requests that goes to one service. */
+export type ServiceShare = { readonly service: ServiceName; readonly weight: number; };
+
+/** Where requests of one host and path go, and what applies to them. Times in ms. */
+export type Route = {
+    readonly name: string;
+    readonly host: string;
+    /** Begins and ends with a slash. */
+    readonly prefix: string;
+    readonly kind: RouteKind;
+    /** True for streams that another endpoint may continue after an event. */
+    readonly resumable: boolean;
+    /** True when callers need no access key. */
+    readonly open: boolean;
+    /** Longest time that a caller is kept waiting. */
+    readonly timeoutMs: number;
+    /** Time within which an answer has its full worth. */
+    readonly targetMs: number;
+    /** Rank among requests; 0 is the most urgent. */
+    readonly priority: number;
+    /** Endpoints that one attempt of a caller may be sent to. */
+    readonly attemptLimit: number;
+    readonly shares: readonly ServiceShare[];
+};
+
+/** A model engine as its service declares it. */
+export type EngineDeclaration = {
+    /** Requests that run at once. */
+    readonly slots: number;
+    /** Tokens that fit into the memory of one engine. */
+    readonly memoryTokens: number;
+    /** Output tokens in one event of a stream. */
+    readonly tokensPerEvent: number;
+};
+
+/** A service as declared. */
+export type ServiceDeclaration = {
+    readonly name: ServiceName;
+    /** Connections that one endpoint accepts from all callers together. */
+    readonly connectionLimit: number;
+    readonly engine: EngineDeclaration | undefined;
+};
+
+/** A client account as declared. */
+export type AccountDeclaration = {
+    readonly id: AccountId;
+    readonly keys: readonly AccessKey[];
+    /** Takes precedence over the priority of the route. */
+    readonly priority: number | undefined;
+    /** Tokens that the account may use in total; undefined for no limit. */
+    readonly prepaidTokens: number | undefined;
+};
+
+/** What a caller may send, and how long it may take. Sizes in bytes, times in ms. */
+export type CallerLimits = {
+    readonly headerBytes: number;
+    readonly bodyBytes: number;
+    readonly headerTimeoutMs: number;
+    readonly idleTimeoutMs: number;
+};
+
+/** The whole declared state of a deployment. */
+export type FleetConfiguration = {
+    readonly version: number;
+    readonly routes: readonly Route[];
+    readonly services: ReadonlyMap<ServiceName, ServiceDeclaration>;
+    /** Undefined when no account is needed for any route. */
+    readonly accounts: readonly AccountDeclaration[] | undefined;
+    readonly limits: CallerLimits;
+};
+
+/** An endpoint as it registered itself. */
+export type EndpointEntry = {
+    readonly id: EndpointId;
+    /** Tells two starts of an endpoint with the same id apart. */
+    readonly startedAt: number;
+    readonly service: ServiceName;
+    /** IP number and port. */
+    readonly address: string;
+    readonly domain: FailureDomain;
+    readonly slots: number;
+    /** True once it takes no new requests. */
+    readonly leaving: boolean;
+};
+
+/** A part of a prompt and its length in tokens. */
+export type PromptPart = { readonly id: PromptPartId; readonly tokens: number; };
+
+/** The tokens that a request may use. */
+export type TokenBound = { readonly prompt: number; readonly output: number; };
+
+/** A router as the others know it. */
+export type FleetMember = {
+    readonly name: string;
+    readonly incarnation: Incarnation;
+    /** Where callers connect. */
+    readonly address: string;
+    readonly domain: FailureDomain;
+};
--- /dev/null
+++ b/packages/router/src/gateway/exchange.ts
@@ -0,0 +1,520 @@
+import type { EndpointId } from "@gooseberrybend/core";
+import {
+    type AccountDeclaration,
+    type AttemptState,
+    chooseEndpoint,
+    type EndpointState,
+    failureRate,
+    nextStep,
+    noteConnectFailure,
+    noteDuration,
+    noteFirstByte,
+    noteFirstSend,
+    noteHeard,
+    noteLoad,
+    noteOutcome,
+    noteSend,
+    type PlacementQuery,
+    type Route,
+    type SendFailure,
+    type ServiceDeclaration,
+    takeRepeat,
+} from "@gooseberrybend/core/dispatch";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Dispatcher } from "undici";
+import type { CallerFields, EndpointFields } from "./dialect.js";
+import { EventGate } from "./event-gate.js";
+import type { GatewayContext } from "./gateway-context.js";
+import { type RefusalCause, sendRefusal } from "./refusal.js";
+
+/** A request whose caller, route and service are known. */
+export type AdmittedRequest = {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly body: Buffer;
+    readonly fields: CallerFields;
+    readonly route: Route;
+    readonly service: ServiceDeclaration;
+    readonly account: AccountDeclaration | undefined;
+    readonly arrivedAt: number;
+};
+
+/** One send to an endpoint. */
+type Send = {
+    readonly row: EndpointState;
+    readonly sentAt: number;
+    readonly resumed: boolean;
+    controller: Dispatcher.DispatchController | undefined;
+    /** True once bytes may have left. */
+    started: boolean;
+    heard: boolean;
+    ended: boolean;
+    status: number;
+    fields: EndpointFields | undefined;
+    headers: string[];
+    /** Body of an answer that is passed on whole. */
+    chunks: Buffer[];
+    relaying: boolean;
+};
+
+/** Range in ms of the wait that callers are asked for, so that they do not come back together. */
+const RETRY_AFTER_MS = [150, 450] as const;
+/** Wait in ms that callers are asked for when tokens are held by other routers. */
+const BUDGET_RETRY_AFTER_MS = 700;
+/** Share of the target time that a request waits for tokens of other routers. */
+const BUDGET_WAIT_SHARE = 0.3;
+/** Statuses of endpoints that promise that a request has not run; passed on only if they say so themselves. */
+const promisingStatuses = new Set([408, 421, 429, 503]);
+const FAILURE_STATUS = 500;
+/** Highest rank that engines know. */
+const LOWEST_PRIORITY = 9;
+
+/** Carries one request from its caller to an endpoint and the answer back. */
+export class Exchange {
+    private readonly deadline: number;
+    private readonly callerDeadline: number;
+    private readonly tried = new Set<EndpointId>();
+    private readonly gate = new EventGate();
+    private readonly query: PlacementQuery;
+    private sends = 0;
+    private mayHaveRun = false;
+    private answering = false;
+    private done = false;
+    private reserved = 0;
+    private settled = false;
+    private send: Send | undefined;
+    private timer: NodeJS.Timeout | undefined;
+    private paused = false;
+
+    constructor(private readonly context: GatewayContext, private readonly admitted: AdmittedRequest) {
+        const { route, fields, arrivedAt, service } = admitted;
+        this.callerDeadline = arrivedAt + (fields.patienceMs ?? Infinity);
+        this.deadline = Math.min(this.callerDeadline, arrivedAt + route.timeoutMs);
+        this.query = {
+            service: service.name,
+            engine: service.engine,
+            parts: fields.parts,
+            promptTokens: fields.tokens?.prompt ?? 0,
+            domain: context.domain,
+            tried: this.tried,
+            cacheMs: context.settings().bounds.promptCacheMs,
+        };
+    }
+
+    /** Serves the request. */
+    async run(): Promise<void> {
+        const { response } = this.admitted;
+        response.on("close", () => this.callerGone());
+        response.on("drain", () => this.resumeReading());
+        this.timer = setTimeout(() => this.timeOut(), Math.max(0, this.deadline - this.context.clock()));
+        if (await this.reserve() && !this.done) {
+            noteFirstSend(this.context.retries, this.query.service, this.context.clock());
+            this.dispatch(false);
+        }
+    }
+
+    private async reserve(): Promise<boolean> {
+        const { account, fields, route } = this.admitted;
+        if (account?.prepaidTokens === undefined || fields.tokens === undefined) {
+            return true;
+        }
+        const worst = fields.tokens.prompt + fields.tokens.output;
+        const waitMs = route.targetMs * BUDGET_WAIT_SHARE;
+        const reservation = await this.context.prepaid.reserve(account.id, worst, waitMs);
+        if (reservation === "reserved") {
+            this.reserved = worst;
+            if (this.done) {
+                this.settle(0);
+            }
+            return true;
+        }
+        const row = this.context.prepaid.rows.get(account.id);
+        const figures = { worst, total: row?.total, granted: row?.granted, used: row?.used, reserved: row?.reserved };
+        if (reservation === "exhausted") {
+            this.refuse("budget-exhausted", undefined, figures);
+        }
+        else {
+            this.refuse("budget-unavailable", BUDGET_RETRY_AFTER_MS * (1 + this.context.chance()), figures);
+        }
+        return false;
+    }
+
+    private dispatch(resumed: boolean): void {
+        const now = this.context.clock();
+        const row = chooseEndpoint(this.context.endpoints, this.query, this.context.chance, now);
+        if (row === undefined) {
+            this.endWithout("no-endpoint");
+            return;
+        }
+        const send: Send = {
+            row,
+            sentAt: now,
+            resumed,
+            controller: undefined,
+            started: false,
+            heard: false,
+            ended: false,
+            status: 0,
+            fields: undefined,
+            headers: [],
+            chunks: [],
+            relaying: false,
+        };
+        this.send = send;
+        this.logPlacement(row, now);
+        noteSend(row, this.query, now);
+        this.context.connectionsOf(row.entry, this.admitted.service)
+            .dispatch(this.optionsOf(row, now), this.handlerOf(send));
+    }
+
+    private optionsOf(row: EndpointState, now: number): Dispatcher.DispatchOptions {
+        const { request, body, fields, account, route } = this.admitted;
+        const priority = account?.priority ?? route.priority;
+        const headers = this.context.dialect.forwardHeaders(request.rawHeaders, {
+            endpoint: row.entry.id,
+            account: account?.id,
+            timeLeftMs: Math.min(this.deadline, this.callerDeadline) - now,
+            priority: this.admitted.service.engine === undefined ? undefined : Math.min(LOWEST_PRIORITY, priority),
+            resumeAfter: this.gate.lastId ?? fields.resumeAfter,
+        });
+        return {
+            method: request.method as Dispatcher.HttpMethod,
+            path: request.url!,
+            headers,
+            body: body.length === 0 ? undefined : body,
+        };
+    }
+
+    private handlerOf(send: Send): Dispatcher.DispatchHandler {
+        return {
+            onRequestStart: (controller) => {
+                send.controller = controller;
+                send.started = true;
+                this.sends++;
+                this.tried.add(send.row.entry.id);
+                if (this.done || this.send !== send) {
+                    this.abort(send);
+                }
+            },
+            onResponseStart: (controller, status) => this.receiveHead(send, controller, status),
+            onResponseData: (unusedController, chunk) => this.receiveData(send, chunk),
+            onResponseEnd: () => this.receiveEnd(send),
+            onResponseError: (unusedController, error) => this.receiveError(send, error),
+        };
+    }
+
+    private receiveHead(send: Send, controller: Dispatcher.DispatchController, status: number): void {
+        const headers = (controller as unknown as { rawHeaders: Buffer[]; }).rawHeaders
+            .map((value) => value.toString("latin1"));
+        const now = this.context.clock();
+        send.status = status;
+        send.headers = headers;
+        send.fields = this.context.dialect.readEndpointHeaders(status, headers);
+        this.noteFirst(send, now);
+        if (send.fields.load !== undefined) {
+            noteLoad(send.row, send.fields.load.running, send.fields.load.waiting, now);
+        }
+        if (this.isForeign(send)) {
+            this.context.logs.requests.warn("Answer of another request.", this.figures(send));
+            this.abort(send);
+            this.endSend(send, true);
+            this.mayHaveRun = true;
+            this.afterFailure(send, "garbled");
+            return;
+        }
+        if (this.admitted.route.kind === "stream" && status < 300 && status >= 200) {
+            this.startRelay(send);
+        }
+    }
+
+    private isForeign(send: Send): boolean {
+        const echoed = send.fields!.requestId;
+        const { requestId } = this.admitted.fields;
+        return echoed !== undefined ? echoed !== requestId : send.fields!.sealed;
+    }
+
+    private startRelay(send: Send): void {
+        send.relaying = true;
+        this.mayHaveRun = true;
+        if (this.answering) {
+            return;
+        }
+        this.answering = true;
+        this.context.observeFirst(this.admitted, this.context.clock());
+        const headers = this.context.dialect.answerHeaders(send.headers);
+        this.admitted.response.writeHead(send.status, this.admitted.route.resumable ? withoutLength(headers) : headers);
+        this.admitted.response.flushHeaders();
+    }
+
+    private receiveData(send: Send, chunk: Buffer): void {
+        noteHeard(send.row);
+        if (this.done || send.ended) {
+            return;
+        }
+        if (!send.relaying) {
+            send.chunks.push(chunk);
+            return;
+        }
+        const whole = this.gate.take(chunk);
+        this.write(this.admitted.route.resumable ? whole : chunk);
+    }
+
+    private write(bytes: Buffer | undefined): void {
+        if (bytes !== undefined && !this.admitted.response.write(bytes)) {
+            this.paused = true;
+            this.send?.controller?.pause();
+        }
+    }
+
+    private resumeReading(): void {
+        if (this.paused) {
+            this.paused = false;
+            this.send?.controller?.resume();
+        }
+    }
+
+    private receiveEnd(send: Send): void {
+        if (this.done || send.ended) {
+            return;
+        }
+        const failed = send.status >= FAILURE_STATUS;
+        this.endSend(send, failed);
+        if (send.relaying) {
+            this.write(this.admitted.route.resumable ? this.gate.rest() : undefined);
+            this.finish("answered", send);
+            this.admitted.response.end();
+            return;
+        }
+        if (send.fields!.notRun) {
+            this.afterFailure(send, "not-run");
+            return;
+        }
+        this.mayHaveRun = true;
+        if (failed) {
+            this.afterFailure(send, "failed");
+            return;
+        }
+        this.passOn(send);
+    }
+
+    private passOn(send: Send): void {
+        if (promisingStatuses.has(send.status) && !send.fields!.notRun) {
+            // The endpoint does not say that it did not run the request, so neither may the router.
+            this.refuse("may-have-run", undefined, this.figures(send));
+            return;
+        }
+        const headers = withoutLength(this.context.dialect.answerHeaders(send.headers));
+        const body = Buffer.concat(send.chunks);
+        this.finish("answered", send);
+        if (this.admitted.request.method === "HEAD" || send.status === 204 || send.status === 304) {
+            this.admitted.response.writeHead(send.status, headers);
+        }
+        else {
+            this.admitted.response.writeHead(send.status, [...headers, "Content-Length", String(body.length)]);
+        }
+        this.admitted.response.end(body);
+    }
+
+    private receiveError(send: Send, error: Error): void {
+        if (send.ended) {
+            return;
+        }
+        const now = this.context.clock();
+        this.endSend(send, true);
+        if (this.done) {
+            return;
+        }
+        const code = (error as { code?: string; }).code ?? error.message;
+        if (!send.started) {
+            noteConnectFailure(send.row, now);
+            this.tried.add(send.row.entry.id);
+            this.context.logs.endpoints.warn("Not reached.", { ...this.figures(send), code });
+            this.afterFailure(send, "unreachable");
+            return;
+        }
+        this.mayHaveRun = true;
+        this.context.logs.endpoints.warn("Connection broke.", { ...this.figures(send), code, heard: send.heard });
+        this.afterFailure(send, "broken");
+    }
+
+    private afterFailure(send: Send, failure: SendFailure): void {
+        if (this.done) {
+            return;
+        }
+        const now = this.context.clock();
+        const { route } = this.admitted;
+        const state: AttemptState = {
+            sends: this.sends,
+            mayHaveRun: this.mayHaveRun,
+            answering: this.answering,
+            resumable: route.resumable && (this.gate.lastId !== undefined || this.gate.events === 0),
+            deadline: this.deadline,
+        };
+        const step = nextStep(route, state, failure, () => this.takeRepeat(now), now);
+        this.context.countRetry(step.kind, failure);
+        this.context.logs.requests.info("Send failed.", { ...this.figures(send), failure, next: step.kind });
+        switch (step.kind) {
+            case "retry":
+                return this.dispatch(false);
+            case "resume":
+                this.gate.dropPartial();
+                return this.dispatch(true);
+            case "refuse":
+                return this.refuse(failure === "unreachable" ? "no-endpoint" : "endpoint-full", this.retryAfter());
+            case "fail":
+                return this.refuse("may-have-run", undefined);
+            case "pass-on":
+                return this.passOn(send);
+            case "cut":
+                return this.cut("broken");
+        }
+    }
+
+    private takeRepeat(now: number): boolean {
+        const { retryRatio, retrySlack, retryWindowMs } = this.context.settings().bounds;
+        const bounds = { ratio: retryRatio, slack: retrySlack, windowMs: retryWindowMs };
+        return takeRepeat(this.context.retries, this.query.service, bounds, this.context.fleetSize(), now);
+    }
+
+    // No endpoint is left to send to.
+    private endWithout(cause: RefusalCause): void {
+        if (this.answering) {
+            this.cut(cause);
+            return;
+        }
+        this.refuse(this.mayHaveRun ? "may-have-run" : cause, this.mayHaveRun ? undefined : this.retryAfter());
+    }
+
+    private retryAfter(): number {
+        const [least, most] = RETRY_AFTER_MS;
+        return least + this.context.chance() * (most - least);
+    }
+
+    private timeOut(): void {
+        if (this.done) {
+            return;
+        }
+        const send = this.send;
+        const begun = this.mayHaveRun || send?.started === true;
+        if (send !== undefined && !send.ended) {
+            this.abort(send);
+            this.endSend(send, !send.heard);
+        }
+        if (this.answering) {
+            this.cut("timed-out");
+            return;
+        }
+        this.refuse(begun ? "timed-out" : "deadline-exceeded", begun ? undefined : this.retryAfter());
+    }
+
+    private callerGone(): void {
+        if (this.done) {
+            return;
+        }
+        const send = this.send;
+        if (send !== undefined && !send.ended && this.admitted.route.kind !== "unsafe") {
+            this.abort(send);
+            this.endSend(send, false);
+        }
+        this.finish("caller-gone", send);
+    }
+
+    private abort(send: Send): void {
+        send.controller?.abort(new Error("no longer wanted"));
+    }
+
+    private endSend(send: Send, failed: boolean): void {
+        send.ended = true;
+        send.row.open--;
+        if (!send.heard) {
+            noteFirstByte(send.row, this.query);
+        }
+        if (send.row.open === 0) {
+            send.row.unansweredSince = undefined;
+        }
+        noteOutcome(send.row, failed, this.context.clock());
+    }
+
+    private noteFirst(send: Send, now: number): void {
+        noteHeard(send.row);
+        send.heard = true;
+        noteFirstByte(send.row, this.query);
+        noteDuration(send.row, now - send.sentAt, this.admitted.route.targetMs / 4);
+    }
+
+    private refuse(cause: RefusalCause, retryAfterMs: number | undefined, figures: object = {}): void {
+        this.context.countRefusal(cause);
+        this.context.logs.requests.info("Refused.", { ...this.figures(this.send), cause, retryAfterMs, ...figures });
+        this.finish(cause, this.send);
+        sendRefusal(this.admitted.response, cause, retryAfterMs);
+    }
+
+    // A caller must not take a part of an answer for the whole.
+    private cut(cause: string): void {
+        this.context.countCut();
+        this.context.logs.requests.warn("Cut off.", { ...this.figures(this.send), cause, events: this.gate.events });
+        this.finish(cause, this.send);
+        this.admitted.response.destroy();
+    }
+
+    private finish(outcome: string, send: Send | undefined): void {
+        this.done = true;
+        clearTimeout(this.timer);
+        this.settleByDelivery();
+        const tookMs = Math.round(this.context.clock() - this.admitted.arrivedAt);
+        this.context.observeEnd(outcome, tookMs);
+        this.context.logs.requests.info("Ended.", { ...this.figures(send), outcome, status: send?.status, tookMs });
+    }
+
+    private settleByDelivery(): void {
+        const tokens = this.admitted.fields.tokens;
+        if (tokens === undefined || this.reserved === 0) {
+            return;
+        }
+        const perEvent = this.admitted.service.engine?.tokensPerEvent ?? tokens.output;
+        const ran = this.mayHaveRun || (this.send?.started === true && this.send.fields?.notRun !== true);
+        this.settle(ran ? tokens.prompt + Math.min(tokens.output, this.gate.events * perEvent) : 0);
+    }
+
+    private settle(used: number): void {
+        const account = this.admitted.account;
+        if (!this.settled && account !== undefined) {
+            this.settled = true;
+            this.context.prepaid.settle(account.id, this.reserved, used);
+        }
+    }
+
+    private logPlacement(row: EndpointState, now: number): void {
+        this.context.logs.requests.info("Placed.", {
+            id: this.admitted.fields.requestId,
+            route: this.admitted.route.name,
+            account: this.admitted.account?.id,
+            endpoint: row.entry.id,
+            open: row.open,
+            loadAgeMs: row.load === undefined ? undefined : Math.round(now - row.load.at),
+            failureRate: Number(failureRate(row, now).toFixed(2)),
+            configuration: this.context.configurationVersion(),
+            attempt: this.sends + 1,
+        });
+    }
+
+    private figures(send: Send | undefined): Record<string, unknown> {
+        return {
+            id: this.admitted.fields.requestId,
+            account: this.admitted.account?.id,
+            endpoint: send?.row.entry.id,
+            sends: this.sends,
+            mayHaveRun: this.mayHaveRun,
+        };
+    }
+}
+
+function withoutLength(headers: readonly string[]): string[] {
+    const kept: string[] = [];
+    for (let index = 0; index < headers.length; index += 2) {
+        if (headers[index]!.toLowerCase() !== "content-length") {
+            kept.push(headers[index]!, headers[index + 1]!);
+        }
+    }
+    return kept;
+}
--- /dev/null
+++ b/packages/router/src/gateway/fleet-registry.ts
@@ -0,0 +1,123 @@
+import { brand, type FailureDomain, type Incarnation } from "@gooseberrybend/core";
+import type { FleetMember } from "@gooseberrybend/core/dispatch";
+import { z } from "zod";
+import type { GatewayLogs } from "./log-sink.js";
+import type { MetadataStore, StoredItem } from "./metadata-store.js";
+
+/** Prefix of the keys of routers. */
+export const FLEET_PREFIX = "gooseberrybend/fleet/";
+
+/** Lifetime in ms of a registration: a few missed renewals take a router out of the answers. */
+const LEASE_MS = 3_000;
+const RENEWAL_MS = 1_000;
+
+const memberSchema = z.object({
+    name: z.string(),
+    incarnation: z.string(),
+    address: z.string(),
+    domain: z.string(),
+});
+
+/** Registers this router in the store, and knows the others. */
+export class FleetRegistry {
+    readonly members = new Map<string, FleetMember>();
+    private lease: number | undefined;
+    private leaving = false;
+    private timer: NodeJS.Timeout | undefined;
+    private busy = false;
+
+    constructor(
+        private readonly store: MetadataStore,
+        private readonly self: FleetMember,
+        private readonly logs: GatewayLogs,
+    ) {}
+
+    /** Registers, and keeps the registration alive. */
+    start(): void {
+        void this.renew();
+        this.timer = setInterval(() => void this.renew(), RENEWAL_MS);
+    }
+
+    /** Takes this router out of the answers to callers. */
+    async leave(): Promise<void> {
+        this.leaving = true;
+        clearInterval(this.timer);
+        this.members.delete(FLEET_PREFIX + this.self.name);
+        if (this.lease !== undefined) {
+            const result = await this.store.endLease(this.lease);
+            this.logs.fleet.info("Registration ended.", { result: result.kind });
+        }
+    }
+
+    /** Takes in all registrations. */
+    replace(items: readonly StoredItem[]): void {
+        const keys = new Set(items.map((item) => item.key));
+        for (const key of this.members.keys()) {
+            if (!keys.has(key)) {
+                this.remove(key);
+            }
+        }
+        items.forEach((item) => this.put(item));
+    }
+
+    /** Takes in one registration. */
+    put(item: StoredItem): void {
+        try {
+            const member = memberSchema.parse(JSON.parse(item.value.toString("utf8")));
+            if (!this.members.has(item.key)) {
+                this.logs.fleet.info("Router joined.", { router: member.name, address: member.address });
+            }
+            this.members.set(item.key, {
+                ...member,
+                incarnation: brand<Incarnation>(member.incarnation),
+                domain: brand<FailureDomain>(member.domain),
+            });
+        }
+        catch (error) {
+            this.logs.fleet.warn("Registration can't be read.", { key: item.key, detail: (error as Error).message });
+        }
+    }
+
+    /** Drops a registration. */
+    remove(key: string): void {
+        if (this.members.delete(key)) {
+            this.logs.fleet.info("Router left.", { key });
+        }
+        if (key === FLEET_PREFIX + this.self.name && !this.leaving) {
+            this.lease = undefined;
+            void this.renew();
+        }
+    }
+
+    private async renew(): Promise<void> {
+        if (this.busy || this.leaving) {
+            return;
+        }
+        this.busy = true;
+        if (this.lease !== undefined) {
+            const renewed = await this.store.renewLease(this.lease);
+            if (renewed.kind === "lease-ended") {
+                this.lease = undefined;
+            }
+        }
+        if (this.lease === undefined) {
+            await this.register();
+        }
+        this.busy = false;
+    }
+
+    private async register(): Promise<void> {
+        const granted = await this.store.grantLease(LEASE_MS);
+        if (granted.kind !== "done") {
+            return;
+        }
+        const key = FLEET_PREFIX + this.self.name;
+        const put = { key, value: JSON.stringify(this.self), lease: granted.value };
+        const written = await this.store.transact({ conditions: new Map(), puts: [put], deletes: [] });
+        if (written.kind === "done") {
+            this.lease = granted.value;
+            this.members.set(key, this.self);
+            this.logs.fleet.info("Registered.", { address: this.self.address });
+        }
+    }
+}
--- /dev/null
+++ b/packages/router/src/gateway/gateway-context.ts
@@ -0,0 +1,38 @@
+import type { FailureDomain } from "@gooseberrybend/core";
+import type {
+    EndpointEntry,
+    EndpointTable,
+    RetryQuota,
+    SendFailure,
+    ServiceDeclaration,
+} from "@gooseberrybend/core/dispatch";
+import type { Dispatcher } from "undici";
+import type { Dialect } from "./dialect.js";
+import type { AdmittedRequest } from "./exchange.js";
+import type { GatewaySettings } from "./gateway-settings.js";
+import type { GatewayLogs } from "./log-sink.js";
+import type { PrepaidKeeper } from "./prepaid-keeper.js";
+import type { RefusalCause } from "./refusal.js";
+
+/** What the exchanges of one router share. */
+export type GatewayContext = {
+    readonly dialect: Dialect;
+    readonly domain: FailureDomain;
+    readonly endpoints: EndpointTable;
+    readonly retries: RetryQuota;
+    readonly prepaid: PrepaidKeeper;
+    readonly logs: GatewayLogs;
+    /** Steady time in ms. */
+    readonly clock: () => number;
+    /** A random number in [0, 1). */
+    readonly chance: () => number;
+    readonly settings: () => GatewaySettings;
+    readonly fleetSize: () => number;
+    readonly configurationVersion: () => number | undefined;
+    readonly connectionsOf: (entry: EndpointEntry, service: ServiceDeclaration) => Dispatcher;
+    readonly countRefusal: (cause: RefusalCause) => void;
+    readonly countRetry: (step: string, failure: SendFailure) => void;
+    readonly countCut: () => void;
+    readonly observeFirst: (request: AdmittedRequest, now: number) => void;
+    readonly observeEnd: (outcome: string, tookMs: number) => void;
+};
--- /dev/null
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -0,0 +1,43 @@
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { refusalStatus } from "./refusal.js";
+
+const FIRST_BYTE_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1, 2, 5];
+const WHOLE_BUCKETS = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 15];
+
+/** Metrics of a router that serves a deployment. Labels are reasons and outcomes only. */
+export type GatewayMetrics = ReturnType<typeof createGatewayMetrics>;
+
+/** Creates the metrics and their registry. */
+export function createGatewayMetrics() {
+    const registry = new Registry();
+    const registers = [registry];
+    const counter = <Label extends string>(name: string, help: string, labelNames: Label[]): Counter<Label> =>
+        new Counter({ name: `gooseberrybend_${name}`, help, labelNames, registers });
+    const gauge = (name: string, help: string): Gauge =>
+        new Gauge({ name: `gooseberrybend_${name}`, help, registers });
+    const refusals = counter("refusals_total", "Refused requests by cause.", ["cause"]);
+    Object.keys(refusalStatus).forEach((cause) => refusals.inc({ cause }, 0));
+    return {
+        registry,
+        refusals,
+        failedSends: counter("failed_sends_total", "Failed sends by failure and what followed.", ["failure", "next"]),
+        cuts: counter("cut_answers_total", "Answers that ended before they were whole.", []),
+        ends: counter("requests_total", "Ended requests by outcome.", ["outcome"]),
+        storeCalls: counter("store_calls_total", "Calls to the store by operation and result.", ["operation", "result"]),
+        configurationVersion: gauge("configuration_version", "Version of the configuration in force."),
+        endpoints: gauge("endpoints", "Endpoints that are known."),
+        members: gauge("fleet_members", "Routers that are known."),
+        firstByte: new Histogram({
+            name: "gooseberrybend_first_byte_seconds",
+            help: "Time from arrival to the first byte of a stream.",
+            buckets: FIRST_BYTE_BUCKETS,
+            registers,
+        }),
+        whole: new Histogram({
+            name: "gooseberrybend_request_seconds",
+            help: "Time from arrival to the end of a request.",
+            buckets: WHOLE_BUCKETS,
+            registers,
+        }),
+    };
+}
--- /dev/null
+++ b/packages/router/src/gateway/gateway.ts
@@ -0,0 +1,268 @@
+import { brand, type EndpointId, type FailureDomain, type Incarnation } from "@gooseberrybend/core";
+import {
+    addressesForCaller,
+    createEndpointTable,
+    createRoutingTable,
+    type EndpointEntry,
+    putEndpoint,
+    removeEndpoint,
+    type RoutingTable,
+} from "@gooseberrybend/core/dispatch";
+import { randomBytes } from "node:crypto";
+import { performance } from "node:perf_hooks";
+import type { Dialect } from "./dialect.js";
+import { EndpointConnections } from "./endpoint-connections.js";
+import { FLEET_PREFIX, FleetRegistry } from "./fleet-registry.js";
+import type { GatewayContext } from "./gateway-context.js";
+import { createGatewayMetrics, type GatewayMetrics } from "./gateway-metrics.js";
+import type { GatewaySettings } from "./gateway-settings.js";
+import { Ingress } from "./ingress.js";
+import { createGatewayLogs, type GatewayLogs } from "./log-sink.js";
+import type { MetadataStore, StoreChange, StoredItem } from "./metadata-store.js";
+import { PREPAID_PREFIX, PrepaidKeeper } from "./prepaid-keeper.js";
+import { StoreFollower } from "./store-follower.js";
+
+/** Lifetime in ms of an answer with addresses; a short one lets routers leave soon. */
+const ADDRESS_LIFETIME_MS = 2_000;
+/** Time in ms after an outage of the store within which lapsed registrations come back. */
+const LAPSE_GRACE_MS = 2_000;
+
+/** One router that serves the callers of a deployment. */
+export class Gateway {
+    readonly metrics: GatewayMetrics = createGatewayMetrics();
+    readonly logs: GatewayLogs;
+    readonly context: GatewayContext;
+    readonly ingress: Ingress;
+    readonly clock = (): number => performance.now();
+    table: RoutingTable | undefined;
+    draining = false;
+    private readonly endpoints = createEndpointTable();
+    private readonly connections = new EndpointConnections();
+    private readonly registry: FleetRegistry;
+    private readonly prepaid: PrepaidKeeper;
+    private readonly follower: StoreFollower;
+    private readonly faults = new Map<string, string>();
+
+    constructor(public settings: GatewaySettings, readonly dialect: Dialect, store: MetadataStore) {
+        this.logs = createGatewayLogs(settings.log);
+        const incarnation = brand<Incarnation>(randomBytes(9).toString("base64url"));
+        const domain = brand<FailureDomain>(settings.domain);
+        const self = { name: settings.name, incarnation, address: settings.listen.callers, domain };
+        this.registry = new FleetRegistry(store, self, this.logs);
+        const holder = { name: settings.name, incarnation };
+        this.prepaid = new PrepaidKeeper(store, holder, () => this.fleetSize(), this.logs, this.clock);
+        this.follower = new StoreFollower(
+            store,
+            {
+                replaced: (items, revision, now) => this.replaceAll(items, revision, now),
+                changed: (change, now) => this.applyChange(change, now),
+            },
+            this.logs,
+            this.clock,
+        );
+        this.context = this.createContext(domain);
+        this.ingress = new Ingress(this);
+    }
+
+    /** Whether callers should be sent here. */
+    get ready(): boolean {
+        return !this.draining && this.table !== undefined && this.endpoints.rows.size > 0;
+    }
+
+    /** Starts to follow the store. */
+    start(): void {
+        void this.follower.run();
+        this.registry.start();
+        this.prepaid.start();
+    }
+
+    /** Takes this router out of the answers to callers; it goes on serving those that still come. */
+    async drain(): Promise<void> {
+        this.draining = true;
+        await this.registry.leave();
+    }
+
+    /** Ends all work. */
+    async stop(): Promise<void> {
+        this.follower.stop();
+        await this.prepaid.close();
+        await this.connections.close();
+    }
+
+    /** Returns the answer to a question for addresses, or undefined when there are none to name. */
+    answerAddresses(query: Readonly<Record<string, string>>): unknown {
+        const members = [...this.registry.members.values()];
+        if (members.length === 0) {
+            return undefined;
+        }
+        const { domain } = this.dialect.readAddressQuery(query);
+        const addresses = addressesForCaller(members, domain, Math.random);
+        const lifetimeMs = Math.min(ADDRESS_LIFETIME_MS, this.settings.bounds.addressLifetimeMs);
+        return this.dialect.addressBody(addresses, lifetimeMs);
+    }
+
+    private fleetSize(): number {
+        return Math.max(1, this.registry.members.size);
+    }
+
+    private createContext(domain: FailureDomain): GatewayContext {
+        return {
+            dialect: this.dialect,
+            domain,
+            endpoints: this.endpoints,
+            retries: new Map(),
+            prepaid: this.prepaid,
+            logs: this.logs,
+            clock: this.clock,
+            chance: Math.random,
+            settings: () => this.settings,
+            fleetSize: () => this.fleetSize(),
+            configurationVersion: () => this.table?.configuration.version,
+            connectionsOf: (entry, service) => this.connections.poolOf(entry, service.connectionLimit, this.fleetSize()),
+            countRefusal: (cause) => this.metrics.refusals.inc({ cause }),
+            countRetry: (next, failure) => this.metrics.failedSends.inc({ next, failure }),
+            countCut: () => this.metrics.cuts.inc(),
+            observeFirst: (request, now) => this.metrics.firstByte.observe((now - request.arrivedAt) / 1_000),
+            observeEnd: (outcome, tookMs) => {
+                this.metrics.ends.inc({ outcome });
+                this.metrics.whole.observe(tookMs / 1_000);
+            },
+        };
+    }
+
+    private replaceAll(items: readonly StoredItem[], revision: number, now: number): void {
+        const withPrefix = (prefix: string): StoredItem[] => items.filter((item) => item.key.startsWith(prefix));
+        this.registry.replace(withPrefix(FLEET_PREFIX));
+        const listed = new Set<string>();
+        for (const item of withPrefix(this.dialect.endpointPrefix)) {
+            listed.add(item.key);
+            this.putEndpoint(item);
+        }
+        for (const id of this.endpoints.rows.keys()) {
+            if (!listed.has(this.dialect.endpointPrefix + id)) {
+                this.dropEndpoint(id, now);
+            }
+        }
+        const configuration = items.find((item) => item.key === this.dialect.configurationKey);
+        if (configuration !== undefined) {
+            this.putConfiguration(configuration);
+        }
+        this.prepaid.replaceRecords(withPrefix(PREPAID_PREFIX), revision);
+    }
+
+    private applyChange(change: StoreChange, now: number): void {
+        const { key, item } = change;
+        if (key === this.dialect.configurationKey) {
+            if (item !== undefined) {
+                this.putConfiguration(item);
+            }
+        }
+        else if (key.startsWith(this.dialect.endpointPrefix)) {
+            if (item === undefined) {
+                this.dropEndpoint(brand<EndpointId>(key.slice(this.dialect.endpointPrefix.length)), now);
+            }
+            else {
+                this.putEndpoint(item);
+            }
+        }
+        else if (key.startsWith(FLEET_PREFIX)) {
+            if (item === undefined) {
+                this.registry.remove(key);
+            }
+            else {
+                this.registry.put(item);
+            }
+        }
+        else if (key.startsWith(PREPAID_PREFIX) && item !== undefined) {
+            this.prepaid.noteItem(item);
+        }
+    }
+
+    private putConfiguration(item: StoredItem): void {
+        const decoded = this.dialect.readConfiguration(item.value);
+        if (decoded.isErr()) {
+            this.logs.configuration.error("Can't be read; the last one stays in force.", {
+                revision: item.revision,
+                ...decoded.error,
+            });
+            return;
+        }
+        const configuration = decoded.value;
+        if (this.table !== undefined && configuration.version < this.table.configuration.version) {
+            this.logs.configuration.warn("Older than the one in force.", { version: configuration.version });
+            return;
+        }
+        this.table = createRoutingTable(configuration);
+        this.ingress.setLimits(configuration.limits);
+        const totals = new Map(
+            (configuration.accounts ?? [])
+                .filter((account) => account.prepaidTokens !== undefined)
+                .map((account) => [account.id, account.prepaidTokens!]),
+        );
+        this.prepaid.setTotals(totals);
+        this.metrics.configurationVersion.set(configuration.version);
+        this.logs.configuration.info("In force.", {
+            version: configuration.version,
+            revision: item.revision,
+            routes: configuration.routes.length,
+        });
+    }
+
+    private putEndpoint(item: StoredItem): void {
+        const decoded = this.dialect.readEndpoint(item.key, item.value);
+        if (decoded.isErr()) {
+            this.noteFault(item.key, decoded.error.message);
+            const id = brand<EndpointId>(item.key.slice(this.dialect.endpointPrefix.length));
+            this.forgetEndpoint(id, "unreadable");
+            return;
+        }
+        const entry = decoded.value;
+        const known = this.endpoints.rows.get(entry.id);
+        const news = known === undefined || known.entry.leaving !== entry.leaving
+            || known.entry.startedAt !== entry.startedAt;
+        const replaced = putEndpoint(this.endpoints, entry);
+        if (replaced !== undefined) {
+            this.connections.release(replaced.entry);
+        }
+        if (news) {
+            this.logs.endpoints.info(entry.leaving ? "Leaving." : "Registered.", { ...entry, revision: item.revision });
+        }
+        this.metrics.endpoints.set(this.endpoints.rows.size);
+    }
+
+    // Entries of other writers come again and again; each fault is told once.
+    private noteFault(key: string, message: string): void {
+        if (this.faults.get(key) !== message && this.faults.size < 1_000) {
+            this.faults.set(key, message);
+            this.logs.endpoints.warn("Registration can't be read.", { key, message });
+        }
+    }
+
+    private dropEndpoint(id: EndpointId, now: number): void {
+        const row = this.endpoints.rows.get(id);
+        if (row === undefined) {
+            return;
+        }
+        const grace = this.follower.returnedAt + LAPSE_GRACE_MS - now;
+        if (grace <= 0) {
+            this.forgetEndpoint(id, "registration removed");
+            return;
+        }
+        // Registrations may have lapsed in the outage; those that are alive come back.
+        row.lapsesAt = now + grace;
+        setTimeout(() => {
+            if (this.endpoints.rows.get(id) === row && row.lapsesAt !== undefined) {
+                this.forgetEndpoint(id, "not back after the outage");
+            }
+        }, grace).unref();
+    }
+
+    private forgetEndpoint(id: EndpointId, reason: string): void {
+        const row = removeEndpoint(this.endpoints, id);
+        if (row !== undefined) {
+            this.connections.release(row.entry satisfies EndpointEntry);
+            this.logs.endpoints.info("Gone.", { endpoint: id, reason });
+            this.metrics.endpoints.set(this.endpoints.rows.size);
+        }
+    }
+}
--- /dev/null
+++ b/packages/router/src/gateway/ingress.ts
@@ -0,0 +1,128 @@
+import { findRoute, pickService, type Route, type ServiceDeclaration } from "@gooseberrybend/core/dispatch";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type AdmittedRequest, Exchange } from "./exchange.js";
+import type { Gateway } from "./gateway.js";
+import { type RefusalCause, sendRefusal } from "./refusal.js";
+
+/** Time in ms between two looks for connections that are too slow. */
+const CONNECTION_CHECK_MS = 250;
+/** Limits in force before there is a configuration. */
+const FIRST_HEADER_BYTES = 16 * 1024;
+const FIRST_HEADER_TIMEOUT_MS = 3_000;
+const FIRST_IDLE_TIMEOUT_MS = 15_000;
+/** Wait in ms that callers of a router without configuration are asked for. */
+const STARTING_RETRY_AFTER_MS = 400;
+const NOT_RUN_FOR_LACK_OF_BODY: RefusalCause = "too-large";
+
+/** The server that callers connect to. Its limits follow the configuration. */
+export class Ingress {
+    readonly server: Server;
+    /** Requests that have no whole answer yet. */
+    open = 0;
+
+    constructor(private readonly gateway: Gateway) {
+        this.server = createServer({
+            connectionsCheckingInterval: CONNECTION_CHECK_MS,
+            headersTimeout: FIRST_HEADER_TIMEOUT_MS,
+            requestTimeout: 0,
+            keepAliveTimeout: FIRST_IDLE_TIMEOUT_MS,
+            maxHeaderSize: FIRST_HEADER_BYTES,
+            noDelay: true,
+            highWaterMark: 64 * 1024,
+        }, (request, response) => this.receive(request, response));
+    }
+
+    /** Puts limits in force for new connections and requests. */
+    setLimits(limits: { headerBytes: number; headerTimeoutMs: number; idleTimeoutMs: number; }): void {
+        const server = this.server as Server & { maxHeaderSize: number; };
+        server.maxHeaderSize = limits.headerBytes;
+        server.headersTimeout = limits.headerTimeoutMs;
+        server.keepAliveTimeout = limits.idleTimeoutMs;
+    }
+
+    private receive(request: IncomingMessage, response: ServerResponse): void {
+        const arrivedAt = this.gateway.clock();
+        this.open++;
+        response.once("close", () => this.open--);
+        response.on("error", () => undefined);
+        if (this.gateway.draining) {
+            response.shouldKeepAlive = false;
+        }
+        const limit = this.gateway.table?.configuration.limits.bodyBytes ?? Infinity;
+        const chunks: Buffer[] = [];
+        let size = 0;
+        request.on("data", (chunk: Buffer) => {
+            size += chunk.length;
+            if (size > limit) {
+                this.refuseBody(request, response);
+                return;
+            }
+            chunks.push(chunk);
+        });
+        request.on("end", () => {
+            if (size <= limit) {
+                this.admit(request, response, Buffer.concat(chunks), arrivedAt);
+            }
+        });
+        request.on("error", () => undefined);
+    }
+
+    private refuseBody(request: IncomingMessage, response: ServerResponse): void {
+        if (!response.headersSent) {
+            response.shouldKeepAlive = false;
+            this.refuse(request, response, NOT_RUN_FOR_LACK_OF_BODY, undefined, {});
+        }
+        request.removeAllListeners("data");
+        request.resume();
+    }
+
+    private admit(request: IncomingMessage, response: ServerResponse, body: Buffer, arrivedAt: number): void {
+        const { table, dialect } = this.gateway;
+        if (table === undefined) {
+            this.refuse(request, response, "no-configuration", STARTING_RETRY_AFTER_MS, {});
+            return;
+        }
+        const route = findRoute(table, hostOf(request), request.url ?? "/");
+        if (route === undefined) {
+            this.refuse(request, response, "no-route", undefined, { host: hostOf(request), path: request.url });
+            return;
+        }
+        const fields = dialect.readCaller(request.rawHeaders);
+        const account = fields.accessKey === undefined ? undefined : table.accountsByKey.get(fields.accessKey);
+        if (account === undefined && !route.open && table.configuration.accounts !== undefined) {
+            this.refuse(request, response, "unknown-key", undefined, { route: route.name });
+            return;
+        }
+        const service = this.serviceOf(route);
+        if (service === undefined) {
+            this.refuse(request, response, "no-endpoint", STARTING_RETRY_AFTER_MS, { route: route.name });
+            return;
+        }
+        const admitted: AdmittedRequest = { request, response, body, fields, route, service, account, arrivedAt };
+        void new Exchange(this.gateway.context, admitted).run();
+    }
+
+    private serviceOf(route: Route): ServiceDeclaration | undefined {
+        const name = pickService(route, this.gateway.context.chance());
+        return name === undefined ? undefined : this.gateway.table?.configuration.services.get(name);
+    }
+
+    private refuse(
+        request: IncomingMessage,
+        response: ServerResponse,
+        cause: RefusalCause,
+        retryAfterMs: number | undefined,
+        figures: object,
+    ): void {
+        const { context, dialect } = this.gateway;
+        context.countRefusal(cause);
+        const id = dialect.readCaller(request.rawHeaders).requestId;
+        const configuration = context.configurationVersion();
+        context.logs.requests.info("Refused.", { id, cause, configuration, ...figures });
+        sendRefusal(response, cause, retryAfterMs);
+    }
+}
+
+function hostOf(request: IncomingMessage): string {
+    return (request.headers.host ?? "").split(":")[0]!.toLowerCase();
+}
--- /dev/null
+++ b/packages/router/src/gateway/internal.controller.ts
@@ -0,0 +1,36 @@
+import { Controller, Get, Inject, Req, Res } from "@nestjs/common";
+import type { FastifyReply, FastifyRequest } from "fastify";
+import type { Gateway } from "./gateway.js";
+
+/** Token of the gateway among the providers. */
+export const GATEWAY = Symbol("gateway");
+
+/** Answers questions for addresses, readiness and metrics. */
+@Controller()
+export class InternalController {
+    constructor(@Inject(GATEWAY) private readonly gateway: Gateway) {}
+
+    /** Metrics as text. */
+    @Get("metrics")
+    async metrics(@Res() reply: FastifyReply): Promise<void> {
+        const registry = this.gateway.metrics.registry;
+        await reply.header("content-type", registry.contentType).send(await registry.metrics());
+    }
+
+    /** Addresses or readiness, at the paths of the dialect. */
+    @Get("*")
+    async other(@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
+        const path = request.url.split("?")[0];
+        const { dialect } = this.gateway;
+        if (path === dialect.readyPath) {
+            await reply.status(this.gateway.ready ? 200 : 503).send();
+            return;
+        }
+        if (path === dialect.addressPath) {
+            const answer = this.gateway.answerAddresses(request.query as Record<string, string>);
+            await (answer === undefined ? reply.status(503).send() : reply.status(200).send(answer));
+            return;
+        }
+        await reply.status(404).send();
+    }
+}
--- /dev/null
+++ b/packages/router/src/gateway/run-gateway.ts
@@ -0,0 +1,117 @@
+import "reflect-metadata";
+import { type DynamicModule, Module } from "@nestjs/common";
+import { NestFactory } from "@nestjs/core";
+import { FastifyAdapter, type NestFastifyApplication } from "@nestjs/platform-fastify";
+import { once } from "node:events";
+import { createServer, type RequestListener, type Server } from "node:http";
+import type { Dialect } from "./dialect.js";
+import { Gateway } from "./gateway.js";
+import { type GatewaySettings, readGatewaySettings, splitAddress } from "./gateway-settings.js";
+import { GATEWAY, InternalController } from "./internal.controller.js";
+import type { MetadataStore } from "./metadata-store.js";
+import { sleep } from "./store-follower.js";
+
+/** Exit codes of the program. */
+const WRONG_SETTINGS = 2;
+/** Share of the time to exit during which requests are still taken in. */
+const SERVING_SHARE = 0.82;
+/** Share of the time to exit after which the process ends, whatever is open. */
+const CUT_SHARE = 0.97;
+/** Lifetimes of an address after which a router without requests may exit early. */
+const ADDRESS_LIFETIMES = 3;
+const EXIT_CHECK_MS = 100;
+const ADDRESS_LIFETIME_MS = 2_000;
+
+/** What a gateway is made of. */
+export type GatewayParts = {
+    readonly settingsFile: string | undefined;
+    readonly dialect: Dialect;
+    readonly openStore: (address: string) => MetadataStore;
+};
+
+@Module({})
+class GatewayModule {
+    static of(gateway: Gateway): DynamicModule {
+        return {
+            module: GatewayModule,
+            controllers: [InternalController],
+            providers: [{ provide: GATEWAY, useValue: gateway }],
+        };
+    }
+}
+
+/** Runs a router until it is told to stop. */
+export async function runGateway(parts: GatewayParts): Promise<void> {
+    const file = parts.settingsFile;
+    if (file === undefined) {
+        process.stderr.write("No settings are named. Give --settings FILE.\n");
+        process.exit(WRONG_SETTINGS);
+    }
+    const settings = readGatewaySettings(file);
+    if (settings.isErr()) {
+        const faults = settings.error.map((fault) => `${fault.file}:${fault.line}:${fault.column}: ${fault.message}`);
+        process.stderr.write(`${faults.join("\n")}\n`);
+        process.exit(WRONG_SETTINGS);
+    }
+    const gateway = new Gateway(settings.value, parts.dialect, parts.openStore(settings.value.store.address));
+    gateway.start();
+    await listenInternally(gateway);
+    await listen(gateway.ingress.server, settings.value.listen.callers);
+    gateway.logs.host.info("Started.", { router: settings.value.name, address: settings.value.listen.callers });
+    process.on("SIGHUP", () => reload(gateway, file));
+    await Promise.race([once(process, "SIGTERM"), once(process, "SIGINT")]);
+    await shutDown(gateway);
+    process.exit(0);
+}
+
+async function listenInternally(gateway: Gateway): Promise<void> {
+    const { ready, addresses, metrics } = gateway.settings.listen;
+    const distinct = [...new Set([ready, addresses, metrics])];
+    let handle: RequestListener | undefined;
+    const serverFactory = (handler: RequestListener): Server => {
+        handle = handler;
+        return createServer(handler);
+    };
+    const adapter = new FastifyAdapter({ serverFactory: serverFactory as never });
+    const options = { bodyParser: false, logger: false, abortOnError: false } as const;
+    const application = await NestFactory.create<NestFastifyApplication>(GatewayModule.of(gateway), adapter, options);
+    const [first, ...others] = distinct;
+    const { host, port } = splitAddress(first!);
+    await application.listen(port, host);
+    await Promise.all(others.map((address) => listen(createServer((request, response) => handle!(request, response)), address)));
+}
+
+async function listen(server: Server, address: string): Promise<void> {
+    const { host, port } = splitAddress(address);
+    server.listen({ host, port, backlog: 1_024 });
+    await once(server, "listening");
+}
+
+function reload(gateway: Gateway, file: string): void {
+    const settings = readGatewaySettings(file);
+    if (settings.isErr()) {
+        gateway.logs.host.error("Settings can't be read; the last ones stay in force.", { faults: settings.error });
+        return;
+    }
+    gateway.settings = settings.value satisfies GatewaySettings;
+    gateway.logs.host.info("Reloaded.", { file });
+}
+
+async function shutDown(gateway: Gateway): Promise<void> {
+    const { shutdownMs } = gateway.settings.bounds;
+    const startedAt = gateway.clock();
+    gateway.logs.host.info("Draining.", { open: gateway.ingress.open });
+    await gateway.drain();
+    const elapsed = (): number => gateway.clock() - startedAt;
+    const earliest = Math.min(ADDRESS_LIFETIMES * ADDRESS_LIFETIME_MS, shutdownMs * SERVING_SHARE);
+    while (elapsed() < shutdownMs * SERVING_SHARE && (elapsed() < earliest || gateway.ingress.open > 0)) {
+        await sleep(EXIT_CHECK_MS);
+    }
+    gateway.ingress.server.close();
+    gateway.ingress.server.closeIdleConnections();
+    while (elapsed() < shutdownMs * CUT_SHARE && gateway.ingress.open > 0) {
+        await sleep(EXIT_CHECK_MS);
+    }
+    gateway.logs.host.info("Stopped.", { open: gateway.ingress.open });
+    await Promise.race([gateway.stop(), sleep(EXIT_CHECK_MS)]);
+}
