--- a/packages/core/src/dispatch/prepaid.ts
+++ b/packages/core/src/dispatch/prepaid.ts
@@ -57,9 +57,10 @@
 
 /** The sizes that routers use unless settings say otherwise. */
 export const defaultPrepaidPolicy: PrepaidPolicy = {
-    // Outages of the store last 4 to 9 s; a longer allowance strands more when a router dies.
-    allowanceMs: 6_000,
-    heldShare: 0.5,
+    // Outages of the store last 4 to 9 s.
+    allowanceMs: 10_000,
+    // What is held is lost when its router dies; the rest serves those that start again.
+    heldShare: 0.6,
 };
 
 /** Who holds tokens: the name of a router and its start. */
--- a/packages/router/src/gateway/dialect.ts
+++ b/packages/router/src/gateway/dialect.ts
@@ -5,7 +5,7 @@
     PromptPart,
     TokenBound,
 } from "@gooseberrybend/core/dispatch";
-import type { AccountId, EndpointId, FailureDomain } from "@gooseberrybend/core";
+import type { AccountId, EndpointId } from "@gooseberrybend/core";
 import type { Result } from "neverthrow";
 
 /** Why a stored value can't be read, and where in it. */
@@ -45,9 +45,6 @@
     readonly sealed: boolean;
 };
 
-/** A question for addresses. */
-export type AddressQuery = { readonly domain: FailureDomain | undefined; };
-
 /** Raw headers: names and values in turn. */
 export type RawHeaders = readonly string[];
 
@@ -70,7 +67,6 @@
     abstract readonly readEndpointHeaders: (status: number, headers: RawHeaders) => EndpointFields;
     /** Returns the headers that go back to the caller. */
     abstract readonly answerHeaders: (headers: RawHeaders) => string[];
-    abstract readAddressQuery(query: Readonly<Record<string, string>>): AddressQuery;
     /** Returns the body that names addresses for a lifetime in ms. */
     abstract addressBody(addresses: readonly string[], lifetimeMs: number): unknown;
 }
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -59,8 +59,6 @@
 
 /** Range in ms of the wait that callers are asked for, so that they do not come back together. */
 const RETRY_AFTER_MS = [150, 450] as const;
-/** Wait in ms that callers are asked for when tokens are held by other routers. */
-const BUDGET_RETRY_AFTER_MS = 700;
 /** Share of the target time that a request waits for tokens of other routers. */
 const BUDGET_WAIT_SHARE = 0.3;
 /** Statuses of endpoints that promise that a request has not run; passed on only if they say so themselves. */
@@ -134,7 +132,8 @@
             this.refuse("budget-exhausted", undefined, figures);
         }
         else {
-            this.refuse("budget-unavailable", BUDGET_RETRY_AFTER_MS * (1 + this.context.chance()), figures);
+            const retryAfterMs = this.context.prepaid.retryAfterMs(this.context.clock());
+            this.refuse("budget-unavailable", retryAfterMs * (1 + this.context.chance()), figures);
         }
         return false;
     }
@@ -216,8 +215,8 @@
         }
         if (this.isForeign(send)) {
             this.context.logs.requests.warn("Answer of another request.", this.figures(send));
-            this.abort(send);
             this.endSend(send, true);
+            this.abort(send);
             this.mayHaveRun = true;
             this.afterFailure(send, "garbled");
             return;
@@ -397,8 +396,8 @@
         const send = this.send;
         const begun = this.mayHaveRun || send?.started === true;
         if (send !== undefined && !send.ended) {
-            this.abort(send);
             this.endSend(send, !send.heard);
+            this.abort(send);
         }
         if (this.answering) {
             this.cut("timed-out");
@@ -413,8 +412,8 @@
         }
         const send = this.send;
         if (send !== undefined && !send.ended && this.admitted.route.kind !== "unsafe") {
-            this.abort(send);
             this.endSend(send, false);
+            this.abort(send);
         }
         this.finish("caller-gone", send);
     }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -90,13 +90,12 @@
     }
 
     /** Returns the answer to a question for addresses, or undefined when there are none to name. */
-    answerAddresses(query: Readonly<Record<string, string>>): unknown {
+    answerAddresses(): unknown {
         const members = [...this.registry.members.values()];
         if (members.length === 0) {
             return undefined;
         }
-        const { domain } = this.dialect.readAddressQuery(query);
-        const addresses = addressesForCaller(members, domain, Math.random);
+        const addresses = addressesForCaller(members, Math.random);
         const lifetimeMs = Math.min(ADDRESS_LIFETIME_MS, this.settings.bounds.addressLifetimeMs);
         return this.dialect.addressBody(addresses, lifetimeMs);
     }
--- a/packages/router/src/gateway/internal.controller.ts
+++ b/packages/router/src/gateway/internal.controller.ts
@@ -27,7 +27,7 @@
             return;
         }
         if (path === dialect.addressPath) {
-            const answer = this.gateway.answerAddresses(request.query as Record<string, string>);
+            const answer = this.gateway.answerAddresses();
             await (answer === undefined ? reply.status(503).send() : reply.status(200).send(answer));
             return;
         }
--- a/packages/router/src/gateway/prepaid-keeper.ts
+++ b/packages/router/src/gateway/prepaid-keeper.ts
@@ -44,6 +44,9 @@
     ),
 });
 
+/** Time in ms in which other routers return tokens that are lacking here. */
+const SHORTAGE_MS = 700;
+
 type Waiter = { readonly row: PrepaidRow; readonly tokens: number; readonly resolve: (value: Reservation) => void; };
 
 /** Holds this router's tokens, and writes what it used and needs into the store. */
@@ -54,6 +57,7 @@
     private storeRevision: number | undefined;
     private readonly earlyRecords = new Map<string, { revision: number; record: PrepaidRecord; }>();
     private failedAt = -Infinity;
+    private failingSince: number | undefined;
     private timer: NodeJS.Timeout | undefined;
 
     constructor(
@@ -165,6 +169,12 @@
         });
     }
 
+    /** Returns the time in ms after which tokens may be at hand again. */
+    retryAfterMs(now: number): number {
+        // An outage lasts on average as long again as it has lasted.
+        return this.failingSince === undefined ? SHORTAGE_MS : Math.max(SHORTAGE_MS, now - this.failingSince);
+    }
+
     /** Ends a reservation. */
     settle(account: AccountId, reserved: number, used: number): void {
         const row = this.rows.get(account);
@@ -238,6 +248,7 @@
         });
         switch (result.kind) {
             case "done":
+                this.failingSince = undefined;
                 writes.forEach((write) => notePrepaidRecord(rowOf(write), result.value, write.record, this.holder));
                 return "done";
             case "conflict":
@@ -257,6 +268,7 @@
 
     private noteFailure(kind: string, detail: string): void {
         this.failedAt = this.clock();
+        this.failingSince ??= this.failedAt;
         this.logs.prepaid.warn("Write failed.", { kind, detail });
     }
 
