--- a/packages/core/src/dispatch/endpoint-health.ts
+++ b/packages/core/src/dispatch/endpoint-health.ts
@@ -26,10 +26,24 @@
     return row.failures * decay / (row.outcomes * decay + 3);
 }
 
-/** Notes how long an answer took against what was expected. */
-export function noteDuration(row: EndpointState, tookMs: number, expectedMs: number): void {
-    const ratio = tookMs / Math.max(1, expectedMs);
+/** What the answers of a service take on average, whatever the endpoint. */
+export type ServicePace = { msPerUnit: number; };
+
+/** Weight of the newest answer in the average of a service. */
+const PACE_WEIGHT = 0.02;
+
+/**
+ * Notes how long an answer took for its work, and compares the endpoint with its siblings. The unit of
+ * work is a token to read for engines and a request for plain services.
+ */
+export function noteDuration(pace: ServicePace, row: EndpointState, tookMs: number, units: number): void {
+    const perUnit = tookMs / Math.max(1, units);
+    if (pace.msPerUnit === 0) {
+        pace.msPerUnit = perUnit;
+    }
+    const ratio = perUnit / Math.max(Number.EPSILON, pace.msPerUnit);
     const bounded = Math.min(SLOWNESS_RANGE[1], Math.max(SLOWNESS_RANGE[0], ratio));
+    pace.msPerUnit += (Math.min(perUnit, pace.msPerUnit * SLOWNESS_RANGE[1]) - pace.msPerUnit) * PACE_WEIGHT;
     row.slowness += (bounded - row.slowness) * SLOWNESS_WEIGHT;
 }
 
--- a/packages/core/src/dispatch/endpoint-table.ts
+++ b/packages/core/src/dispatch/endpoint-table.ts
@@ -1,4 +1,5 @@
 import type { EndpointId } from "../types/ids.js";
+import type { ServicePace } from "./endpoint-health.js";
 import type { EndpointEntry, PromptPartId, ServiceName } from "./types.js";
 
 /** What an endpoint last said of its load. */
@@ -36,11 +37,12 @@
 export type EndpointTable = {
     readonly rows: Map<EndpointId, EndpointState>;
     readonly byService: Map<ServiceName, EndpointState[]>;
+    readonly paces: Map<ServiceName, ServicePace>;
 };
 
 /** Creates an empty table. */
 export function createEndpointTable(): EndpointTable {
-    return { rows: new Map(), byService: new Map() };
+    return { rows: new Map(), byService: new Map(), paces: new Map() };
 }
 
 /** Takes in a registration. Returns the row that it replaces when the endpoint has started again. */
--- a/packages/core/src/dispatch/placement.ts
+++ b/packages/core/src/dispatch/placement.ts
@@ -1,6 +1,6 @@
 import { rendezvousFirst } from "../support/rendezvous.js";
 import type { EndpointId, FailureDomain } from "../types/ids.js";
-import { failureRate, isSilent } from "./endpoint-health.js";
+import { failureRate, isSilent, type ServicePace } from "./endpoint-health.js";
 import type { EndpointState, EndpointTable } from "./endpoint-table.js";
 import type { EngineDeclaration, PromptPart, PromptPartId, ServiceName } from "./types.js";
 
@@ -110,6 +110,29 @@
     return uncached;
 }
 
+/** Time to read a prompt that engines take in any case, in prompt tokens. */
+const FIXED_COST_TOKENS = 1_500;
+
+/** Estimates the work before the first byte of an answer: tokens to read, or one request. */
+export function workUnits(table: EndpointTable, row: EndpointState, query: PlacementQuery, now: number): number {
+    if (query.engine === undefined) {
+        return 1;
+    }
+    const isHome = homeOf(usableEndpoints(table, query, now), query.parts) === row;
+    return FIXED_COST_TOKENS + row.waitingPromptTokens + uncachedTokens(row, query, isHome, now);
+}
+
+/** Returns the pace of a service. */
+export function paceOf(table: EndpointTable, service: ServiceName): ServicePace {
+    const known = table.paces.get(service);
+    if (known !== undefined) {
+        return known;
+    }
+    const created = { msPerUnit: 0 };
+    table.paces.set(service, created);
+    return created;
+}
+
 /** Notes that a request was sent to an endpoint. */
 export function noteSend(row: EndpointState, query: PlacementQuery, now: number): void {
     row.open++;
@@ -143,3 +166,19 @@
         row.parts.delete(row.parts.keys().next().value!);
     }
 }
+
+/** Highest rank that engines know. */
+const LOWEST_RANK = 9;
+/** Ranks for each step of a declared priority. */
+const RANKS_PER_PRIORITY = 3;
+/** Expected reading time, relative to the target, from which a request goes behind shorter ones of its priority. */
+const LONG_SHARES = [0.1, 0.35] as const;
+
+/**
+ * Returns the rank of a request at an engine; 0 is served first. Within a declared priority, short
+ * prompts go first, since one long prompt would make many others late.
+ */
+export function rankAtEngine(priority: number, readingMs: number, targetMs: number): number {
+    const step = LONG_SHARES.filter((share) => readingMs > share * targetMs).length;
+    return Math.min(LOWEST_RANK, priority * RANKS_PER_PRIORITY + step);
+}
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -14,11 +14,14 @@
     noteLoad,
     noteOutcome,
     noteSend,
+    paceOf,
     type PlacementQuery,
+    rankAtEngine,
     type Route,
     type SendFailure,
     type ServiceDeclaration,
     takeRepeat,
+    workUnits,
 } from "@gooseberrybend/core/dispatch";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Dispatcher } from "undici";
@@ -44,6 +47,8 @@
     readonly row: EndpointState;
     readonly sentAt: number;
     readonly resumed: boolean;
+    /** Expected work before the first byte. */
+    readonly units: number;
     controller: Dispatcher.DispatchController | undefined;
     /** True once bytes may have left. */
     started: boolean;
@@ -64,8 +69,6 @@
 /** Statuses of endpoints that promise that a request has not run; passed on only if they say so themselves. */
 const promisingStatuses = new Set([408, 421, 429, 503]);
 const FAILURE_STATUS = 500;
-/** Highest rank that engines know. */
-const LOWEST_PRIORITY = 9;
 
 /** Carries one request from its caller to an endpoint and the answer back. */
 export class Exchange {
@@ -83,6 +86,7 @@
     private send: Send | undefined;
     private timer: NodeJS.Timeout | undefined;
     private paused = false;
+    private firstMs: number | undefined;
 
     constructor(private readonly context: GatewayContext, private readonly admitted: AdmittedRequest) {
         const { route, fields, arrivedAt, service } = admitted;
@@ -149,6 +153,7 @@
             row,
             sentAt: now,
             resumed,
+            units: workUnits(this.context.endpoints, row, this.query, now),
             controller: undefined,
             started: false,
             heard: false,
@@ -173,7 +178,7 @@
             endpoint: row.entry.id,
             account: account?.id,
             timeLeftMs: Math.min(this.deadline, this.callerDeadline) - now,
-            priority: this.admitted.service.engine === undefined ? undefined : Math.min(LOWEST_PRIORITY, priority),
+            priority: this.admitted.service.engine === undefined ? undefined : this.rank(priority),
             resumeAfter: this.gate.lastId ?? fields.resumeAfter,
         });
         return {
@@ -184,6 +189,11 @@
         };
     }
 
+    private rank(priority: number): number {
+        const pace = paceOf(this.context.endpoints, this.query.service);
+        return rankAtEngine(priority, this.query.promptTokens * pace.msPerUnit, this.admitted.route.targetMs);
+    }
+
     private handlerOf(send: Send): Dispatcher.DispatchHandler {
         return {
             onRequestStart: (controller) => {
@@ -438,7 +448,9 @@
         noteHeard(send.row);
         send.heard = true;
         noteFirstByte(send.row, this.query);
-        noteDuration(send.row, now - send.sentAt, this.admitted.route.targetMs / 4);
+        const { endpoints } = this.context;
+        noteDuration(paceOf(endpoints, this.query.service), send.row, now - send.sentAt, send.units);
+        this.firstMs ??= Math.round(now - this.admitted.arrivedAt);
     }
 
     private refuse(cause: RefusalCause, retryAfterMs: number | undefined, figures: object = {}): void {
@@ -462,7 +474,7 @@
         this.settleByDelivery();
         const tookMs = Math.round(this.context.clock() - this.admitted.arrivedAt);
         this.context.observeEnd(outcome, tookMs);
-        this.context.logs.requests.info("Ended.", { ...this.figures(send), outcome, status: send?.status, tookMs });
+        this.context.logs.requests.info("Ended.", { ...this.figures(send), outcome, status: send?.status, firstMs: this.firstMs, tookMs });
     }
 
     private settleByDelivery(): void {
