--- a/packages/core/src/dispatch/prepaid.ts
+++ b/packages/core/src/dispatch/prepaid.ts
@@ -9,6 +9,8 @@
     readonly used: number;
     /** Tokens that it lacks; the others return what they can spare. */
     readonly lacking: number;
+    /** Tokens that it lately reserved a second. */
+    readonly rate: number;
 };
 
 /** The stored record of an account. What all holdings and the closed ones were granted never exceeds the total. */
@@ -40,10 +42,10 @@
     usedWritten: number;
     /** Tokens that requests were refused for since the last write. */
     lacking: number;
-    /** Moving average of the reserved tokens per ms. */
-    rate: number;
-    rateAt: number;
-    reservedSinceRate: number;
+    /** Decayed sum of the tokens that were asked for, and of the time in ms in which they were. */
+    asked: number;
+    askedMs: number;
+    askedAt: number;
     largestWorst: number;
 };
 
@@ -58,9 +60,9 @@
 /** The sizes that routers use unless settings say otherwise. */
 export const defaultPrepaidPolicy: PrepaidPolicy = {
     // Outages of the store last 4 to 9 s.
-    allowanceMs: 10_000,
+    allowanceMs: 12_000,
     // What is held is lost when its router dies; the rest serves those that start again.
-    heldShare: 0.6,
+    heldShare: 0.7,
 };
 
 /** Who holds tokens: the name of a router and its start. */
@@ -69,7 +71,10 @@
 /** How a reservation went. */
 export type Reservation = "reserved" | "short" | "exhausted";
 
-const RATE_WINDOW_MS = 5_000;
+/** Time in ms over which the demand is averaged; requests differ much in size, so shorter windows jump about. */
+const DEMAND_WINDOW_MS = 12_000;
+const LEAST_DEMAND_MS = 2_000;
+const MS_PER_SECOND = 1_000;
 /** Change of an allowance, relative to its target, that is worth a write of its own. */
 const ALLOWANCE_TOLERANCE = 0.4;
 
@@ -89,9 +94,9 @@
         used: 0,
         usedWritten: 0,
         lacking: 0,
-        rate: 0,
-        rateAt: now,
-        reservedSinceRate: 0,
+        asked: 0,
+        askedMs: 0,
+        askedAt: now,
         largestWorst: 0,
     };
 }
@@ -102,12 +107,30 @@
     return granted - row.used - row.reserved;
 }
 
+/** Notes that a request asks for tokens; the rate of asking sizes the allowance. */
+export function notePrepaidDemand(row: PrepaidRow, tokens: number, now: number): void {
+    decayDemand(row, now);
+    row.asked += tokens;
+    row.largestWorst = Math.max(row.largestWorst, tokens);
+}
+
+function decayDemand(row: PrepaidRow, now: number): void {
+    const elapsed = Math.max(0, now - row.askedAt);
+    const decay = Math.exp(-elapsed / DEMAND_WINDOW_MS);
+    row.asked *= decay;
+    row.askedMs = row.askedMs * decay + (1 - decay) * DEMAND_WINDOW_MS;
+    row.askedAt = now;
+}
+
+// Tokens per ms; the first seconds count as a whole window's least.
+function demandRate(row: PrepaidRow): number {
+    return row.asked / Math.max(LEAST_DEMAND_MS, row.askedMs);
+}
+
 /** Reserves the worst case of a request, or tells why it can't. */
 export function reservePrepaid(row: PrepaidRow, tokens: number): Reservation {
-    row.largestWorst = Math.max(row.largestWorst, tokens);
     if (spendableTokens(row) >= tokens) {
         row.reserved += tokens;
-        row.reservedSinceRate += tokens;
         return "reserved";
     }
     return row.total - usedByAll(row) < tokens && row.revision !== undefined ? "exhausted" : "short";
@@ -164,39 +187,36 @@
     readonly granted: number;
 };
 
-/** Updates the rate of use of an account. */
-export function updatePrepaidRate(row: PrepaidRow, now: number): void {
-    const elapsed = now - row.rateAt;
-    if (elapsed <= 0) {
-        return;
-    }
-    const weight = 1 - Math.exp(-elapsed / RATE_WINDOW_MS);
-    row.rate += (row.reservedSinceRate / elapsed - row.rate) * weight;
-    row.reservedSinceRate = 0;
-    row.rateAt = now;
-}
-
 /** Returns whether the allowance or the reported use is far enough from what it should be to write. */
-export function needsPrepaidWrite(row: PrepaidRow, policy: PrepaidPolicy, fleetSize: number): boolean {
+export function needsPrepaidWrite(
+    row: PrepaidRow,
+    policy: PrepaidPolicy,
+    holder: PrepaidHolder,
+    now: number,
+): boolean {
+    decayDemand(row, now);
     if (row.revision === undefined) {
-        return row.reservedSinceRate > 0;
+        return row.asked > 0;
     }
-    const target = allowanceTarget(row, policy, fleetSize);
+    const target = allowanceTarget(row, policy, holder);
     const off = Math.abs(spendableTokens(row) - target);
     return off > ALLOWANCE_TOLERANCE * Math.max(target, row.largestWorst)
         || row.used - row.usedWritten > Math.max(target, row.largestWorst) / 2;
 }
 
-// Tokens beyond the reservations that this router wants to hold.
-function allowanceTarget(row: PrepaidRow, policy: PrepaidPolicy, fleetSize: number): number {
-    const held = Math.max(0, spendableTokens(row));
-    const free = Math.max(0, freeTokens(row.record, row.total)) + held;
-    const share = free * policy.heldShare / Math.max(1, fleetSize);
-    const others = Object.values(row.record.holdings).some((holding) => holding.lacking > 0);
-    if (others) {
+// Tokens beyond the reservations that this router wants to hold: what it will need in an outage, and no
+// more than its part of what is left, by how much each router was lately asked for.
+function allowanceTarget(row: PrepaidRow, policy: PrepaidPolicy, holder: PrepaidHolder): number {
+    const others = Object.entries(row.record.holdings).filter(([name]) => name !== holder.name);
+    if (others.some(([, holding]) => holding.lacking > 0)) {
         return 0;
     }
-    return Math.floor(Math.min(share, Math.max(row.rate * policy.allowanceMs, row.largestWorst)));
+    const own = demandRate(row) * MS_PER_SECOND;
+    const all = others.reduce((sum, [, holding]) => sum + holding.rate, own);
+    const left = Math.max(0, freeTokens(row.record, row.total)) + Math.max(0, spendableTokens(row))
+        + others.reduce((sum, [, holding]) => sum + Math.max(0, holding.granted - holding.used), 0);
+    const share = all === 0 ? 0 : left * policy.heldShare * own / all;
+    return Math.floor(Math.min(share, demandRate(row) * policy.allowanceMs + row.largestWorst));
 }
 
 /**
@@ -208,22 +228,24 @@
     holder: PrepaidHolder,
     wanted: number,
     policy: PrepaidPolicy,
-    fleetSize: number,
+    now: number,
 ): PrepaidWrite | undefined {
     if (row.revision === undefined) {
         return undefined;
     }
+    decayDemand(row, now);
     const { [holder.name]: previous, ...others } = row.record.holdings;
     const restarted = previous !== undefined && previous.incarnation !== holder.incarnation;
     const closed = row.record.closed + (restarted ? previous.granted : 0);
     const taken = Object.values(others).reduce((sum, holding) => sum + holding.granted, closed);
     const committed = row.used + row.reserved;
     const available = Math.max(0, row.total - taken - committed);
-    const slack = Math.min(available, Math.max(wanted, allowanceTarget(row, policy, fleetSize)));
+    const slack = Math.min(available, Math.max(wanted, allowanceTarget(row, policy, holder)));
     // Never below what is already granted and in use, even if the total was lowered.
     const granted = committed + slack;
     const lacking = Math.max(0, Math.max(wanted, row.lacking) - slack);
-    const own = { incarnation: holder.incarnation, granted, used: row.used, lacking };
+    const rate = Math.round(demandRate(row) * MS_PER_SECOND);
+    const own = { incarnation: holder.incarnation, granted, used: row.used, lacking, rate };
     return {
         account: row.account,
         revision: row.revision,
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -50,7 +50,7 @@
         const self = { name: settings.name, incarnation, address: settings.listen.callers, domain };
         this.registry = new FleetRegistry(store, self, this.logs);
         const holder = { name: settings.name, incarnation };
-        this.prepaid = new PrepaidKeeper(store, holder, () => this.fleetSize(), this.logs, this.clock);
+        this.prepaid = new PrepaidKeeper(store, holder, this.logs, this.clock);
         this.follower = new StoreFollower(
             store,
             {
--- a/packages/router/src/gateway/prepaid-keeper.ts
+++ b/packages/router/src/gateway/prepaid-keeper.ts
@@ -4,6 +4,7 @@
     defaultPrepaidPolicy,
     emptyRecord,
     needsPrepaidWrite,
+    notePrepaidDemand,
     notePrepaidRecord,
     notePrepaidShortage,
     notePrepaidWriteFailed,
@@ -18,7 +19,6 @@
     reservePrepaid,
     settlePrepaid,
     spendableTokens,
-    updatePrepaidRate,
 } from "@gooseberrybend/core/dispatch";
 import { z } from "zod";
 import type { GatewayLogs } from "./log-sink.js";
@@ -40,7 +40,7 @@
     closed: z.number(),
     holdings: z.record(
         z.string(),
-        z.object({ incarnation: z.string(), granted: z.number(), used: z.number(), lacking: z.number() }),
+        z.object({ incarnation: z.string(), granted: z.number(), used: z.number(), lacking: z.number(), rate: z.number() }),
     ),
 });
 
@@ -63,7 +63,6 @@
     constructor(
         private readonly store: MetadataStore,
         private readonly holder: PrepaidHolder,
-        private readonly fleetSize: () => number,
         private readonly logs: GatewayLogs,
         private readonly clock: () => number,
         private readonly policy: PrepaidPolicy = defaultPrepaidPolicy,
@@ -154,6 +153,7 @@
         if (row === undefined) {
             return "short";
         }
+        notePrepaidDemand(row, tokens, this.clock());
         const first = reservePrepaid(row, tokens);
         if (first === "reserved" || first === "exhausted") {
             return first;
@@ -188,7 +188,7 @@
         this.stop();
         const writes = [...this.rows.values()]
             .filter((row) => row.granted > 0)
-            .map((row) => planPrepaidWrite(row, this.holder, 0, { ...this.policy, heldShare: 0 }, 1))
+            .map((row) => planPrepaidWrite(row, this.holder, 0, { ...this.policy, heldShare: 0 }, this.clock()))
             .filter((write) => write !== undefined);
         await this.write(writes);
     }
@@ -223,14 +223,12 @@
         for (const waiter of this.waiters) {
             wanted.set(waiter.row, (wanted.get(waiter.row) ?? 0) + waiter.tokens);
         }
-        const size = this.fleetSize();
         const now = this.clock();
-        const rows = [...this.rows.values()];
-        rows.forEach((row) => updatePrepaidRate(row, now));
-        const due = rows.filter((row) => wanted.has(row) || needsPrepaidWrite(row, this.policy, size));
+        const due = [...this.rows.values()]
+            .filter((row) => wanted.has(row) || needsPrepaidWrite(row, this.policy, this.holder, now));
         due.sort((one, other) => Number(wanted.has(other)) - Number(wanted.has(one)));
         return due.slice(0, RECORDS_PER_WRITE)
-            .map((row) => planPrepaidWrite(row, this.holder, wanted.get(row) ?? 0, this.policy, size))
+            .map((row) => planPrepaidWrite(row, this.holder, wanted.get(row) ?? 0, this.policy, now))
             .filter((write) => write !== undefined);
     }
 
