--- a/packages/router/src/gateway/endpoint-connections.ts
+++ b/packages/router/src/gateway/endpoint-connections.ts
@@ -1,5 +1,5 @@
 import type { EndpointEntry } from "@gooseberrybend/core/dispatch";
-import { type Dispatcher, Pool } from "undici";
+import { buildConnector, type Dispatcher, Pool } from "undici";
 
 /** Time in ms after which a connection attempt counts as failed; a new connection takes a few ms. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -25,7 +25,7 @@
         }
         const pool = new Pool(`http://${entry.address}`, {
             connections: Math.max(FEWEST_CONNECTIONS, Math.floor(connectionLimit / Math.max(1, fleetSize))),
-            connect: { timeout: CONNECT_TIMEOUT_MS },
+            connect: connectStrictly,
             pipelining: 1,
             headersTimeout: 0,
             bodyTimeout: 0,
@@ -54,6 +54,22 @@
     }
 }
 
+const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+
+// undici takes a reset for the end of an answer without a length. With another code it is an error,
+// as it must be: what came before the reset may not be the whole answer.
+function connectStrictly(options: buildConnector.Options, callback: buildConnector.Callback): void {
+    connect(options, (...result) => {
+        const socket = result[1];
+        socket?.prependListener("error", (error: NodeJS.ErrnoException) => {
+            if (error.code === "ECONNRESET") {
+                error.code = "ECONNABORTED";
+            }
+        });
+        callback(...result);
+    });
+}
+
 function startOf(entry: EndpointEntry): string {
     return `${entry.id}/${entry.startedAt}/${entry.address}`;
 }
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -109,7 +109,7 @@
         response.on("close", () => this.callerGone());
         response.on("drain", () => this.resumeReading());
         this.timer = setTimeout(() => this.timeOut(), Math.max(0, this.deadline - this.context.clock()));
-        if (await this.reserve() && !this.done) {
+        if (await this.reserve()) {
             noteFirstSend(this.context.retries, this.query.service, this.context.clock());
             this.dispatch(false);
         }
@@ -125,9 +125,12 @@
         const reservation = await this.context.prepaid.reserve(account.id, worst, waitMs);
         if (reservation === "reserved") {
             this.reserved = worst;
-            if (this.done) {
-                this.settle(0);
-            }
+        }
+        if (this.done) {
+            this.settle(0);
+            return false;
+        }
+        if (reservation === "reserved") {
             return true;
         }
         const row = this.context.prepaid.rows.get(account.id);
@@ -489,7 +492,7 @@
 
     private settle(used: number): void {
         const account = this.admitted.account;
-        if (!this.settled && account !== undefined) {
+        if (!this.settled && account !== undefined && this.reserved > 0) {
             this.settled = true;
             this.context.prepaid.settle(account.id, this.reserved, used);
         }
