--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -4,6 +4,7 @@
 export * from "./fleet.js";
 export * from "./placement.js";
 export * from "./prepaid.js";
+export * from "./prepaid-record.js";
 export * from "./retry-quota.js";
 export * from "./routing.js";
 export * from "./types.js";
--- a/packages/core/src/dispatch/prepaid.ts
+++ b/packages/core/src/dispatch/prepaid.ts
@@ -1,27 +1,19 @@
 import type { AccountId, Incarnation } from "../types/ids.js";
+import {
+    committedLimit,
+    emptyPrepaidRecord,
+    freeTokens,
+    lostTokens,
+    type MarkSheet,
+    type PrepaidHolding,
+    type PrepaidRecord,
+} from "./prepaid-record.js";
 
-/** One router's part of an account's tokens, as stored. Both figures are totals since the router started. */
-export type PrepaidHolding = {
-    readonly incarnation: Incarnation;
-    /** Tokens that the router may have used, or may use without asking. */
-    readonly granted: number;
-    /** Tokens that it has used for sure. */
-    readonly used: number;
-    /** Tokens that it lacks; the others return what they can spare. */
-    readonly lacking: number;
-    /** Tokens that it lately reserved a second. */
-    readonly rate: number;
-};
-
-/** The stored record of an account. What all holdings and the closed ones were granted never exceeds the total. */
-export type PrepaidRecord = {
-    /** Granted to routers that have started again since; what they used of it is not known. */
-    readonly closed: number;
-    readonly holdings: Readonly<Record<string, PrepaidHolding>>;
-};
+/** A grant in a write that may be applied, now or later. */
+type OpenGrant = { readonly revision: number; readonly granted: number; readonly sequence: number; };
 
-/** A write that may be applied, now or later. */
-type OpenWrite = { readonly revision: number; readonly granted: number; };
+/** A mark that is stored or may be. Its time is of the steady clock, in ms. */
+type HeldMark = { readonly sequence: number; readonly committed: number; readonly at: number; };
 
 /** An account's tokens as this router sees them. */
 export type PrepaidRow = {
@@ -33,7 +25,9 @@
     record: PrepaidRecord;
     /** Tokens granted to this router by the record. */
     granted: number;
-    openWrites: OpenWrite[];
+    openGrants: OpenGrant[];
+    /** The newest mark that is stored for sure, and later ones that may be. */
+    marks: HeldMark[];
     /** Worst case of the requests that run. */
     reserved: number;
     /** Tokens used since this router started. */
@@ -53,24 +47,46 @@
 export type PrepaidPolicy = {
     /** Time of use that an allowance covers while tokens are plentiful. */
     readonly allowanceMs: number;
-    /** Part of the free tokens that all routers together may hold as allowances. */
+    /** Part of the tokens that are left that routers hold as allowances. */
     readonly heldShare: number;
 };
 
 /** The sizes that routers use unless settings say otherwise. */
 export const defaultPrepaidPolicy: PrepaidPolicy = {
-    // Outages of the store last 4 to 9 s.
+    // Outages of the store last 4 to 9 s, and allowances become usable over 12 s.
     allowanceMs: 12_000,
-    // What is held is lost when its router dies; the rest serves those that start again.
-    heldShare: 0.7,
+    // Part of what is held is lost when its router dies; the rest serves those that start again.
+    heldShare: 0.8,
 };
 
-/** Who holds tokens: the name of a router and its start. */
-export type PrepaidHolder = { readonly name: string; readonly incarnation: Incarnation; };
+/** Who holds tokens. */
+export type PrepaidHolder = {
+    readonly name: string;
+    readonly incarnation: Incarnation;
+    /** Time of day in ms at which it started. */
+    readonly startedAt: number;
+};
+
+/** The present by both clocks, in ms. */
+export type Instant = {
+    /** Steady time; it never jumps. */
+    readonly steady: number;
+    /** Time of day; it outlives the process, and may jump. */
+    readonly wall: number;
+};
 
 /** How a reservation went. */
 export type Reservation = "reserved" | "short" | "exhausted";
 
+/** A change of a record, to be written if the record still has the revision. */
+export type PrepaidWrite = {
+    readonly account: AccountId;
+    readonly revision: number;
+    readonly record: PrepaidRecord;
+    readonly granted: number;
+    readonly mark: HeldMark;
+};
+
 /** Time in ms over which the demand is averaged; requests differ much in size, so shorter windows jump about. */
 const DEMAND_WINDOW_MS = 12_000;
 const LEAST_DEMAND_MS = 2_000;
@@ -78,18 +94,16 @@
 /** Change of an allowance, relative to its target, that is worth a write of its own. */
 const ALLOWANCE_TOLERANCE = 0.4;
 
-/** The record of an account that nothing was granted of. */
-export const emptyRecord: PrepaidRecord = { closed: 0, holdings: {} };
-
 /** Creates the row of an account. */
 export function createPrepaidRow(account: AccountId, total: number, now: number): PrepaidRow {
     return {
         account,
         total,
         revision: undefined,
-        record: emptyRecord,
+        record: emptyPrepaidRecord,
         granted: 0,
-        openWrites: [],
+        openGrants: [],
+        marks: [],
         reserved: 0,
         used: 0,
         usedWritten: 0,
@@ -102,9 +116,18 @@
 }
 
 /** Returns the tokens that may be used now, whichever way the open writes end. */
-export function spendableTokens(row: PrepaidRow): number {
-    const granted = row.openWrites.reduce((least, write) => Math.min(least, write.granted), row.granted);
-    return granted - row.used - row.reserved;
+export function spendableTokens(row: PrepaidRow, now: number): number {
+    const granted = row.openGrants.reduce((least, write) => Math.min(least, write.granted), row.granted);
+    const limit = row.marks.reduce(
+        (least, mark) => Math.min(least, committedLimit(granted, mark, now - mark.at)),
+        granted,
+    );
+    return limit - row.used - row.reserved;
+}
+
+// Tokens of the allowance, usable now or later.
+function heldTokens(row: PrepaidRow): number {
+    return Math.max(0, row.granted - row.used - row.reserved);
 }
 
 /** Notes that a request asks for tokens; the rate of asking sizes the allowance. */
@@ -128,8 +151,8 @@
 }
 
 /** Reserves the worst case of a request, or tells why it can't. */
-export function reservePrepaid(row: PrepaidRow, tokens: number): Reservation {
-    if (spendableTokens(row) >= tokens) {
+export function reservePrepaid(row: PrepaidRow, tokens: number, now: number): Reservation {
+    if (spendableTokens(row, now) >= tokens) {
         row.reserved += tokens;
         return "reserved";
     }
@@ -147,18 +170,12 @@
     row.used += used;
 }
 
-// The least that was used by all routers together. What a lost router held counts as used.
+// The least that was used by all routers together. What lost routers may have used counts as used.
 function usedByAll(row: PrepaidRow): number {
     const known = Object.values(row.record.holdings).reduce((sum, holding) => sum + holding.used, row.record.closed);
     return known - row.usedWritten + row.used;
 }
 
-/** Returns the tokens that nobody was granted. */
-export function freeTokens(record: PrepaidRecord, total: number): number {
-    const granted = Object.values(record.holdings).reduce((sum, holding) => sum + holding.granted, 0);
-    return total - record.closed - granted;
-}
-
 /** Takes in the stored record; older ones than the known are ignored. */
 export function notePrepaidRecord(
     row: PrepaidRow,
@@ -171,21 +188,49 @@
     }
     row.revision = revision;
     row.record = record;
-    const own = record.holdings[holder.name];
-    const mine = own?.incarnation === holder.incarnation ? own : undefined;
-    row.granted = mine?.granted ?? 0;
-    row.usedWritten = mine?.used ?? 0;
+    const own = ownHolding(record, holder);
+    row.granted = own?.granted ?? 0;
+    row.usedWritten = own?.used ?? 0;
     // A write under a condition on an older revision can't be applied any more.
-    row.openWrites = row.openWrites.filter((write) => write.revision >= revision);
+    const settled = row.openGrants.filter((write) => write.revision < revision);
+    row.openGrants = row.openGrants.filter((write) => write.revision >= revision);
+    const applied = own?.mark.sequence;
+    for (const write of settled.filter((other) => other.sequence !== applied)) {
+        row.marks = row.marks.filter((mark) => mark.sequence !== write.sequence);
+    }
+    if (applied !== undefined) {
+        noteMarkStored(row, applied);
+    }
 }
 
-/** A change of a record, to be written if the record still has the revision. */
-export type PrepaidWrite = {
-    readonly account: AccountId;
-    readonly revision: number;
-    readonly record: PrepaidRecord;
-    readonly granted: number;
-};
+/** Returns what this process itself was granted by a record. */
+function ownHolding(record: PrepaidRecord, holder: PrepaidHolder): PrepaidHolding | undefined {
+    const own = record.holdings[holder.name];
+    return own?.incarnation === holder.incarnation ? own : undefined;
+}
+
+/** Returns whether a record still has what the last process of this router was granted. */
+export function hasPredecessor(record: PrepaidRecord, holder: PrepaidHolder): boolean {
+    const own = record.holdings[holder.name];
+    return own !== undefined && own.incarnation !== holder.incarnation;
+}
+
+/** Notes that a mark is stored, which frees this router from earlier ones. */
+export function noteMarkStored(row: PrepaidRow, sequence: number): void {
+    if (row.marks.some((mark) => mark.sequence === sequence)) {
+        row.marks = row.marks.filter((mark) => mark.sequence >= sequence);
+    }
+}
+
+/** Notes that a mark is on its way to the store. */
+export function noteMarkSent(row: PrepaidRow, sequence: number, now: number): void {
+    row.marks.push({ sequence, committed: row.used + row.reserved, at: now });
+}
+
+/** Notes that a mark was surely not stored and never will be. */
+export function noteMarkFailed(row: PrepaidRow, sequence: number): void {
+    row.marks = row.marks.filter((mark) => mark.sequence !== sequence);
+}
 
 /** Returns whether the allowance or the reported use is far enough from what it should be to write. */
 export function needsPrepaidWrite(
@@ -198,8 +243,11 @@
     if (row.revision === undefined) {
         return row.asked > 0;
     }
+    if (hasPredecessor(row.record, holder)) {
+        return true;
+    }
     const target = allowanceTarget(row, policy, holder);
-    const off = Math.abs(spendableTokens(row) - target);
+    const off = Math.abs(heldTokens(row) - target);
     return off > ALLOWANCE_TOLERANCE * Math.max(target, row.largestWorst)
         || row.used - row.usedWritten > Math.max(target, row.largestWorst) / 2;
 }
@@ -213,7 +261,7 @@
     }
     const own = demandRate(row) * MS_PER_SECOND;
     const all = others.reduce((sum, [, holding]) => sum + holding.rate, own);
-    const left = Math.max(0, freeTokens(row.record, row.total)) + Math.max(0, spendableTokens(row))
+    const left = Math.max(0, freeTokens(row.record, row.total)) + heldTokens(row)
         + others.reduce((sum, [, holding]) => sum + Math.max(0, holding.granted - holding.used), 0);
     const share = all === 0 ? 0 : left * policy.heldShare * own / all;
     return Math.floor(Math.min(share, demandRate(row) * policy.allowanceMs + row.largestWorst));
@@ -226,46 +274,70 @@
 export function planPrepaidWrite(
     row: PrepaidRow,
     holder: PrepaidHolder,
+    predecessor: MarkSheet | undefined,
     wanted: number,
     policy: PrepaidPolicy,
-    now: number,
+    sequence: number,
+    now: Instant,
 ): PrepaidWrite | undefined {
     if (row.revision === undefined) {
         return undefined;
     }
-    decayDemand(row, now);
+    decayDemand(row, now.steady);
     const { [holder.name]: previous, ...others } = row.record.holdings;
-    const restarted = previous !== undefined && previous.incarnation !== holder.incarnation;
-    const closed = row.record.closed + (restarted ? previous.granted : 0);
+    const lost = previous !== undefined && previous.incarnation !== holder.incarnation
+        ? lostTokens(row.account, previous, predecessor, holder.startedAt)
+        : 0;
+    const closed = row.record.closed + lost;
     const taken = Object.values(others).reduce((sum, holding) => sum + holding.granted, closed);
     const committed = row.used + row.reserved;
     const available = Math.max(0, row.total - taken - committed);
     const slack = Math.min(available, Math.max(wanted, allowanceTarget(row, policy, holder)));
-    // Never below what is already granted and in use, even if the total was lowered.
-    const granted = committed + slack;
-    const lacking = Math.max(0, Math.max(wanted, row.lacking) - slack);
-    const rate = Math.round(demandRate(row) * MS_PER_SECOND);
-    const own = { incarnation: holder.incarnation, granted, used: row.used, lacking, rate };
+    const own: PrepaidHolding = {
+        incarnation: holder.incarnation,
+        // Never below what is already in use, even if the total was lowered.
+        granted: committed + slack,
+        used: row.used,
+        lacking: Math.max(0, Math.max(wanted, row.lacking) - slack),
+        rate: Math.round(demandRate(row) * MS_PER_SECOND),
+        // Wanted tokens count as committed: the requests that wait for them get them at once.
+        mark: { sequence, committed: committed + Math.min(slack, wanted), at: now.wall },
+    };
     return {
         account: row.account,
         revision: row.revision,
         record: { closed, holdings: { ...others, [holder.name]: own } },
-        granted,
+        granted: own.granted,
+        mark: { sequence, committed: own.mark.committed, at: now.steady },
     };
 }
 
 /** Notes that a write is on its way. */
 export function notePrepaidWriteSent(row: PrepaidRow, write: PrepaidWrite): void {
-    row.openWrites.push({ revision: write.revision, granted: write.granted });
+    row.openGrants.push({ revision: write.revision, granted: write.granted, sequence: write.mark.sequence });
+    row.marks.push(write.mark);
     row.lacking = 0;
 }
 
 /** Notes that a write was surely not applied and never will be. */
 export function notePrepaidWriteFailed(row: PrepaidRow, write: PrepaidWrite): void {
-    const index = row.openWrites.findIndex((open) =>
-        open.revision === write.revision && open.granted === write.granted
-    );
-    if (index >= 0) {
-        row.openWrites.splice(index, 1);
-    }
+    row.openGrants = row.openGrants.filter((open) => open.sequence !== write.mark.sequence);
+    noteMarkFailed(row, write.mark.sequence);
+}
+
+/** Returns the figures that a refusal for want of tokens was decided on. */
+export function prepaidFigures(row: PrepaidRow, now: number): Readonly<Record<string, number | undefined>> {
+    const holdings = Object.values(row.record.holdings);
+    return {
+        total: row.total,
+        closed: row.record.closed,
+        free: freeTokens(row.record, row.total),
+        grantedToAll: holdings.reduce((sum, holding) => sum + holding.granted, 0),
+        usedByAll: holdings.reduce((sum, holding) => sum + holding.used, 0),
+        granted: row.granted,
+        used: row.used,
+        reserved: row.reserved,
+        spendable: spendableTokens(row, now),
+        revision: row.revision,
+    };
 }
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -16,6 +16,7 @@
     noteSend,
     paceOf,
     type PlacementQuery,
+    prepaidFigures,
     rankAtEngine,
     type Route,
     type SendFailure,
@@ -134,7 +135,7 @@
             return true;
         }
         const row = this.context.prepaid.rows.get(account.id);
-        const figures = { worst, total: row?.total, granted: row?.granted, used: row?.used, reserved: row?.reserved };
+        const figures = { worst, ...(row === undefined ? {} : prepaidFigures(row, this.context.clock())) };
         if (reservation === "exhausted") {
             this.refuse("budget-exhausted", undefined, figures);
         }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -10,6 +10,7 @@
 } from "@gooseberrybend/core/dispatch";
 import { randomBytes } from "node:crypto";
 import { performance } from "node:perf_hooks";
+import { CountedStore } from "./counted-store.js";
 import type { Dialect } from "./dialect.js";
 import { EndpointConnections } from "./endpoint-connections.js";
 import { FLEET_PREFIX, FleetRegistry } from "./fleet-registry.js";
@@ -19,7 +20,7 @@
 import { Ingress } from "./ingress.js";
 import { createGatewayLogs, type GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoreChange, StoredItem } from "./metadata-store.js";
-import { PREPAID_PREFIX, PrepaidKeeper } from "./prepaid-keeper.js";
+import { MARK_PREFIX, PREPAID_PREFIX, PrepaidKeeper } from "./prepaid-keeper.js";
 import { StoreFollower } from "./store-follower.js";
 
 /** Lifetime in ms of an answer with addresses; a short one lets routers leave soon. */
@@ -27,6 +28,9 @@
 /** Time in ms after an outage of the store within which lapsed registrations come back. */
 const LAPSE_GRACE_MS = 2_000;
 
+/** Time in ms between two lines that sum up the calls to the store. */
+const SUMMARY_MS = 10_000;
+
 /** One router that serves the callers of a deployment. */
 export class Gateway {
     readonly metrics: GatewayMetrics = createGatewayMetrics();
@@ -41,16 +45,24 @@
     private readonly registry: FleetRegistry;
     private readonly prepaid: PrepaidKeeper;
     private readonly follower: StoreFollower;
+    private readonly storeCalls = new Map<string, number>();
+    private timer: NodeJS.Timeout | undefined;
     private readonly faults = new Map<string, string>();
 
-    constructor(public settings: GatewaySettings, readonly dialect: Dialect, store: MetadataStore) {
+    constructor(public settings: GatewaySettings, readonly dialect: Dialect, platformStore: MetadataStore) {
+        const store = new CountedStore(platformStore, (operation, result) => this.countStoreCall(operation, result));
         this.logs = createGatewayLogs(settings.log);
         const incarnation = brand<Incarnation>(randomBytes(9).toString("base64url"));
         const domain = brand<FailureDomain>(settings.domain);
         const self = { name: settings.name, incarnation, address: settings.listen.callers, domain };
         this.registry = new FleetRegistry(store, self, this.logs);
-        const holder = { name: settings.name, incarnation };
-        this.prepaid = new PrepaidKeeper(store, holder, this.logs, this.clock);
+        const holder = { name: settings.name, incarnation, startedAt: Date.now() };
+        this.prepaid = new PrepaidKeeper(
+            store,
+            holder,
+            this.logs,
+            () => ({ steady: this.clock(), wall: Date.now() }),
+        );
         this.follower = new StoreFollower(
             store,
             {
@@ -74,6 +86,7 @@
         void this.follower.run();
         this.registry.start();
         this.prepaid.start();
+        this.timer = setInterval(() => this.summarize(), SUMMARY_MS);
     }
 
     /** Takes this router out of the answers to callers; it goes on serving those that still come. */
@@ -85,6 +98,7 @@
     /** Ends all work. */
     async stop(): Promise<void> {
         this.follower.stop();
+        clearInterval(this.timer);
         await this.prepaid.close();
         await this.connections.close();
     }
@@ -100,6 +114,17 @@
         return this.dialect.addressBody(addresses, lifetimeMs);
     }
 
+    private countStoreCall(operation: string, result: string): void {
+        this.metrics.storeCalls.inc({ operation, result });
+        const name = `${operation} ${result}`;
+        this.storeCalls.set(name, (this.storeCalls.get(name) ?? 0) + 1);
+    }
+
+    private summarize(): void {
+        this.logs.store.info("Calls.", { lastMs: SUMMARY_MS, ...Object.fromEntries(this.storeCalls) });
+        this.storeCalls.clear();
+    }
+
     private fleetSize(): number {
         return Math.max(1, this.registry.members.size);
     }
@@ -146,6 +171,7 @@
         if (configuration !== undefined) {
             this.putConfiguration(configuration);
         }
+        withPrefix(MARK_PREFIX).forEach((item) => this.prepaid.noteSheet(item));
         this.prepaid.replaceRecords(withPrefix(PREPAID_PREFIX), revision);
     }
 
@@ -172,6 +198,9 @@
                 this.registry.put(item);
             }
         }
+        else if (key.startsWith(MARK_PREFIX) && item !== undefined) {
+            this.prepaid.noteSheet(item);
+        }
         else if (key.startsWith(PREPAID_PREFIX) && item !== undefined) {
             this.prepaid.noteItem(item);
         }
--- a/packages/router/src/gateway/prepaid-keeper.ts
+++ b/packages/router/src/gateway/prepaid-keeper.ts
@@ -1,9 +1,15 @@
-import type { AccountId } from "@gooseberrybend/core";
+import type { AccountId, Incarnation } from "@gooseberrybend/core";
 import {
     createPrepaidRow,
     defaultPrepaidPolicy,
-    emptyRecord,
+    emptyPrepaidRecord,
+    hasPredecessor,
+    type Instant,
+    type MarkSheet,
     needsPrepaidWrite,
+    noteMarkFailed,
+    noteMarkSent,
+    noteMarkStored,
     notePrepaidDemand,
     notePrepaidRecord,
     notePrepaidShortage,
@@ -22,27 +28,46 @@
 } from "@gooseberrybend/core/dispatch";
 import { z } from "zod";
 import type { GatewayLogs } from "./log-sink.js";
-import type { MetadataStore, StoredItem } from "./metadata-store.js";
+import type { MetadataStore, StoredItem, StoreResult } from "./metadata-store.js";
 
 /** Prefix of the keys of accounts' records. */
 export const PREPAID_PREFIX = "gooseberrybend/prepaid/";
 
+/** Prefix of the keys of routers' marks. */
+export const MARK_PREFIX = "gooseberrybend/marks/";
+
 /** Records written in one transaction; the store takes at most 32 entries. */
 const RECORDS_PER_WRITE = 30;
 /** Time in ms between two looks at which allowances have to change. */
 const REVIEW_MS = 1_000;
+/** Time in ms between two marks: what a router may have used since its last one is lost with it. */
+const MARK_MS = 600;
 /** Conflicting writes in a row before the waiting requests are judged. */
 const CONFLICT_TRIES = 6;
 /** Time in ms for which a failing store is not asked for tokens again. */
 const BACKOFF_MS = 300;
 
+const markSchema = z.object({ sequence: z.number(), committed: z.number(), at: z.number() });
 const recordSchema = z.object({
     closed: z.number(),
     holdings: z.record(
         z.string(),
-        z.object({ incarnation: z.string(), granted: z.number(), used: z.number(), lacking: z.number(), rate: z.number() }),
+        z.object({
+            incarnation: z.string(),
+            granted: z.number(),
+            used: z.number(),
+            lacking: z.number(),
+            rate: z.number(),
+            mark: markSchema,
+        }),
     ),
 });
+const sheetSchema = z.object({
+    incarnation: z.string(),
+    sequence: z.number(),
+    at: z.number(),
+    committed: z.record(z.string(), z.number()),
+});
 
 /** Time in ms in which other routers return tokens that are lacking here. */
 const SHORTAGE_MS = 700;
@@ -58,24 +83,33 @@
     private readonly earlyRecords = new Map<string, { revision: number; record: PrepaidRecord; }>();
     private failedAt = -Infinity;
     private failingSince: number | undefined;
-    private timer: NodeJS.Timeout | undefined;
+    private sequence = 0;
+    /** Writes without an answer; they are sent again as they were until it is known what became of them. */
+    private unanswered: readonly PrepaidWrite[] | undefined;
+    /** The last marks of the process before this one. */
+    private predecessor: MarkSheet | undefined;
+    private sheet: { readonly value: MarkSheet; answered: boolean; } | undefined;
+    private sheetRevision = 0;
+    private marking = false;
+    private readonly timers: NodeJS.Timeout[] = [];
 
     constructor(
         private readonly store: MetadataStore,
         private readonly holder: PrepaidHolder,
         private readonly logs: GatewayLogs,
-        private readonly clock: () => number,
+        private readonly clock: () => Instant,
         private readonly policy: PrepaidPolicy = defaultPrepaidPolicy,
     ) {}
 
-    /** Starts the periodic review. */
+    /** Starts the periodic work. */
     start(): void {
-        this.timer = setInterval(() => void this.flush(), REVIEW_MS);
+        this.timers.push(setInterval(() => void this.flush(), REVIEW_MS));
+        this.timers.push(setInterval(() => void this.writeMarks(), MARK_MS));
     }
 
-    /** Stops the periodic review. */
+    /** Ends the periodic work. */
     stop(): void {
-        clearInterval(this.timer);
+        this.timers.forEach((timer) => clearInterval(timer));
     }
 
     /** Puts the totals of a configuration in force. */
@@ -92,7 +126,7 @@
     }
 
     private addRow(account: AccountId, total: number): void {
-        const row = createPrepaidRow(account, total, this.clock());
+        const row = createPrepaidRow(account, total, this.clock().steady);
         this.rows.set(account, row);
         const key = PREPAID_PREFIX + account;
         const early = this.earlyRecords.get(key);
@@ -100,26 +134,45 @@
             notePrepaidRecord(row, early.revision, early.record, this.holder);
         }
         else if (this.storeRevision !== undefined) {
-            notePrepaidRecord(row, 0, emptyRecord, this.holder);
+            notePrepaidRecord(row, 0, emptyPrepaidRecord, this.holder);
         }
     }
 
     /** Takes in all records of the store. */
     replaceRecords(items: readonly StoredItem[], revision: number): void {
+        const first = this.storeRevision === undefined;
         this.storeRevision = revision;
         for (const item of items) {
             this.noteItem(item);
         }
         for (const row of this.rows.values()) {
             if (row.revision === undefined) {
-                notePrepaidRecord(row, 0, emptyRecord, this.holder);
+                notePrepaidRecord(row, 0, emptyPrepaidRecord, this.holder);
             }
         }
+        if (first) {
+            void this.flush();
+        }
+    }
+
+    /** Takes in the marks of routers; only those of this one matter here. */
+    noteSheet(item: StoredItem): void {
+        if (item.key !== MARK_PREFIX + this.holder.name || item.revision < this.sheetRevision) {
+            return;
+        }
+        this.sheetRevision = item.revision;
+        const sheet = this.decode(item, sheetSchema) as MarkSheet | undefined;
+        if (sheet?.incarnation === this.holder.incarnation) {
+            this.noteSheetStored(sheet.sequence);
+        }
+        else {
+            this.predecessor = sheet;
+        }
     }
 
     /** Takes in one record. */
     noteItem(item: StoredItem): void {
-        const record = this.readRecord(item);
+        const record = this.decode(item, recordSchema) as PrepaidRecord | undefined;
         if (record === undefined) {
             return;
         }
@@ -132,17 +185,17 @@
         const lacking = Object.entries(record.holdings).some(([name, holding]) =>
             name !== this.holder.name && holding.lacking > 0
         );
-        if (lacking && spendableTokens(row) > 0) {
+        if (lacking && spendableTokens(row, this.clock().steady) > 0) {
             void this.flush();
         }
     }
 
-    private readRecord(item: StoredItem): PrepaidRecord | undefined {
+    private decode(item: StoredItem, schema: z.ZodType): unknown {
         try {
-            return recordSchema.parse(JSON.parse(item.value.toString("utf8"))) as PrepaidRecord;
+            return schema.parse(JSON.parse(item.value.toString("utf8")));
         }
         catch (error) {
-            this.logs.prepaid.error("Record can't be read.", { key: item.key, detail: (error as Error).message });
+            this.logs.prepaid.error("Can't be read.", { key: item.key, detail: (error as Error).message });
             return undefined;
         }
     }
@@ -153,12 +206,13 @@
         if (row === undefined) {
             return "short";
         }
-        notePrepaidDemand(row, tokens, this.clock());
-        const first = reservePrepaid(row, tokens);
+        const now = this.clock().steady;
+        notePrepaidDemand(row, tokens, now);
+        const first = reservePrepaid(row, tokens, now);
         if (first === "reserved" || first === "exhausted") {
             return first;
         }
-        if (this.clock() - this.failedAt < BACKOFF_MS) {
+        if (now - this.failedAt < BACKOFF_MS) {
             return "short";
         }
         return new Promise((resolve) => {
@@ -186,11 +240,13 @@
     /** Returns all that is not in use; used on shutdown. */
     async close(): Promise<void> {
         this.stop();
+        const returning = { ...this.policy, heldShare: 0 };
         const writes = [...this.rows.values()]
             .filter((row) => row.granted > 0)
-            .map((row) => planPrepaidWrite(row, this.holder, 0, { ...this.policy, heldShare: 0 }, this.clock()))
+            .map((row) => this.planRow(row, 0, returning))
             .filter((write) => write !== undefined);
-        await this.write(writes);
+        const outcome = await this.write(writes);
+        this.logs.prepaid.info("Returned what was held.", { accounts: writes.length, outcome });
     }
 
     private giveUp(waiter: Waiter): void {
@@ -218,54 +274,149 @@
         this.flushing = false;
     }
 
-    private plan(): PrepaidWrite[] {
+    private plan(): readonly PrepaidWrite[] {
+        if (this.unanswered !== undefined) {
+            return this.unanswered;
+        }
         const wanted = new Map<PrepaidRow, number>();
         for (const waiter of this.waiters) {
             wanted.set(waiter.row, (wanted.get(waiter.row) ?? 0) + waiter.tokens);
         }
-        const now = this.clock();
+        const now = this.clock().steady;
         const due = [...this.rows.values()]
             .filter((row) => wanted.has(row) || needsPrepaidWrite(row, this.policy, this.holder, now));
         due.sort((one, other) => Number(wanted.has(other)) - Number(wanted.has(one)));
         return due.slice(0, RECORDS_PER_WRITE)
-            .map((row) => planPrepaidWrite(row, this.holder, wanted.get(row) ?? 0, this.policy, now))
+            .map((row) => this.planRow(row, wanted.get(row) ?? 0, this.policy))
             .filter((write) => write !== undefined);
     }
 
+    private planRow(row: PrepaidRow, wanted: number, policy: PrepaidPolicy): PrepaidWrite | undefined {
+        const sequence = ++this.sequence;
+        return planPrepaidWrite(row, this.holder, this.predecessor, wanted, policy, sequence, this.clock());
+    }
+
     private async write(writes: readonly PrepaidWrite[]): Promise<"done" | "conflict" | "failed"> {
         if (writes.length === 0) {
             return "done";
         }
-        const rowOf = (write: PrepaidWrite): PrepaidRow => this.rows.get(write.account)!;
+        const again = this.unanswered === writes;
+        if (!again) {
+            writes.forEach((write) => notePrepaidWriteSent(this.rowOf(write), write));
+        }
         const keyOf = (write: PrepaidWrite): string => PREPAID_PREFIX + write.account;
-        writes.forEach((write) => notePrepaidWriteSent(rowOf(write), write));
         const result = await this.store.transact({
             conditions: new Map(writes.map((write) => [keyOf(write), write.revision])),
             puts: writes.map((write) => ({ key: keyOf(write), value: JSON.stringify(write.record) })),
             deletes: [],
         });
-        switch (result.kind) {
-            case "done":
-                this.failingSince = undefined;
-                writes.forEach((write) => notePrepaidRecord(rowOf(write), result.value, write.record, this.holder));
-                return "done";
-            case "conflict":
-                writes.forEach((write) => notePrepaidWriteFailed(rowOf(write), write));
-                result.items.forEach((item) => this.noteItem(item));
-                return "conflict";
-            case "unanswered":
-                // It may still be applied, so the least of both outcomes stays spendable.
-                this.noteFailure(result.kind, result.detail);
-                return "failed";
-            default:
-                writes.forEach((write) => notePrepaidWriteFailed(rowOf(write), write));
-                this.noteFailure(result.kind, "detail" in result ? result.detail : "");
-                return "failed";
+        return this.noteResult(writes, result, again);
+    }
+
+    private noteResult(
+        writes: readonly PrepaidWrite[],
+        result: StoreResult<number>,
+        again: boolean,
+    ): "done" | "conflict" | "failed" {
+        if (result.kind === "done") {
+            this.failingSince = undefined;
+            this.unanswered = undefined;
+            writes.forEach((write) => notePrepaidRecord(this.rowOf(write), result.value, write.record, this.holder));
+            return "done";
+        }
+        if (result.kind === "conflict") {
+            // A condition that does not hold ends every try of these writes; one may have been applied before.
+            this.failingSince = undefined;
+            this.unanswered = undefined;
+            result.items.forEach((item) => this.noteItem(item));
+            writes.filter((write) => !this.isApplied(write))
+                .forEach((write) => notePrepaidWriteFailed(this.rowOf(write), write));
+            return "conflict";
+        }
+        if (result.kind === "unanswered" || again) {
+            // It may still be applied, so the least of both outcomes stays spendable.
+            this.unanswered = writes;
+        }
+        else {
+            writes.forEach((write) => notePrepaidWriteFailed(this.rowOf(write), write));
+        }
+        this.noteFailure(result.kind, "detail" in result ? result.detail : "");
+        return "failed";
+    }
+
+    private rowOf(write: PrepaidWrite): PrepaidRow {
+        return this.rows.get(write.account)!;
+    }
+
+    private isApplied(write: PrepaidWrite): boolean {
+        const own = this.rowOf(write).record.holdings[this.holder.name];
+        return own?.incarnation === this.holder.incarnation && own.mark.sequence === write.mark.sequence;
+    }
+
+    // Marks are written once nothing of the process before is left, as its own marks are needed until then.
+    private async writeMarks(): Promise<void> {
+        const rows = [...this.rows.values()].filter((row) => row.granted > 0);
+        const reclaimed = [...this.rows.values()].every((row) => !hasPredecessor(row.record, this.holder));
+        if (this.marking || this.storeRevision === undefined || !reclaimed || rows.length === 0) {
+            return;
+        }
+        this.marking = true;
+        await this.writeSheet(rows);
+        this.marking = false;
+    }
+
+    private async writeSheet(rows: readonly PrepaidRow[]): Promise<void> {
+        const again = this.sheet !== undefined && !this.sheet.answered;
+        const sheet = again ? this.sheet! : this.createSheet(rows);
+        this.sheet = sheet;
+        const key = MARK_PREFIX + this.holder.name;
+        const result = await this.store.transact({
+            conditions: new Map([[key, this.sheetRevision]]),
+            puts: [{ key, value: JSON.stringify(sheet.value) }],
+            deletes: [],
+        });
+        if (result.kind === "done") {
+            this.sheetRevision = result.value;
+            this.noteSheetStored(sheet.value.sequence);
         }
+        else if (result.kind === "conflict") {
+            const item = result.items.get(key);
+            this.sheetRevision = item?.revision ?? 0;
+            this.dropSheet(sheet.value.sequence);
+            if (item !== undefined) {
+                this.noteSheet(item);
+            }
+        }
+        else if (result.kind !== "unanswered" && !again) {
+            this.dropSheet(sheet.value.sequence);
+        }
+    }
+
+    private createSheet(rows: readonly PrepaidRow[]): { value: MarkSheet; answered: boolean; } {
+        const sequence = ++this.sequence;
+        const now = this.clock();
+        rows.forEach((row) => noteMarkSent(row, sequence, now.steady));
+        const committed = Object.fromEntries(rows.map((row) => [row.account, row.used + row.reserved]));
+        return {
+            value: { incarnation: this.holder.incarnation as Incarnation, sequence, at: now.wall, committed },
+            answered: false,
+        };
+    }
+
+    private noteSheetStored(sequence: number): void {
+        if (this.sheet?.value.sequence === sequence) {
+            this.sheet.answered = true;
+        }
+        this.rows.forEach((row) => noteMarkStored(row, sequence));
+    }
+
+    private dropSheet(sequence: number): void {
+        this.sheet!.answered = true;
+        this.rows.forEach((row) => noteMarkFailed(row, sequence));
     }
 
     private noteFailure(kind: string, detail: string): void {
-        this.failedAt = this.clock();
+        this.failedAt = this.clock().steady;
         this.failingSince ??= this.failedAt;
         this.logs.prepaid.warn("Write failed.", { kind, detail });
     }
@@ -274,7 +425,7 @@
         const waiting = this.waiters;
         this.waiters = [];
         for (const waiter of waiting) {
-            const reservation = reservePrepaid(waiter.row, waiter.tokens);
+            const reservation = reservePrepaid(waiter.row, waiter.tokens, this.clock().steady);
             if (reservation === "short" && !asked.includes(waiter)) {
                 this.waiters.push(waiter);
                 continue;
