--- a/packages/core/src/dispatch/prepaid.ts
+++ b/packages/core/src/dispatch/prepaid.ts
@@ -36,6 +36,8 @@
     usedWritten: number;
     /** Tokens that requests were refused for since the last write. */
     lacking: number;
+    /** Time in ms of the last write that told others what is lacking. */
+    toldAt: number;
     /** Decayed sum of the tokens that were asked for, and of the time in ms in which they were. */
     asked: number;
     askedMs: number;
@@ -91,6 +93,10 @@
 const DEMAND_WINDOW_MS = 12_000;
 const LEAST_DEMAND_MS = 2_000;
 const MS_PER_SECOND = 1_000;
+/** Factor on what is returned, as some holders are cut off or late. */
+const RETURN_FACTOR = 2;
+/** Time in ms that others take to return what they can spare. */
+const LACK_MS = 700;
 /** Change of an allowance, relative to its target, that is worth a write of its own. */
 const ALLOWANCE_TOLERANCE = 0.4;
 
@@ -108,6 +114,7 @@
         used: 0,
         usedWritten: 0,
         lacking: 0,
+        toldAt: -Infinity,
         asked: 0,
         askedMs: 0,
         askedAt: now,
@@ -159,6 +166,14 @@
     return row.total - usedByAll(row) < tokens && row.revision !== undefined ? "exhausted" : "short";
 }
 
+/** Returns whether a write can bring tokens, or has not yet told the others that they lack here. */
+export function canGainPrepaid(row: PrepaidRow, tokens: number, holder: PrepaidHolder, now: number): boolean {
+    const own = ownHolding(row.record, holder);
+    const missing = tokens - Math.max(0, row.granted - row.used - row.reserved);
+    const told = own !== undefined && own.lacking > 0 && now - row.toldAt < LACK_MS;
+    return !told || freeTokens(row.record, row.total) >= missing;
+}
+
 /** Notes that a request could not be served for want of tokens at this router. */
 export function notePrepaidShortage(row: PrepaidRow, tokens: number): void {
     row.lacking = Math.max(row.lacking, tokens);
@@ -215,6 +230,12 @@
     return own !== undefined && own.incarnation !== holder.incarnation;
 }
 
+/** Returns whether other routers lack tokens that this one could return. */
+export function isAskedToReturn(row: PrepaidRow, holder: PrepaidHolder): boolean {
+    const lacking = otherHoldings(row.record, holder).reduce((sum, holding) => sum + holding.lacking, 0);
+    return lacking > Math.max(0, freeTokens(row.record, row.total)) && heldTokens(row) > 0;
+}
+
 /** Notes that a mark is stored, which frees this router from earlier ones. */
 export function noteMarkStored(row: PrepaidRow, sequence: number): void {
     if (row.marks.some((mark) => mark.sequence === sequence)) {
@@ -246,6 +267,10 @@
     if (hasPredecessor(row.record, holder)) {
         return true;
     }
+    const told = ownHolding(row.record, holder)?.lacking ?? 0;
+    if (told > 0 && now - row.toldAt > 2 * LACK_MS) {
+        return true;
+    }
     const target = allowanceTarget(row, policy, holder);
     const off = Math.abs(heldTokens(row) - target);
     return off > ALLOWANCE_TOLERANCE * Math.max(target, row.largestWorst)
@@ -255,16 +280,27 @@
 // Tokens beyond the reservations that this router wants to hold: what it will need in an outage, and no
 // more than its part of what is left, by how much each router was lately asked for.
 function allowanceTarget(row: PrepaidRow, policy: PrepaidPolicy, holder: PrepaidHolder): number {
-    const others = Object.entries(row.record.holdings).filter(([name]) => name !== holder.name);
-    if (others.some(([, holding]) => holding.lacking > 0)) {
-        return 0;
-    }
+    const others = otherHoldings(row.record, holder);
     const own = demandRate(row) * MS_PER_SECOND;
-    const all = others.reduce((sum, [, holding]) => sum + holding.rate, own);
-    const left = Math.max(0, freeTokens(row.record, row.total)) + heldTokens(row)
-        + others.reduce((sum, [, holding]) => sum + Math.max(0, holding.granted - holding.used), 0);
+    const all = others.reduce((sum, holding) => sum + holding.rate, own);
+    const held = heldTokens(row);
+    const heldByOthers = others.reduce((sum, holding) => sum + Math.max(0, holding.granted - holding.used), 0);
+    const left = Math.max(0, freeTokens(row.record, row.total)) + held + heldByOthers;
     const share = all === 0 ? 0 : left * policy.heldShare * own / all;
-    return Math.floor(Math.min(share, demandRate(row) * policy.allowanceMs + row.largestWorst));
+    const target = Math.min(share, demandRate(row) * policy.allowanceMs + row.largestWorst);
+    const lacking = others.reduce((sum, holding) => sum + holding.lacking, 0);
+    return Math.floor(lacking === 0 ? target : Math.min(target, held - returnedTokens(row, lacking, heldByOthers)));
+}
+
+// What this router gives back for others that lack tokens: its part, by what each holds.
+function returnedTokens(row: PrepaidRow, lacking: number, heldByOthers: number): number {
+    const missing = Math.max(0, lacking - Math.max(0, freeTokens(row.record, row.total)));
+    const held = heldTokens(row);
+    return missing === 0 ? 0 : Math.min(held, missing * held / Math.max(1, held + heldByOthers) * RETURN_FACTOR);
+}
+
+function otherHoldings(record: PrepaidRecord, holder: PrepaidHolder): PrepaidHolding[] {
+    return Object.entries(record.holdings).filter(([name]) => name !== holder.name).map(([, holding]) => holding);
 }
 
 /**
@@ -292,7 +328,7 @@
     const taken = Object.values(others).reduce((sum, holding) => sum + holding.granted, closed);
     const committed = row.used + row.reserved;
     const available = Math.max(0, row.total - taken - committed);
-    const slack = Math.min(available, Math.max(wanted, allowanceTarget(row, policy, holder)));
+    const slack = Math.min(available, Math.max(wanted, allowanceTarget(row, policy, holder), 0));
     const own: PrepaidHolding = {
         incarnation: holder.incarnation,
         // Never below what is already in use, even if the total was lowered.
@@ -317,6 +353,7 @@
     row.openGrants.push({ revision: write.revision, granted: write.granted, sequence: write.mark.sequence });
     row.marks.push(write.mark);
     row.lacking = 0;
+    row.toldAt = write.mark.at;
 }
 
 /** Notes that a write was surely not applied and never will be. */
--- a/packages/router/src/gateway/prepaid-keeper.ts
+++ b/packages/router/src/gateway/prepaid-keeper.ts
@@ -1,9 +1,11 @@
 import type { AccountId, Incarnation } from "@gooseberrybend/core";
 import {
+    canGainPrepaid,
     createPrepaidRow,
     defaultPrepaidPolicy,
     emptyPrepaidRecord,
     hasPredecessor,
+    isAskedToReturn,
     type Instant,
     type MarkSheet,
     needsPrepaidWrite,
@@ -24,7 +26,6 @@
     type Reservation,
     reservePrepaid,
     settlePrepaid,
-    spendableTokens,
 } from "@gooseberrybend/core/dispatch";
 import { z } from "zod";
 import type { GatewayLogs } from "./log-sink.js";
@@ -91,6 +92,8 @@
     private sheet: { readonly value: MarkSheet; answered: boolean; } | undefined;
     private sheetRevision = 0;
     private marking = false;
+    /** Rows of which other routers lack tokens. */
+    private readonly returning = new Set<PrepaidRow>();
     private readonly timers: NodeJS.Timeout[] = [];
 
     constructor(
@@ -182,10 +185,8 @@
             return;
         }
         notePrepaidRecord(row, item.revision, record, this.holder);
-        const lacking = Object.entries(record.holdings).some(([name, holding]) =>
-            name !== this.holder.name && holding.lacking > 0
-        );
-        if (lacking && spendableTokens(row, this.clock().steady) > 0) {
+        if (isAskedToReturn(row, this.holder)) {
+            this.returning.add(row);
             void this.flush();
         }
     }
@@ -212,7 +213,8 @@
         if (first === "reserved" || first === "exhausted") {
             return first;
         }
-        if (now - this.failedAt < BACKOFF_MS) {
+        if (now - this.failedAt < BACKOFF_MS || !canGainPrepaid(row, tokens, this.holder, now)) {
+            notePrepaidShortage(row, tokens);
             return "short";
         }
         return new Promise((resolve) => {
@@ -283,9 +285,12 @@
             wanted.set(waiter.row, (wanted.get(waiter.row) ?? 0) + waiter.tokens);
         }
         const now = this.clock().steady;
-        const due = [...this.rows.values()]
-            .filter((row) => wanted.has(row) || needsPrepaidWrite(row, this.policy, this.holder, now));
-        due.sort((one, other) => Number(wanted.has(other)) - Number(wanted.has(one)));
+        // Requests that wait are served by a small write; more records would meet more writes of others.
+        const urgent = new Set([...wanted.keys(), ...this.returning]);
+        this.returning.clear();
+        const due = urgent.size > 0
+            ? [...urgent]
+            : [...this.rows.values()].filter((row) => needsPrepaidWrite(row, this.policy, this.holder, now));
         return due.slice(0, RECORDS_PER_WRITE)
             .map((row) => this.planRow(row, wanted.get(row) ?? 0, this.policy))
             .filter((write) => write !== undefined);
