--- /dev/null
+++ b/packages/core/src/dispatch/prepaid.test.ts
@@ -0,0 +1,153 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { type AccountId, brand, type Incarnation } from "../types/ids.js";
+import { FakeFleet } from "./mocks/fake-prepaid-fleet.js";
+import { committedLimit, emptyPrepaidRecord, lostTokens, type PrepaidHolding } from "./prepaid-record.js";
+import {
+    createPrepaidRow,
+    defaultPrepaidPolicy,
+    notePrepaidDemand,
+    notePrepaidRecord,
+    notePrepaidWriteFailed,
+    notePrepaidWriteSent,
+    planPrepaidWrite,
+    type PrepaidHolder,
+    type PrepaidRow,
+    reservePrepaid,
+    settlePrepaid,
+    spendableTokens,
+} from "./prepaid.js";
+
+const account = brand<AccountId>("press-floor");
+const holder: PrepaidHolder = { name: "router-1", incarnation: brand<Incarnation>("first"), startedAt: 0 };
+const at = (time: number): { steady: number; wall: number; } => ({ steady: time, wall: time });
+
+function readRow(total: number): PrepaidRow {
+    const row = createPrepaidRow(account, total, 0);
+    notePrepaidRecord(row, 0, emptyPrepaidRecord, holder);
+    return row;
+}
+
+function holdingOf(granted: number, committed: number, sequence: number, time: number): PrepaidHolding {
+    return {
+        incarnation: brand<Incarnation>("first"),
+        granted,
+        used: 0,
+        lacking: 0,
+        rate: 0,
+        mark: { sequence, committed, at: time },
+    };
+}
+
+describe("prepaid", () => {
+    describe("an allowance", () => {
+        it("is granted with the tokens that a request waits for", () => {
+            const row = readRow(10_000);
+            notePrepaidDemand(row, 1_000, 0);
+            expect(reservePrepaid(row, 1_000, 0)).toBe("short");
+            const write = planPrepaidWrite(row, holder, undefined, 1_000, defaultPrepaidPolicy, 1, at(0))!;
+            notePrepaidWriteSent(row, write);
+            expect(spendableTokens(row, 0)).toBeLessThanOrEqual(0);
+            notePrepaidRecord(row, 1, write.record, holder);
+            expect(reservePrepaid(row, 1_000, 0)).toBe("reserved");
+        });
+
+        it("stays unusable while its write has no answer", () => {
+            const row = readRow(10_000);
+            const write = planPrepaidWrite(row, holder, undefined, 5_000, defaultPrepaidPolicy, 1, at(0))!;
+            notePrepaidWriteSent(row, write);
+            expect(reservePrepaid(row, 1, 60_000)).toBe("short");
+            notePrepaidWriteFailed(row, write);
+            expect(row.openGrants).toHaveLength(0);
+        });
+
+        it("is refused as used up only when nobody can have tokens left", () => {
+            const row = readRow(1_000);
+            expect(reservePrepaid(row, 1_001, 0)).toBe("exhausted");
+            expect(reservePrepaid(row, 1_000, 0)).toBe("short");
+        });
+
+        it("keeps what runs when the total is lowered", () => {
+            const row = readRow(10_000);
+            const write = planPrepaidWrite(row, holder, undefined, 8_000, defaultPrepaidPolicy, 1, at(0))!;
+            notePrepaidWriteSent(row, write);
+            notePrepaidRecord(row, 1, write.record, holder);
+            expect(reservePrepaid(row, 8_000, 0)).toBe("reserved");
+            row.total = 100;
+            const next = planPrepaidWrite(row, holder, undefined, 0, defaultPrepaidPolicy, 2, at(1))!;
+            expect(next.granted).toBe(8_000);
+            settlePrepaid(row, 8_000, 10);
+            expect(planPrepaidWrite(row, holder, undefined, 0, defaultPrepaidPolicy, 3, at(2))!.granted).toBeLessThan(101);
+        });
+    });
+
+    describe("a lost router", () => {
+        it("counts with what its last mark allowed until its successor started", () => {
+            const holding = holdingOf(10_000, 1_000, 4, 500);
+            const sheet = { incarnation: holding.incarnation, sequence: 9, at: 900, committed: { [account]: 2_000 } };
+            const lost = lostTokens(account, holding, sheet, 1_900);
+            expect(lost).toBe(committedLimit(10_000, { committed: 2_000 }, 1_300));
+            expect(lost).toBeLessThan(6_000);
+        });
+
+        it("counts with all that it was granted when its marks are not known or time went back", () => {
+            const holding = holdingOf(10_000, 1_000, 4, 5_000);
+            expect(lostTokens(account, holding, undefined, 5_100)).toBe(10_000);
+            const sheet = { incarnation: holding.incarnation, sequence: 3, at: 4_000, committed: {} };
+            expect(lostTokens(account, holding, sheet, 4_000)).toBe(10_000);
+            const other = { ...sheet, incarnation: brand<Incarnation>("other") };
+            expect(lostTokens(account, holding, other, 5_100)).toBe(10_000);
+        });
+
+        it("counts with everything long after its last mark", () => {
+            expect(committedLimit(10_000, { committed: 1_000 }, 60_000)).toBe(10_000);
+        });
+    });
+
+    describe("under failures", () => {
+        const step = fc.oneof(
+            { weight: 8, arbitrary: fc.record({ kind: fc.constant("spend" as const), router: fc.nat(2), tokens: fc.integer({ min: 1, max: 900 }) }) },
+            { weight: 4, arbitrary: fc.record({ kind: fc.constant("write" as const), router: fc.nat(2), wanted: fc.nat(900), fate: fc.constantFrom("done" as const, "done" as const, "lost" as const, "late" as const, "refused" as const) }) },
+            { weight: 3, arbitrary: fc.record({ kind: fc.constant("mark" as const), router: fc.nat(2), fate: fc.constantFrom("done" as const, "done" as const, "lost" as const, "late" as const) }) },
+            { weight: 3, arbitrary: fc.record({ kind: fc.constant("pass" as const), time: fc.integer({ min: 1, max: 4_000 }) }) },
+            { weight: 2, arbitrary: fc.record({ kind: fc.constant("settle" as const), router: fc.nat(2), share: fc.integer({ min: 0, max: 100 }) }) },
+            { weight: 1, arbitrary: fc.record({ kind: fc.constant("restart" as const), router: fc.nat(2) }) },
+            { weight: 1, arbitrary: fc.constant({ kind: "restart-all" as const }) },
+            { weight: 1, arbitrary: fc.constant({ kind: "land-late" as const }) },
+            { weight: 1, arbitrary: fc.record({ kind: fc.constant("top-up" as const), tokens: fc.integer({ min: 1, max: 2_000 }) }) },
+        );
+
+        it("never uses more than the total, whatever is lost, late, killed or cut off", () => {
+            fc.assert(
+                fc.property(fc.array(step, { maxLength: 120, size: "max" }), (steps) => {
+                    const fleet = new FakeFleet(account, 3, 5_000);
+                    for (const each of steps) {
+                        fleet.apply(each);
+                        expect(fleet.used()).toBeLessThanOrEqual(fleet.total);
+                    }
+                }),
+                { numRuns: 3_000 },
+            );
+        });
+
+        it("brings most of an allowance back when all routers start again", () => {
+            const fleet = new FakeFleet(account, 3, 30_000);
+            for (let router = 0; router < 3; router++) {
+                fleet.apply({ kind: "spend", router, tokens: 500 });
+                fleet.apply({ kind: "write", router, wanted: 500, fate: "done" });
+                fleet.apply({ kind: "spend", router, tokens: 500 });
+                fleet.apply({ kind: "write", router, wanted: 0, fate: "done" });
+                fleet.apply({ kind: "mark", router, fate: "done" });
+            }
+            const held = fleet.granted() - fleet.used();
+            expect(held).toBeGreaterThan(5_000);
+            fleet.apply({ kind: "pass", time: 1_500 });
+            fleet.apply({ kind: "restart-all" });
+            for (let router = 0; router < 3; router++) {
+                fleet.apply({ kind: "write", router, wanted: 0, fate: "done" });
+            }
+            const stranded = fleet.closed() - fleet.used();
+            expect(stranded).toBeLessThan(0.4 * held);
+        });
+    });
+});
--- a/packages/router/src/gateway/prepaid-keeper.ts
+++ b/packages/router/src/gateway/prepaid-keeper.ts
@@ -387,9 +387,15 @@
         else if (result.kind === "conflict") {
             const item = result.items.get(key);
             this.sheetRevision = item?.revision ?? 0;
-            this.dropSheet(sheet.value.sequence);
-            if (item !== undefined) {
-                this.noteSheet(item);
+            const stored = item === undefined ? undefined : this.decode(item, sheetSchema) as MarkSheet | undefined;
+            // An earlier try without an answer may have stored it; its marks bind this router then.
+            const isStored = stored?.incarnation === this.holder.incarnation
+                && stored.sequence === sheet.value.sequence;
+            if (isStored) {
+                this.noteSheetStored(sheet.value.sequence);
+            }
+            else {
+                this.dropSheet(sheet.value.sequence);
             }
         }
         else if (result.kind !== "unanswered" && !again) {
