--- a/packages/core/src/dispatch/prepaid-record.ts
+++ b/packages/core/src/dispatch/prepaid-record.ts
@@ -47,7 +47,7 @@
 /** Time in ms after a mark in which the rest becomes usable; outages of the store last up to 9 s. */
 const RAMP_MS = 12_000;
 /** Time in ms added to the age of a lost router's last mark, for the coarseness of clocks. */
-const AGE_MARGIN_MS = 300;
+const AGE_MARGIN_MS = 100;
 
 /**
  * Returns the most that a router may have committed a time in ms after a mark. An allowance becomes
--- a/packages/router/src/gateway/endpoint-connections.ts
+++ b/packages/router/src/gateway/endpoint-connections.ts
@@ -1,4 +1,5 @@
 import type { EndpointEntry } from "@gooseberrybend/core/dispatch";
+import type { Socket } from "node:net";
 import { buildConnector, type Dispatcher, Pool } from "undici";
 
 /** Time in ms after which a connection attempt counts as failed; a new connection takes a few ms. */
@@ -54,22 +55,39 @@
     }
 }
 
+/** Code of the error of a connection that was reset. */
+const RESET_CODE = "ECONNABORTED";
+
 const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
 
-// undici takes a reset for the end of an answer without a length. With another code it is an error,
-// as it must be: what came before the reset may not be the whole answer.
 function connectStrictly(options: buildConnector.Options, callback: buildConnector.Callback): void {
     connect(options, (...result) => {
-        const socket = result[1];
-        socket?.prependListener("error", (error: NodeJS.ErrnoException) => {
-            if (error.code === "ECONNRESET") {
-                error.code = "ECONNABORTED";
-            }
-        });
+        if (result[1]) {
+            reportResets(result[1]);
+        }
         callback(...result);
     });
 }
 
+// The end of a connection ends an answer without a length, but a reset does not: what came before it may
+// not be the whole answer. undici takes ECONNRESET for such an end, so it gets another code; and libuv
+// reports a reset that comes together with data as an end, which shows by the peer being gone.
+function reportResets(socket: Socket): void {
+    socket.prependListener("error", (error: NodeJS.ErrnoException) => {
+        if (error.code === "ECONNRESET") {
+            error.code = RESET_CODE;
+        }
+    });
+    const emit = socket.emit.bind(socket) as (event: string | symbol, ...values: unknown[]) => boolean;
+    socket.emit = (event: string | symbol, ...values: unknown[]): boolean => {
+        if (event === "end" && socket.remotePort === undefined) {
+            socket.destroy(Object.assign(new Error("connection reset"), { code: RESET_CODE }));
+            return true;
+        }
+        return emit(event, ...values);
+    };
+}
+
 function startOf(entry: EndpointEntry): string {
     return `${entry.id}/${entry.startedAt}/${entry.address}`;
 }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -56,7 +56,7 @@
         const domain = brand<FailureDomain>(settings.domain);
         const self = { name: settings.name, incarnation, address: settings.listen.callers, domain };
         this.registry = new FleetRegistry(store, self, this.logs);
-        const holder = { name: settings.name, incarnation, startedAt: Date.now() };
+        const holder = { name: settings.name, incarnation, startedAt: performance.timeOrigin };
         this.prepaid = new PrepaidKeeper(
             store,
             holder,
--- a/packages/router/src/gateway/prepaid-keeper.ts
+++ b/packages/router/src/gateway/prepaid-keeper.ts
@@ -43,6 +43,8 @@
 const REVIEW_MS = 1_000;
 /** Time in ms between two marks: what a router may have used since its last one is lost with it. */
 const MARK_MS = 600;
+/** Tries to return tokens on shutdown. */
+const CLOSING_TRIES = 8;
 /** Conflicting writes in a row before the waiting requests are judged. */
 const CONFLICT_TRIES = 6;
 /** Time in ms for which a failing store is not asked for tokens again. */
@@ -243,12 +245,18 @@
     async close(): Promise<void> {
         this.stop();
         const returning = { ...this.policy, heldShare: 0 };
-        const writes = [...this.rows.values()]
-            .filter((row) => row.granted > 0)
-            .map((row) => this.planRow(row, 0, returning))
-            .filter((write) => write !== undefined);
-        const outcome = await this.write(writes);
-        this.logs.prepaid.info("Returned what was held.", { accounts: writes.length, outcome });
+        let outcome = "done";
+        for (let tries = 0; tries < CLOSING_TRIES; tries++) {
+            const writes = [...this.rows.values()]
+                .filter((row) => row.granted > row.used)
+                .map((row) => this.planRow(row, 0, returning))
+                .filter((write) => write !== undefined);
+            outcome = await this.write(this.unanswered ?? writes);
+            if (outcome === "done" && this.unanswered === undefined) {
+                break;
+            }
+        }
+        this.logs.prepaid.info("Returned what was held.", { outcome });
     }
 
     private giveUp(waiter: Waiter): void {
--- a/packages/router/src/gateway/run-gateway.ts
+++ b/packages/router/src/gateway/run-gateway.ts
@@ -20,6 +20,8 @@
 /** Lifetimes of an address after which a router without requests may exit early. */
 const ADDRESS_LIFETIMES = 3;
 const EXIT_CHECK_MS = 100;
+/** Time in ms for the last writes to the store. */
+const STOP_MS = 200;
 const ADDRESS_LIFETIME_MS = 2_000;
 
 /** What a gateway is made of. */
@@ -113,5 +115,5 @@
         await sleep(EXIT_CHECK_MS);
     }
     gateway.logs.host.info("Stopped.", { open: gateway.ingress.open });
-    await Promise.race([gateway.stop(), sleep(EXIT_CHECK_MS)]);
+    await Promise.race([gateway.stop(), sleep(STOP_MS)]);
 }
