--- a/packages/core/src/dispatch/placement.ts
+++ b/packages/core/src/dispatch/placement.ts
@@ -20,6 +20,8 @@
 
 /** Cost in prompt tokens of one running request, which slows prefill and decoding alike. */
 const RUNNING_COST_TOKENS = 120;
+/** Weight of shared parts that are read again: reading them delays others, and what they push out is read again too. */
+const SHARED_FACTOR = 10;
 /** Weight of failures against load: an endpoint that fails half of its requests looks several times as busy. */
 const FAILURE_WEIGHT = 12;
 /** Cost in prompt tokens of a request that crosses to another failure domain. */
@@ -105,7 +107,7 @@
     query.parts.forEach((part, index) => {
         const shared = index < query.parts.length - 1;
         broken ||= !(shared && (isHome || now - (row.parts.get(part.id) ?? -Infinity) < query.cacheMs));
-        uncached += broken ? part.tokens : 0;
+        uncached += broken ? part.tokens * (shared ? SHARED_FACTOR : 1) : 0;
     });
     return uncached;
 }
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -478,7 +478,7 @@
         this.settleByDelivery();
         const tookMs = Math.round(this.context.clock() - this.admitted.arrivedAt);
         this.context.observeEnd(outcome, tookMs);
-        this.context.logs.requests.info("Ended.", { ...this.figures(send), outcome, status: send?.status, firstMs: this.firstMs, tookMs });
+        this.context.logs.requests.info("Ended.", { ...this.figures(send), outcome, status: send?.status, firstMs: this.firstMs, targetMs: this.admitted.route.targetMs, tookMs });
     }
 
     private settleByDelivery(): void {
