Refuse requests that crash endpoints, and give the exchange rooms of its own

A request that was running when three endpoints crashed is refused; routers tell each other of crashes through the store under a lease.

--- a/packages/core/src/dispatch/prepaid-record.ts
+++ b/packages/core/src/dispatch/prepaid-record.ts
@@ -45,7 +45,7 @@
 /** Part of an allowance that may be used right after a mark. */
 const BURST_SHARE = 0.2;
 /** Time in ms after a mark in which the rest becomes usable; outages of the store last up to 9 s. */
-const RAMP_MS = 12_000;
+const RAMP_MS = 9_000;
 /** Time in ms added to the age of a lost router's last mark, for the coarseness of clocks. */
 const AGE_MARGIN_MS = 100;
 
--- a/packages/core/src/dispatch/prepaid.ts
+++ b/packages/core/src/dispatch/prepaid.ts
@@ -55,10 +55,10 @@
 
 /** The sizes that routers use unless settings say otherwise. */
 export const defaultPrepaidPolicy: PrepaidPolicy = {
-    // Outages of the store last 4 to 9 s, and allowances become usable over 12 s.
-    allowanceMs: 12_000,
+    // Outages of the store last 4 to 9 s, and demand is uneven.
+    allowanceMs: 15_000,
     // Part of what is held is lost when its router dies; the rest serves those that start again.
-    heldShare: 0.8,
+    heldShare: 0.85,
 };
 
 /** Who holds tokens. */
--- a/packages/core/src/dispatch/routing.ts
+++ b/packages/core/src/dispatch/routing.ts
@@ -1,4 +1,4 @@
-import type { AccountDeclaration, AccessKey, FleetConfiguration, Route, ServiceName } from "./types.js";
+import type { AccessKey, AccountDeclaration, FleetConfiguration, Route, ServiceName } from "./types.js";
 
 /** A configuration with the indexes that requests are looked up by. */
 export type RoutingTable = {
--- a/packages/router/src/gateway/dialect.ts
+++ b/packages/router/src/gateway/dialect.ts
@@ -1,3 +1,4 @@
+import type { AccountId, EndpointId } from "@gooseberrybend/core";
 import type {
     AccessKey,
     EndpointEntry,
@@ -5,7 +6,6 @@
     PromptPart,
     TokenBound,
 } from "@gooseberrybend/core/dispatch";
-import type { AccountId, EndpointId } from "@gooseberrybend/core";
 import type { Result } from "neverthrow";
 
 /** Why a stored value can't be read, and where in it. */
--- /dev/null
+++ b/packages/router/src/gateway/endpoint-send.ts
@@ -0,0 +1,42 @@
+import type { EndpointState } from "@gooseberrybend/core/dispatch";
+import type { Dispatcher } from "undici";
+import type { EndpointFields } from "./dialect.js";
+
+/** One send to an endpoint, and what came of it so far. */
+export type Send = {
+    readonly row: EndpointState;
+    readonly sentAt: number;
+    readonly resumed: boolean;
+    /** Expected work before the first byte. */
+    readonly units: number;
+    controller: Dispatcher.DispatchController | undefined;
+    /** True once bytes may have left. */
+    started: boolean;
+    heard: boolean;
+    ended: boolean;
+    status: number;
+    fields: EndpointFields | undefined;
+    headers: string[];
+    /** Body of an answer that is passed on whole. */
+    chunks: Buffer[];
+    relaying: boolean;
+};
+
+/** Creates a send that has not begun. */
+export function createSend(row: EndpointState, resumed: boolean, units: number, sentAt: number): Send {
+    return {
+        row,
+        sentAt,
+        resumed,
+        units,
+        controller: undefined,
+        started: false,
+        heard: false,
+        ended: false,
+        status: 0,
+        fields: undefined,
+        headers: [],
+        chunks: [],
+        relaying: false,
+    };
+}
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -1,8 +1,8 @@
 import type { EndpointId } from "@gooseberrybend/core";
 import {
-    type AccountDeclaration,
     type AttemptState,
     chooseEndpoint,
+    clearSuspect,
     type EndpointState,
     failureRate,
     nextStep,
@@ -16,57 +16,22 @@
     noteSend,
     paceOf,
     type PlacementQuery,
-    prepaidFigures,
     rankAtEngine,
-    type Route,
     type SendFailure,
-    type ServiceDeclaration,
     takeRepeat,
     workUnits,
 } from "@gooseberrybend/core/dispatch";
-import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Dispatcher } from "undici";
-import type { CallerFields, EndpointFields } from "./dialect.js";
+import type { AdmittedRequest } from "./admitted-request.js";
+import { createSend, type Send } from "./endpoint-send.js";
 import { EventGate } from "./event-gate.js";
 import type { GatewayContext } from "./gateway-context.js";
+import { withoutLength } from "./raw-headers.js";
 import { type RefusalCause, sendRefusal } from "./refusal.js";
-
-/** A request whose caller, route and service are known. */
-export type AdmittedRequest = {
-    readonly request: IncomingMessage;
-    readonly response: ServerResponse;
-    readonly body: Buffer;
-    readonly fields: CallerFields;
-    readonly route: Route;
-    readonly service: ServiceDeclaration;
-    readonly account: AccountDeclaration | undefined;
-    readonly arrivedAt: number;
-};
-
-/** One send to an endpoint. */
-type Send = {
-    readonly row: EndpointState;
-    readonly sentAt: number;
-    readonly resumed: boolean;
-    /** Expected work before the first byte. */
-    readonly units: number;
-    controller: Dispatcher.DispatchController | undefined;
-    /** True once bytes may have left. */
-    started: boolean;
-    heard: boolean;
-    ended: boolean;
-    status: number;
-    fields: EndpointFields | undefined;
-    headers: string[];
-    /** Body of an answer that is passed on whole. */
-    chunks: Buffer[];
-    relaying: boolean;
-};
+import { TokenClaim } from "./token-claim.js";
 
 /** Range in ms of the wait that callers are asked for, so that they do not come back together. */
 const RETRY_AFTER_MS = [150, 450] as const;
-/** Share of the target time that a request waits for tokens of other routers. */
-const BUDGET_WAIT_SHARE = 0.3;
 /** Statuses of endpoints that promise that a request has not run; passed on only if they say so themselves. */
 const promisingStatuses = new Set([408, 421, 429, 503]);
 const FAILURE_STATUS = 500;
@@ -82,8 +47,7 @@
     private mayHaveRun = false;
     private answering = false;
     private done = false;
-    private reserved = 0;
-    private settled = false;
+    private readonly claim: TokenClaim;
     private send: Send | undefined;
     private timer: NodeJS.Timeout | undefined;
     private paused = false;
@@ -93,6 +57,7 @@
         const { route, fields, arrivedAt, service } = admitted;
         this.callerDeadline = arrivedAt + (fields.patienceMs ?? Infinity);
         this.deadline = Math.min(this.callerDeadline, arrivedAt + route.timeoutMs);
+        this.claim = new TokenClaim(context, admitted);
         this.query = {
             service: service.name,
             engine: service.engine,
@@ -117,33 +82,21 @@
     }
 
     private async reserve(): Promise<boolean> {
-        const { account, fields, route } = this.admitted;
-        if (account?.prepaidTokens === undefined || fields.tokens === undefined) {
-            return true;
-        }
-        const worst = fields.tokens.prompt + fields.tokens.output;
-        const waitMs = route.targetMs * BUDGET_WAIT_SHARE;
-        const reservation = await this.context.prepaid.reserve(account.id, worst, waitMs);
-        if (reservation === "reserved") {
-            this.reserved = worst;
-        }
+        const reservation = await this.claim.reserve(this.admitted.route.targetMs);
         if (this.done) {
-            this.settle(0);
+            this.claim.settle(0);
             return false;
         }
-        if (reservation === "reserved") {
-            return true;
+        switch (reservation) {
+            case "reserved":
+                return true;
+            case "exhausted":
+                this.refuse("budget-exhausted", undefined, this.claim.figures());
+                return false;
+            case "short":
+                this.refuse("budget-unavailable", this.claim.retryAfterMs(), this.claim.figures());
+                return false;
         }
-        const row = this.context.prepaid.rows.get(account.id);
-        const figures = { worst, ...(row === undefined ? {} : prepaidFigures(row, this.context.clock())) };
-        if (reservation === "exhausted") {
-            this.refuse("budget-exhausted", undefined, figures);
-        }
-        else {
-            const retryAfterMs = this.context.prepaid.retryAfterMs(this.context.clock());
-            this.refuse("budget-unavailable", retryAfterMs * (1 + this.context.chance()), figures);
-        }
-        return false;
     }
 
     private dispatch(resumed: boolean): void {
@@ -153,21 +106,7 @@
             this.endWithout("no-endpoint");
             return;
         }
-        const send: Send = {
-            row,
-            sentAt: now,
-            resumed,
-            units: workUnits(this.context.endpoints, row, this.query, now),
-            controller: undefined,
-            started: false,
-            heard: false,
-            ended: false,
-            status: 0,
-            fields: undefined,
-            headers: [],
-            chunks: [],
-            relaying: false,
-        };
+        const send = createSend(row, resumed, workUnits(this.context.endpoints, row, this.query, now), now);
         this.send = send;
         this.logPlacement(row, now);
         noteSend(row, this.query, now);
@@ -292,6 +231,7 @@
         }
         const failed = send.status >= FAILURE_STATUS;
         this.endSend(send, failed);
+        clearSuspect(this.context.suspects.table, this.admitted.bodyDigest);
         if (send.relaying) {
             this.write(this.admitted.route.resumable ? this.gate.rest() : undefined);
             this.finish("answered", send);
@@ -340,12 +280,14 @@
         const code = (error as { code?: string; }).code ?? error.message;
         if (!send.started) {
             noteConnectFailure(send.row, now);
+            this.context.suspects.noteUnreachable(send.row.entry, now);
             this.tried.add(send.row.entry.id);
             this.context.logs.endpoints.warn("Not reached.", { ...this.figures(send), code });
             this.afterFailure(send, "unreachable");
             return;
         }
         this.mayHaveRun = true;
+        this.context.suspects.noteBroken(send.row.entry, this.admitted.bodyDigest, now);
         this.context.logs.endpoints.warn("Connection broke.", { ...this.figures(send), code, heard: send.heard });
         this.afterFailure(send, "broken");
     }
@@ -478,24 +420,23 @@
         this.settleByDelivery();
         const tookMs = Math.round(this.context.clock() - this.admitted.arrivedAt);
         this.context.observeEnd(outcome, tookMs);
-        this.context.logs.requests.info("Ended.", { ...this.figures(send), outcome, status: send?.status, firstMs: this.firstMs, targetMs: this.admitted.route.targetMs, tookMs });
+        this.context.logs.requests.info("Ended.", {
+            ...this.figures(send),
+            outcome,
+            status: send?.status,
+            firstMs: this.firstMs,
+            targetMs: this.admitted.route.targetMs,
+            tookMs,
+        });
     }
 
     private settleByDelivery(): void {
-        const tokens = this.admitted.fields.tokens;
-        if (tokens === undefined || this.reserved === 0) {
-            return;
-        }
-        const perEvent = this.admitted.service.engine?.tokensPerEvent ?? tokens.output;
         const ran = this.mayHaveRun || (this.send?.started === true && this.send.fields?.notRun !== true);
-        this.settle(ran ? tokens.prompt + Math.min(tokens.output, this.gate.events * perEvent) : 0);
-    }
-
-    private settle(used: number): void {
-        const account = this.admitted.account;
-        if (!this.settled && account !== undefined && this.reserved > 0) {
-            this.settled = true;
-            this.context.prepaid.settle(account.id, this.reserved, used);
+        if (ran) {
+            this.claim.settleEvents(this.gate.events);
+        }
+        else {
+            this.claim.settle(0);
         }
     }
 
@@ -523,13 +464,3 @@
         };
     }
 }
-
-function withoutLength(headers: readonly string[]): string[] {
-    const kept: string[] = [];
-    for (let index = 0; index < headers.length; index += 2) {
-        if (headers[index]!.toLowerCase() !== "content-length") {
-            kept.push(headers[index]!, headers[index + 1]!);
-        }
-    }
-    return kept;
-}
--- a/packages/router/src/gateway/gateway-context.ts
+++ b/packages/router/src/gateway/gateway-context.ts
@@ -7,12 +7,13 @@
     ServiceDeclaration,
 } from "@gooseberrybend/core/dispatch";
 import type { Dispatcher } from "undici";
+import type { AdmittedRequest } from "./admitted-request.js";
 import type { Dialect } from "./dialect.js";
-import type { AdmittedRequest } from "./exchange.js";
 import type { GatewaySettings } from "./gateway-settings.js";
 import type { GatewayLogs } from "./log-sink.js";
 import type { PrepaidKeeper } from "./prepaid-keeper.js";
 import type { RefusalCause } from "./refusal.js";
+import type { SuspectBoard } from "./suspect-board.js";
 
 /** What the exchanges of one router share. */
 export type GatewayContext = {
@@ -21,6 +22,7 @@
     readonly endpoints: EndpointTable;
     readonly retries: RetryQuota;
     readonly prepaid: PrepaidKeeper;
+    readonly suspects: SuspectBoard;
     readonly logs: GatewayLogs;
     /** Steady time in ms. */
     readonly clock: () => number;
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -13,8 +13,7 @@
     const registers = [registry];
     const counter = <Label extends string>(name: string, help: string, labelNames: Label[]): Counter<Label> =>
         new Counter({ name: `gooseberrybend_${name}`, help, labelNames, registers });
-    const gauge = (name: string, help: string): Gauge =>
-        new Gauge({ name: `gooseberrybend_${name}`, help, registers });
+    const gauge = (name: string, help: string): Gauge => new Gauge({ name: `gooseberrybend_${name}`, help, registers });
     const refusals = counter("refusals_total", "Refused requests by cause.", ["cause"]);
     Object.keys(refusalStatus).forEach((cause) => refusals.inc({ cause }, 0));
     return {
@@ -23,7 +22,10 @@
         failedSends: counter("failed_sends_total", "Failed sends by failure and what followed.", ["failure", "next"]),
         cuts: counter("cut_answers_total", "Answers that ended before they were whole.", []),
         ends: counter("requests_total", "Ended requests by outcome.", ["outcome"]),
-        storeCalls: counter("store_calls_total", "Calls to the store by operation and result.", ["operation", "result"]),
+        storeCalls: counter("store_calls_total", "Calls to the store by operation and result.", [
+            "operation",
+            "result",
+        ]),
         configurationVersion: gauge("configuration_version", "Version of the configuration in force."),
         endpoints: gauge("endpoints", "Endpoints that are known."),
         members: gauge("fleet_members", "Routers that are known."),
--- a/packages/router/src/gateway/gateway-settings.ts
+++ b/packages/router/src/gateway/gateway-settings.ts
@@ -1,5 +1,5 @@
+import { type FileFault, parseFile } from "@gooseberrybend/core";
 import { err, type Result } from "neverthrow";
-import { parseFile, type FileFault } from "@gooseberrybend/core";
 import { z } from "zod";
 import { readText } from "../settings.js";
 
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -22,6 +22,7 @@
 import type { MetadataStore, StoreChange, StoredItem } from "./metadata-store.js";
 import { MARK_PREFIX, PREPAID_PREFIX, PrepaidKeeper } from "./prepaid-keeper.js";
 import { StoreFollower } from "./store-follower.js";
+import { SUSPECT_PREFIX, SuspectBoard } from "./suspect-board.js";
 
 /** Lifetime in ms of an answer with addresses; a short one lets routers leave soon. */
 const ADDRESS_LIFETIME_MS = 2_000;
@@ -45,6 +46,7 @@
     private readonly registry: FleetRegistry;
     private readonly prepaid: PrepaidKeeper;
     private readonly follower: StoreFollower;
+    private readonly suspects: SuspectBoard;
     private readonly storeCalls = new Map<string, number>();
     private timer: NodeJS.Timeout | undefined;
     private readonly faults = new Map<string, string>();
@@ -56,6 +58,7 @@
         const domain = brand<FailureDomain>(settings.domain);
         const self = { name: settings.name, incarnation, address: settings.listen.callers, domain };
         this.registry = new FleetRegistry(store, self, this.logs);
+        this.suspects = new SuspectBoard(store, this.logs);
         const holder = { name: settings.name, incarnation, startedAt: performance.timeOrigin };
         this.prepaid = new PrepaidKeeper(
             store,
@@ -136,13 +139,15 @@
             endpoints: this.endpoints,
             retries: new Map(),
             prepaid: this.prepaid,
+            suspects: this.suspects,
             logs: this.logs,
             clock: this.clock,
             chance: Math.random,
             settings: () => this.settings,
             fleetSize: () => this.fleetSize(),
             configurationVersion: () => this.table?.configuration.version,
-            connectionsOf: (entry, service) => this.connections.poolOf(entry, service.connectionLimit, this.fleetSize()),
+            connectionsOf: (entry, service) =>
+                this.connections.poolOf(entry, service.connectionLimit, this.fleetSize()),
             countRefusal: (cause) => this.metrics.refusals.inc({ cause }),
             countRetry: (next, failure) => this.metrics.failedSends.inc({ next, failure }),
             countCut: () => this.metrics.cuts.inc(),
@@ -171,6 +176,7 @@
         if (configuration !== undefined) {
             this.putConfiguration(configuration);
         }
+        withPrefix(SUSPECT_PREFIX).forEach((item) => this.suspects.noteKey(item.key));
         withPrefix(MARK_PREFIX).forEach((item) => this.prepaid.noteSheet(item));
         this.prepaid.replaceRecords(withPrefix(PREPAID_PREFIX), revision);
     }
@@ -198,6 +204,9 @@
                 this.registry.put(item);
             }
         }
+        else if (key.startsWith(SUSPECT_PREFIX) && item !== undefined) {
+            this.suspects.noteKey(key);
+        }
         else if (key.startsWith(MARK_PREFIX) && item !== undefined) {
             this.prepaid.noteSheet(item);
         }
--- a/packages/router/src/gateway/index.ts
+++ b/packages/router/src/gateway/index.ts
@@ -1,5 +1,5 @@
 export * from "./dialect.js";
-export { Gateway } from "./gateway.js";
 export { type GatewaySettings, gatewaySettingsSchema, readGatewaySettings } from "./gateway-settings.js";
+export { Gateway } from "./gateway.js";
 export * from "./metadata-store.js";
 export { type GatewayParts, runGateway } from "./run-gateway.js";
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -1,6 +1,7 @@
-import { findRoute, pickService, type Route, type ServiceDeclaration } from "@gooseberrybend/core/dispatch";
+import { type AccountId, brand, digestBody } from "@gooseberrybend/core";
+import { findRoute, isPoison, pickService, type Route, type ServiceDeclaration } from "@gooseberrybend/core/dispatch";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { type AdmittedRequest, Exchange } from "./exchange.js";
+import { Exchange } from "./exchange.js";
 import type { Gateway } from "./gateway.js";
 import { type RefusalCause, sendRefusal } from "./refusal.js";
 
@@ -12,6 +13,10 @@
 const FIRST_IDLE_TIMEOUT_MS = 15_000;
 /** Wait in ms that callers of a router without configuration are asked for. */
 const STARTING_RETRY_AFTER_MS = 400;
+/** Wait in ms that the caller of a request which crashes endpoints is asked for. */
+const POISON_RETRY_AFTER_MS = 5_000;
+/** Stands for the account of requests without one. */
+const NO_ACCOUNT = brand<AccountId>("");
 const NOT_RUN_FOR_LACK_OF_BODY: RefusalCause = "too-large";
 
 /** The server that callers connect to. Its limits follow the configuration. */
@@ -98,7 +103,15 @@
             this.refuse(request, response, "no-endpoint", STARTING_RETRY_AFTER_MS, { route: route.name });
             return;
         }
-        const admitted: AdmittedRequest = { request, response, body, fields, route, service, account, arrivedAt };
+        const bodyDigest = digestBody(
+            account?.id ?? NO_ACCOUNT,
+            `${request.method} ${request.url}\n${body.toString("latin1")}`,
+        );
+        if (isPoison(this.gateway.context.suspects.table, bodyDigest)) {
+            this.refuse(request, response, "poison-request", POISON_RETRY_AFTER_MS, { route: route.name, bodyDigest });
+            return;
+        }
+        const admitted = { request, response, body, fields, route, service, account, bodyDigest, arrivedAt };
         void new Exchange(this.gateway.context, admitted).run();
     }
 
--- a/packages/router/src/gateway/log-sink.ts
+++ b/packages/router/src/gateway/log-sink.ts
@@ -48,7 +48,9 @@
         for (const [sentence, count] of this.counts) {
             if (count > LINES_PER_SECOND) {
                 const omitted = count - LINES_PER_SECOND;
-                this.push(JSON.stringify({ at: now, level: "INFO", part: "log", message: "Summed.", sentence, omitted }));
+                this.push(
+                    JSON.stringify({ at: now, level: "INFO", part: "log", message: "Summed.", sentence, omitted }),
+                );
             }
         }
         this.counts.clear();
@@ -60,7 +62,12 @@
             return;
         }
         if (this.dropped > 0) {
-            const notice = JSON.stringify({ level: "WARN", part: "log", message: "Dropped lines.", count: this.dropped });
+            const notice = JSON.stringify({
+                level: "WARN",
+                part: "log",
+                message: "Dropped lines.",
+                count: this.dropped,
+            });
             this.dropped = 0;
             this.push(notice);
         }
@@ -97,7 +104,7 @@
     const bytes = Buffer.from(text);
     const writeRest = (offset: number): void => {
         write(STANDARD_OUTPUT, bytes, offset, bytes.length - offset, undefined, (error, written) => {
-            if (error === null && offset + written < bytes.length) {
+            if (!error && offset + written < bytes.length) {
                 writeRest(offset + written);
                 return;
             }
--- a/packages/router/src/gateway/run-gateway.ts
+++ b/packages/router/src/gateway/run-gateway.ts
@@ -5,8 +5,8 @@
 import { once } from "node:events";
 import { createServer, type RequestListener, type Server } from "node:http";
 import type { Dialect } from "./dialect.js";
-import { Gateway } from "./gateway.js";
 import { type GatewaySettings, readGatewaySettings, splitAddress } from "./gateway-settings.js";
+import { Gateway } from "./gateway.js";
 import { GATEWAY, InternalController } from "./internal.controller.js";
 import type { MetadataStore } from "./metadata-store.js";
 import { sleep } from "./store-follower.js";
@@ -80,7 +80,9 @@
     const [first, ...others] = distinct;
     const { host, port } = splitAddress(first!);
     await application.listen(port, host);
-    await Promise.all(others.map((address) => listen(createServer((request, response) => handle!(request, response)), address)));
+    await Promise.all(
+        others.map((address) => listen(createServer((request, response) => handle!(request, response)), address)),
+    );
 }
 
 async function listen(server: Server, address: string): Promise<void> {
--- a/packages/router/src/gateway/store-follower.ts
+++ b/packages/router/src/gateway/store-follower.ts
@@ -1,5 +1,5 @@
 import type { GatewayLogs } from "./log-sink.js";
-import type { MetadataStore, StoreChange, StoreFailure, StoredItem } from "./metadata-store.js";
+import type { MetadataStore, StoreChange, StoredItem, StoreFailure } from "./metadata-store.js";
 
 /** Longest time in ms that a watch waits; it bounds how long a silent connection goes unnoticed. */
 const WATCH_MS = 800;
--- /dev/null
+++ b/packages/router/src/gateway/token-claim.ts
@@ -0,0 +1,58 @@
+import { prepaidFigures, type Reservation } from "@gooseberrybend/core/dispatch";
+import type { AdmittedRequest } from "./admitted-request.js";
+import type { GatewayContext } from "./gateway-context.js";
+
+/** Share of the target time that a request waits for tokens of other routers. */
+const WAIT_SHARE = 0.3;
+
+/** The tokens that one request holds, from its admission to its end. */
+export class TokenClaim {
+    private reserved = 0;
+
+    constructor(private readonly context: GatewayContext, private readonly admitted: AdmittedRequest) {}
+
+    /** Reserves the worst case. Requests without tokens or without a prepaid account need none. */
+    async reserve(targetMs: number): Promise<Reservation> {
+        const { account, fields } = this.admitted;
+        if (account?.prepaidTokens === undefined || fields.tokens === undefined) {
+            return "reserved";
+        }
+        const worst = fields.tokens.prompt + fields.tokens.output;
+        const reservation = await this.context.prepaid.reserve(account.id, worst, targetMs * WAIT_SHARE);
+        if (reservation === "reserved") {
+            this.reserved = worst;
+        }
+        return reservation;
+    }
+
+    /** Ends the claim of a request that may have run, by the events that were delivered. */
+    settleEvents(events: number): void {
+        const { fields, service } = this.admitted;
+        if (fields.tokens !== undefined) {
+            const perEvent = service.engine?.tokensPerEvent ?? fields.tokens.output;
+            this.settle(fields.tokens.prompt + Math.min(fields.tokens.output, events * perEvent));
+        }
+    }
+
+    /** Ends the claim with the tokens that were used. */
+    settle(used: number): void {
+        const { account } = this.admitted;
+        if (account !== undefined && this.reserved > 0) {
+            this.context.prepaid.settle(account.id, this.reserved, used);
+            this.reserved = 0;
+        }
+    }
+
+    /** Returns the time in ms after which a caller may find tokens, spread so that not all come together. */
+    retryAfterMs(): number {
+        return this.context.prepaid.retryAfterMs(this.context.clock()) * (1 + this.context.chance());
+    }
+
+    /** Returns the figures that a refusal was decided on. */
+    figures(): Readonly<Record<string, number | undefined>> {
+        const { account, fields } = this.admitted;
+        const row = account === undefined ? undefined : this.context.prepaid.rows.get(account.id);
+        const worst = (fields.tokens?.prompt ?? 0) + (fields.tokens?.output ?? 0);
+        return { worst, ...(row === undefined ? {} : prepaidFigures(row, this.context.clock())) };
+    }
+}
