--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -220,7 +220,8 @@
         if (decoded.isErr()) {
             this.logs.configuration.error("Can't be read; the last one stays in force.", {
                 revision: item.revision,
-                ...decoded.error,
+                place: decoded.error.place,
+                detail: decoded.error.message,
             });
             return;
         }
@@ -271,7 +272,7 @@
     private noteFault(key: string, message: string): void {
         if (this.faults.get(key) !== message && this.faults.size < 1_000) {
             this.faults.set(key, message);
-            this.logs.endpoints.warn("Registration can't be read.", { key, message });
+            this.logs.endpoints.warn("Registration can't be read.", { key, detail: message });
         }
     }
 
