--- /dev/null
+++ b/packages/cli/bin/gooseberrybend.js
@@ -0,0 +1,11 @@
+#!/usr/bin/env node
+import { existsSync } from "node:fs";
+
+const program = new URL("../dist/main.js", import.meta.url);
+if (existsSync(program)) {
+    await import(program.href);
+}
+else {
+    process.stderr.write("gooseberrybend is not built yet. Run: npm run build\n");
+    process.exitCode = 1;
+}
--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -1,4 +1,5 @@
 import { readSettings } from "@gooseberrybend/router";
+import { readGatewaySettings } from "@gooseberrybend/router/gateway";
 import { err, ok } from "neverthrow";
 import { statSync } from "node:fs";
 import { parseArgs } from "node:util";
@@ -9,12 +10,15 @@
 export const checkCommand: Command = {
     name: "check",
     summary: "check settings files or folders of declarations",
-    help: `gooseberrybend check PATH...
+    help: `gooseberrybend check [--gateway] PATH...
 
 Checks each PATH: a file is read as a router's settings, a folder for its declaration files.
+With --gateway, a file is read as the settings of a router that serves a deployment's callers.
 Prints FILE:LINE:COLUMN: what is wrong. Exit codes: 0 correct, 2 wrong.`,
     async run(parameters) {
-        const { positionals } = parseArgs({ args: parameters, allowPositionals: true, options: {} });
+        const options = { gateway: { type: "boolean" } } as const;
+        const { positionals, values } = parseArgs({ args: parameters, allowPositionals: true, options });
+        const read = values.gateway === true ? readGatewaySettings : readSettings;
         if (positionals.length === 0) {
             return err({
                 kind: "usage",
@@ -25,7 +29,7 @@
             const isFolder = statSync(path, { throwIfNoEntry: false })?.isDirectory() ?? false;
             const checked = isFolder
                 ? collectFiles([path])
-                : readSettings(path).mapErr((faults) => ({ kind: "faults", faults }) as const);
+                : read(path).map(() => undefined).mapErr((faults) => ({ kind: "faults", faults }) as const);
             if (checked.isErr()) {
                 return err(checked.error);
             }
--- a/packages/core/src/dispatch/endpoint-health.ts
+++ b/packages/core/src/dispatch/endpoint-health.ts
@@ -1,4 +1,4 @@
-import type { EndpointState } from "./endpoint-table.js";
+import type { EndpointState, ServicePace } from "./endpoint-table.js";
 
 /** Time in ms in which the weight of an outcome halves; a few seconds of traffic decide. */
 const OUTCOME_HALF_LIFE_MS = 3_000;
@@ -26,9 +26,6 @@
     return row.failures * decay / (row.outcomes * decay + 3);
 }
 
-/** What the answers of a service take on average, whatever the endpoint. */
-export type ServicePace = { msPerUnit: number; };
-
 /** Weight of the newest answer in the average of a service. */
 const PACE_WEIGHT = 0.02;
 
--- a/packages/core/src/dispatch/endpoint-table.ts
+++ b/packages/core/src/dispatch/endpoint-table.ts
@@ -1,5 +1,4 @@
 import type { EndpointId } from "../types/ids.js";
-import type { ServicePace } from "./endpoint-health.js";
 import type { EndpointEntry, PromptPartId, ServiceName } from "./types.js";
 
 /** What an endpoint last said of its load. */
@@ -33,6 +32,9 @@
     readonly parts: Map<PromptPartId, number>;
 };
 
+/** What the answers of a service take on average, whatever the endpoint. */
+export type ServicePace = { msPerUnit: number; };
+
 /** All endpoints that this router knows. */
 export type EndpointTable = {
     readonly rows: Map<EndpointId, EndpointState>;
--- a/packages/core/src/dispatch/placement.ts
+++ b/packages/core/src/dispatch/placement.ts
@@ -1,7 +1,7 @@
 import { rendezvousFirst } from "../support/rendezvous.js";
 import type { EndpointId, FailureDomain } from "../types/ids.js";
-import { failureRate, isSilent, type ServicePace } from "./endpoint-health.js";
-import type { EndpointState, EndpointTable } from "./endpoint-table.js";
+import { failureRate, isSilent } from "./endpoint-health.js";
+import type { EndpointState, EndpointTable, ServicePace } from "./endpoint-table.js";
 import type { EngineDeclaration, PromptPart, PromptPartId, ServiceName } from "./types.js";
 
 /** What the choice of an endpoint goes by. */
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -1,8 +1,15 @@
 import { type AccountId, brand, digestBody } from "@gooseberrybend/core";
-import { findRoute, isPoison, pickService, type Route, type ServiceDeclaration } from "@gooseberrybend/core/dispatch";
+import {
+    findRoute,
+    isPoison,
+    pickService,
+    type Route,
+    type RoutingTable,
+    type ServiceDeclaration,
+} from "@gooseberrybend/core/dispatch";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Exchange } from "./exchange.js";
-import type { Gateway } from "./gateway.js";
+import type { GatewayContext } from "./gateway-context.js";
 import { type RefusalCause, sendRefusal } from "./refusal.js";
 
 /** Time in ms between two looks for connections that are too slow. */
@@ -19,13 +26,20 @@
 const NO_ACCOUNT = brand<AccountId>("");
 const NOT_RUN_FOR_LACK_OF_BODY: RefusalCause = "too-large";
 
+/** What the server for callers needs of its router. */
+export type IngressHost = {
+    readonly context: GatewayContext;
+    readonly table: RoutingTable | undefined;
+    readonly draining: boolean;
+};
+
 /** The server that callers connect to. Its limits follow the configuration. */
 export class Ingress {
     readonly server: Server;
     /** Requests that have no whole answer yet. */
     open = 0;
 
-    constructor(private readonly gateway: Gateway) {
+    constructor(private readonly gateway: IngressHost) {
         this.server = createServer({
             connectionsCheckingInterval: CONNECTION_CHECK_MS,
             headersTimeout: FIRST_HEADER_TIMEOUT_MS,
@@ -46,7 +60,7 @@
     }
 
     private receive(request: IncomingMessage, response: ServerResponse): void {
-        const arrivedAt = this.gateway.clock();
+        const arrivedAt = this.gateway.context.clock();
         this.open++;
         response.once("close", () => this.open--);
         response.on("error", () => undefined);
@@ -82,7 +96,7 @@
     }
 
     private admit(request: IncomingMessage, response: ServerResponse, body: Buffer, arrivedAt: number): void {
-        const { table, dialect } = this.gateway;
+        const { table, context: { dialect } } = this.gateway;
         if (table === undefined) {
             this.refuse(request, response, "no-configuration", STARTING_RETRY_AFTER_MS, {});
             return;
@@ -127,7 +141,8 @@
         retryAfterMs: number | undefined,
         figures: object,
     ): void {
-        const { context, dialect } = this.gateway;
+        const { context } = this.gateway;
+        const { dialect } = context;
         context.countRefusal(cause);
         const id = dialect.readCaller(request.rawHeaders).requestId;
         const configuration = context.configurationVersion();
--- a/packages/router/src/gateway/run-gateway.ts
+++ b/packages/router/src/gateway/run-gateway.ts
@@ -16,7 +16,7 @@
 /** Share of the time to exit during which requests are still taken in. */
 const SERVING_SHARE = 0.82;
 /** Share of the time to exit after which the process ends, whatever is open. */
-const CUT_SHARE = 0.97;
+const CUT_SHARE = 0.93;
 /** Lifetimes of an address after which a router without requests may exit early. */
 const ADDRESS_LIFETIMES = 3;
 const EXIT_CHECK_MS = 100;
