Keep naming routers whose registrations lapsed in an outage of the store

Ruled out: callers that can't reach the routers, whose look-ups are a minority. The test failed first.

--- /dev/null
+++ b/packages/router/src/gateway/fleet-registry.test.ts
@@ -0,0 +1,63 @@
+import { brand, type FailureDomain, type Incarnation } from "@gooseberrybend/core";
+import type { FleetMember } from "@gooseberrybend/core/dispatch";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { FLEET_PREFIX, FleetRegistry } from "./fleet-registry.js";
+import { createGatewayLogs } from "./log-sink.js";
+import type { MetadataStore, StoredItem } from "./metadata-store.js";
+
+const GRACE_MS = 2_000;
+
+function memberOf(name: string): FleetMember {
+    return {
+        name,
+        incarnation: brand<Incarnation>(`start-of-${name}`),
+        address: `${name}:1`,
+        domain: brand<FailureDomain>("a"),
+    };
+}
+
+function itemOf(name: string, revision: number): StoredItem {
+    return { key: FLEET_PREFIX + name, value: Buffer.from(JSON.stringify(memberOf(name))), revision };
+}
+
+describe("fleet registry", () => {
+    let registry: FleetRegistry;
+
+    beforeEach(() => {
+        vi.useFakeTimers();
+        registry = new FleetRegistry({} as MetadataStore, memberOf("router-1"), createGatewayLogs({ level: "error" }));
+        registry.put(itemOf("router-2", 1));
+    });
+
+    afterEach(() => {
+        vi.useRealTimers();
+    });
+
+    describe("a registration that lapsed in an outage of the store", () => {
+        it("is named on until the time to come back has passed", () => {
+            registry.remove(FLEET_PREFIX + "router-2", GRACE_MS);
+            expect(registry.members.size).toBe(1);
+            vi.advanceTimersByTime(GRACE_MS);
+            expect(registry.members.size).toBe(0);
+        });
+
+        it("stays when it comes back", () => {
+            registry.remove(FLEET_PREFIX + "router-2", GRACE_MS);
+            registry.put(itemOf("router-2", 5));
+            vi.advanceTimersByTime(2 * GRACE_MS);
+            expect(registry.members.size).toBe(1);
+        });
+
+        it("is treated the same when all are listed again", () => {
+            registry.replace([], GRACE_MS);
+            expect(registry.members.size).toBe(1);
+        });
+    });
+
+    describe("a registration that ends while the store is well", () => {
+        it("is no longer named at once", () => {
+            registry.remove(FLEET_PREFIX + "router-2", 0);
+            expect(registry.members.size).toBe(0);
+        });
+    });
+});
--- a/packages/router/src/gateway/fleet-registry.ts
+++ b/packages/router/src/gateway/fleet-registry.ts
@@ -50,11 +50,11 @@
     }
 
     /** Takes in all registrations. */
-    replace(items: readonly StoredItem[]): void {
+    replace(items: readonly StoredItem[], graceMs: number): void {
         const keys = new Set(items.map((item) => item.key));
         for (const key of this.members.keys()) {
             if (!keys.has(key)) {
-                this.remove(key);
+                this.remove(key, graceMs);
             }
         }
         items.forEach((item) => this.put(item));
@@ -78,15 +78,29 @@
         }
     }
 
-    /** Drops a registration. */
-    remove(key: string): void {
-        if (this.members.delete(key)) {
-            this.logs.fleet.info("Router left.", { key });
-        }
+    /** Drops a registration, after a time in ms in which it may come back. */
+    remove(key: string, graceMs: number): void {
         if (key === FLEET_PREFIX + this.self.name && !this.leaving) {
             this.lease = undefined;
             void this.renew();
         }
+        const member = this.members.get(key);
+        if (member === undefined) {
+            return;
+        }
+        if (graceMs > 0) {
+            setTimeout(() => this.drop(key, member), graceMs).unref();
+            return;
+        }
+        this.drop(key, member);
+    }
+
+    // A registration that came back since is another member.
+    private drop(key: string, member: FleetMember): void {
+        if (this.members.get(key) === member) {
+            this.members.delete(key);
+            this.logs.fleet.info("Router left.", { key });
+        }
     }
 
     private async renew(): Promise<void> {
@@ -116,7 +130,7 @@
         const written = await this.store.transact({ conditions: new Map(), puts: [put], deletes: [] });
         if (written.kind === "done") {
             this.lease = granted.value;
-            this.members.set(key, this.self);
+            this.members.set(key, { ...this.self });
             this.logs.fleet.info("Registered.", { address: this.self.address });
         }
     }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -161,7 +161,7 @@
 
     private replaceAll(items: readonly StoredItem[], revision: number, now: number): void {
         const withPrefix = (prefix: string): StoredItem[] => items.filter((item) => item.key.startsWith(prefix));
-        this.registry.replace(withPrefix(FLEET_PREFIX));
+        this.registry.replace(withPrefix(FLEET_PREFIX), this.lapseGrace(now));
         const listed = new Set<string>();
         for (const item of withPrefix(this.dialect.endpointPrefix)) {
             listed.add(item.key);
@@ -198,7 +198,7 @@
         }
         else if (key.startsWith(FLEET_PREFIX)) {
             if (item === undefined) {
-                this.registry.remove(key);
+                this.registry.remove(key, this.lapseGrace(now));
             }
             else {
                 this.registry.put(item);
@@ -276,12 +276,17 @@
         }
     }
 
+    // Time in ms in which registrations that lapsed in an outage of the store may still come back.
+    private lapseGrace(now: number): number {
+        return Math.max(0, this.follower.returnedAt + LAPSE_GRACE_MS - now);
+    }
+
     private dropEndpoint(id: EndpointId, now: number): void {
         const row = this.endpoints.rows.get(id);
         if (row === undefined) {
             return;
         }
-        const grace = this.follower.returnedAt + LAPSE_GRACE_MS - now;
+        const grace = this.lapseGrace(now);
         if (grace <= 0) {
             this.forgetEndpoint(id, "registration removed");
             return;
