End sends whose callers left, and read changed settings without a signal

Cause: a request that may not be repeated runs on when its caller leaves, and its end was not counted: its endpoint looked busier for good. Headers that the HTTP client refuses end one request, not the process.

--- a/packages/cli/bin/gooseberrybend.js
+++ b/packages/cli/bin/gooseberrybend.js
@@ -1,5 +1,7 @@
 #!/usr/bin/env node
 import { existsSync } from "node:fs";
+import process from "node:process";
+import { URL } from "node:url";
 
 const program = new URL("../dist/main.js", import.meta.url);
 if (existsSync(program)) {
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -110,8 +110,15 @@
         this.send = send;
         this.logPlacement(row, now);
         noteSend(row, this.query, now);
-        this.context.connectionsOf(row.entry, this.admitted.service)
-            .dispatch(this.optionsOf(row, now), this.handlerOf(send));
+        try {
+            this.context.connectionsOf(row.entry, this.admitted.service)
+                .dispatch(this.optionsOf(row, now), this.handlerOf(send));
+        }
+        catch (error) {
+            // The HTTP client checks names and values before it sends anything.
+            this.endSend(send, false);
+            this.refuse("bad-request", undefined, { detail: (error as Error).message });
+        }
     }
 
     private optionsOf(row: EndpointState, now: number): Dispatcher.DispatchOptions {
@@ -226,11 +233,14 @@
     }
 
     private receiveEnd(send: Send): void {
-        if (this.done || send.ended) {
+        if (send.ended) {
             return;
         }
         const failed = send.status >= FAILURE_STATUS;
         this.endSend(send, failed);
+        if (this.done) {
+            return;
+        }
         clearSuspect(this.context.suspects.table, this.admitted.bodyDigest);
         if (send.relaying) {
             this.write(this.admitted.route.resumable ? this.gate.rest() : undefined);
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -51,7 +51,13 @@
     private timer: NodeJS.Timeout | undefined;
     private readonly faults = new Map<string, string>();
 
-    constructor(public settings: GatewaySettings, readonly dialect: Dialect, platformStore: MetadataStore) {
+    constructor(
+        public settings: GatewaySettings,
+        readonly dialect: Dialect,
+        platformStore: MetadataStore,
+        /** Time of day in ms at which the process started. */
+        startedAt: number = performance.timeOrigin,
+    ) {
         const store = new CountedStore(platformStore, (operation, result) => this.countStoreCall(operation, result));
         this.logs = createGatewayLogs(settings.log);
         const incarnation = brand<Incarnation>(randomBytes(9).toString("base64url"));
@@ -59,7 +65,7 @@
         const self = { name: settings.name, incarnation, address: settings.listen.callers, domain };
         this.registry = new FleetRegistry(store, self, this.logs);
         this.suspects = new SuspectBoard(store, this.logs);
-        const holder = { name: settings.name, incarnation, startedAt: performance.timeOrigin };
+        const holder = { name: settings.name, incarnation, startedAt };
         this.prepaid = new PrepaidKeeper(
             store,
             holder,
--- a/packages/router/src/gateway/run-gateway.ts
+++ b/packages/router/src/gateway/run-gateway.ts
@@ -3,6 +3,7 @@
 import { NestFactory } from "@nestjs/core";
 import { FastifyAdapter, type NestFastifyApplication } from "@nestjs/platform-fastify";
 import { once } from "node:events";
+import { watchFile } from "node:fs";
 import { createServer, type RequestListener, type Server } from "node:http";
 import type { Dialect } from "./dialect.js";
 import { type GatewaySettings, readGatewaySettings, splitAddress } from "./gateway-settings.js";
@@ -23,6 +24,8 @@
 /** Time in ms for the last writes to the store. */
 const STOP_MS = 200;
 const ADDRESS_LIFETIME_MS = 2_000;
+/** Time in ms between two looks whether the settings file changed without a signal. */
+const SETTINGS_CHECK_MS = 2_000;
 
 /** What a gateway is made of. */
 export type GatewayParts = {
@@ -61,6 +64,7 @@
     await listen(gateway.ingress.server, settings.value.listen.callers);
     gateway.logs.host.info("Started.", { router: settings.value.name, address: settings.value.listen.callers });
     process.on("SIGHUP", () => reload(gateway, file));
+    watchFile(file, { interval: SETTINGS_CHECK_MS, persistent: false }, () => reload(gateway, file));
     await Promise.race([once(process, "SIGTERM"), once(process, "SIGINT")]);
     await shutDown(gateway);
     process.exit(0);
