--- /dev/null
+++ b/packages/core/src/dispatch/placement.test.ts
@@ -0,0 +1,158 @@
+import { describe, expect, it } from "vitest";
+import { brand, type EndpointId, type FailureDomain } from "../types/ids.js";
+import { noteConnectFailure, noteOutcome } from "./endpoint-health.js";
+import { createEndpointTable, type EndpointState, type EndpointTable, putEndpoint } from "./endpoint-table.js";
+import { chooseEndpoint, noteLoad, noteSend, type PlacementQuery, rankAtEngine } from "./placement.js";
+import type { PromptPartId, ServiceName } from "./types.js";
+
+const service = brand<ServiceName>("engines");
+const domain = brand<FailureDomain>("a");
+const engine = { slots: 64, memoryTokens: 500_000, tokensPerEvent: 5 };
+
+function tableOf(count: number): EndpointTable {
+    const table = createEndpointTable();
+    for (let index = 0; index < count; index++) {
+        putEndpoint(table, {
+            id: brand<EndpointId>(`engine-${index}`),
+            startedAt: 1,
+            service,
+            address: `10.0.0.${index}:80`,
+            domain,
+            slots: 6,
+            leaving: false,
+        });
+    }
+    return table;
+}
+
+function sessionQuery(session: string, request: number): PlacementQuery {
+    const parts = [
+        { id: brand<PromptPartId>("shared"), tokens: 500 },
+        { id: brand<PromptPartId>(session), tokens: 5_000 },
+        { id: brand<PromptPartId>(`${session}-${request}`), tokens: 1_000 },
+    ];
+    return { service, engine, parts, promptTokens: 6_500, domain, tried: new Set(), cacheMs: 10_000 };
+}
+
+const plainQuery: PlacementQuery = {
+    service,
+    engine: undefined,
+    parts: [],
+    promptTokens: 0,
+    domain,
+    tried: new Set(),
+    cacheMs: 0,
+};
+
+function choose(table: EndpointTable, query: PlacementQuery, now = 0): EndpointState {
+    return chooseEndpoint(table, query, () => 0.5, now)!;
+}
+
+describe("placement", () => {
+    describe("sessions", () => {
+        it("meet at one engine, whichever router places them", () => {
+            for (let session = 0; session < 50; session++) {
+                const query = sessionQuery(`session-${session}`, 1);
+                expect(choose(tableOf(8), query).entry.id).toBe(choose(tableOf(8), query).entry.id);
+            }
+        });
+
+        it("spread over all engines", () => {
+            const table = tableOf(8);
+            const homes = Array.from(
+                { length: 200 },
+                (unusedItem, index) => choose(table, sessionQuery(`s-${index}`, 1)),
+            );
+            expect(new Set(homes).size).toBe(8);
+        });
+
+        it("leave a hot engine once its queue costs more than reading the session again", () => {
+            const table = tableOf(8);
+            const home = choose(table, sessionQuery("hot", 0));
+            const homes: boolean[] = [];
+            for (let request = 1; request <= 60; request++) {
+                const row = choose(table, sessionQuery("hot", request));
+                homes.push(row === home);
+                noteSend(row, sessionQuery("hot", request), 0);
+            }
+            expect(homes.slice(0, 5)).not.toContain(false);
+            expect(homes).toContain(false);
+        });
+
+        it("move only where they must when an engine leaves", () => {
+            const before = tableOf(8);
+            const after = tableOf(7);
+            const moved = Array.from({ length: 200 }, (unusedItem, index) => sessionQuery(`s-${index}`, 1))
+                .filter((query) => choose(before, query).entry.id !== choose(after, query).entry.id);
+            expect(moved.length).toBeLessThan(60);
+        });
+    });
+
+    describe("bursts of plain requests", () => {
+        it("fill endpoints evenly", () => {
+            const table = tableOf(4);
+            for (let request = 0; request < 24; request++) {
+                noteSend(choose(table, plainQuery), plainQuery, 0);
+            }
+            expect([...table.rows.values()].map((row) => row.open)).toEqual([6, 6, 6, 6]);
+        });
+
+        it("go where others report the least load", () => {
+            const table = tableOf(2);
+            const [busy, idle] = [...table.rows.values()];
+            noteLoad(busy!, 6, 4, 0);
+            noteLoad(idle!, 0, 0, 0);
+            expect(choose(table, plainQuery)).toBe(idle);
+        });
+    });
+
+    describe("a brown-out", () => {
+        it("sends little to an endpoint that fails half of its requests", () => {
+            const table = tableOf(4);
+            const grey = [...table.rows.values()][0]!;
+            let sent = 0;
+            for (let request = 0; request < 200; request++) {
+                const row = choose(table, plainQuery, request * 10);
+                sent += row === grey ? 1 : 0;
+                noteOutcome(row, row === grey && request % 2 === 0, request * 10);
+                if (request < 8) {
+                    noteOutcome(grey, true, request * 10);
+                }
+            }
+            expect(sent).toBeLessThan(20);
+        });
+
+        it("asks an endpoint again some time after it could not be reached", () => {
+            const table = tableOf(1);
+            const row = [...table.rows.values()][0]!;
+            noteConnectFailure(row, 0);
+            expect(chooseEndpoint(table, plainQuery, () => 0, 100)).toBeUndefined();
+            expect(choose(table, plainQuery, 300)).toBe(row);
+        });
+    });
+
+    describe("endpoints that leave", () => {
+        it("get nothing more", () => {
+            const table = tableOf(1);
+            const { entry } = [...table.rows.values()][0]!;
+            putEndpoint(table, { ...entry, leaving: true });
+            expect(chooseEndpoint(table, plainQuery, () => 0, 0)).toBeUndefined();
+        });
+
+        it("that start again under their id begin anew", () => {
+            const table = tableOf(1);
+            const before = [...table.rows.values()][0]!;
+            noteSend(before, plainQuery, 0);
+            expect(putEndpoint(table, { ...before.entry, startedAt: 2 })).toBe(before);
+            expect([...table.rows.values()][0]!.open).toBe(0);
+        });
+    });
+
+    describe("ranks at engines", () => {
+        it("keep classes apart and let short prompts go first within a class", () => {
+            expect(rankAtEngine(0, 500, 300)).toBeLessThan(rankAtEngine(1, 10, 300));
+            expect(rankAtEngine(1, 10, 300)).toBeLessThan(rankAtEngine(1, 200, 300));
+            expect(rankAtEngine(9, 500, 300)).toBe(9);
+        });
+    });
+});
--- a/packages/router/src/gateway/log-sink.ts
+++ b/packages/router/src/gateway/log-sink.ts
@@ -80,10 +80,11 @@
         if (this.writing || this.waiting.length === 0) {
             return;
         }
+        const text = `${this.waiting.join("\n")}\n`;
         this.writing = true;
-        this.write(`${this.waiting.join("\n")}\n`);
         this.waiting = [];
         this.waitingBytes = 0;
+        this.write(text);
     }
 
     private write(text: string): void {
