--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -35,6 +35,10 @@
 /** Statuses of endpoints that promise that a request has not run; passed on only if they say so themselves. */
 const promisingStatuses = new Set([408, 421, 429, 503]);
 const FAILURE_STATUS = 500;
+/** Time in ms after which a request that waits for a connection goes elsewhere; connecting takes a few ms. */
+const CONNECT_MS = 200;
+/** Code of the error of a connection to a port on which nothing listens. */
+const REFUSED_CODE = "ECONNREFUSED";
 
 /** Carries one request from its caller to an endpoint and the answer back. */
 export class Exchange {
@@ -109,6 +113,7 @@
         const send = createSend(row, resumed, workUnits(this.context.endpoints, row, this.query, now), now);
         this.send = send;
         this.logPlacement(row, now);
+        setTimeout(() => this.giveUpConnecting(send), CONNECT_MS);
         noteSend(row, this.query, now);
         try {
             this.context.connectionsOf(row.entry, this.admitted.service)
@@ -148,12 +153,13 @@
         return {
             onRequestStart: (controller) => {
                 send.controller = controller;
+                if (send.ended || this.done) {
+                    this.abort(send);
+                    return;
+                }
                 send.started = true;
                 this.sends++;
                 this.tried.add(send.row.entry.id);
-                if (this.done || this.send !== send) {
-                    this.abort(send);
-                }
             },
             onResponseStart: (controller, status) => this.receiveHead(send, controller, status),
             onResponseData: (unusedController, chunk) => this.receiveData(send, chunk),
@@ -289,11 +295,7 @@
         }
         const code = (error as { code?: string; }).code ?? error.message;
         if (!send.started) {
-            noteConnectFailure(send.row, now);
-            this.context.suspects.noteUnreachable(send.row.entry, now);
-            this.tried.add(send.row.entry.id);
-            this.context.logs.endpoints.warn("Not reached.", { ...this.figures(send), code });
-            this.afterFailure(send, "unreachable");
+            this.noteUnreached(send, code, now);
             return;
         }
         this.mayHaveRun = true;
@@ -302,6 +304,24 @@
         this.afterFailure(send, "broken");
     }
 
+    // Nothing was sent yet, so another endpoint can have the request at once.
+    private giveUpConnecting(send: Send): void {
+        if (!send.started && !send.ended && !this.done) {
+            this.endSend(send, true);
+            this.noteUnreached(send, "no connection in time", this.context.clock());
+        }
+    }
+
+    private noteUnreached(send: Send, code: string, now: number): void {
+        noteConnectFailure(send.row, now);
+        if (code === REFUSED_CODE) {
+            this.context.suspects.noteUnreachable(send.row.entry, now);
+        }
+        this.tried.add(send.row.entry.id);
+        this.context.logs.endpoints.warn("Not reached.", { ...this.figures(send), code });
+        this.afterFailure(send, "unreachable");
+    }
+
     private afterFailure(send: Send, failure: SendFailure): void {
         if (this.done) {
             return;
