Take dead routers out of the answers after 2 s; log the limits of a request

Tried and reverted: a least allowance for every router, as large requests meet routers with little demand in cuts. Callers of one account stick to a router, so demand tells where its next request comes.

--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -456,6 +456,8 @@
             status: send?.status,
             firstMs: this.firstMs,
             targetMs: this.admitted.route.targetMs,
+            timeoutMs: this.admitted.route.timeoutMs,
+            patienceMs: this.admitted.fields.patienceMs,
             tookMs,
         });
     }
--- a/packages/router/src/gateway/fleet-registry.ts
+++ b/packages/router/src/gateway/fleet-registry.ts
@@ -8,8 +8,8 @@
 export const FLEET_PREFIX = "gooseberrybend/fleet/";
 
 /** Lifetime in ms of a registration: a few missed renewals take a router out of the answers. */
-const LEASE_MS = 3_000;
-const RENEWAL_MS = 1_000;
+const LEASE_MS = 2_000;
+const RENEWAL_MS = 600;
 
 const memberSchema = z.object({
     name: z.string(),
