--- a/packages/core/src/dispatch/endpoint-health.ts
+++ b/packages/core/src/dispatch/endpoint-health.ts
@@ -62,3 +62,13 @@
 export function isSilent(row: EndpointState, now: number): boolean {
     return row.unansweredSince !== undefined && now - row.unansweredSince > SILENCE_MS;
 }
+
+/** Returns the figures that the choice of an endpoint went by. */
+export function endpointFigures(row: EndpointState, now: number): Readonly<Record<string, unknown>> {
+    return {
+        endpoint: row.entry.id,
+        open: row.open,
+        loadAgeMs: row.load === undefined ? undefined : Math.round(now - row.load.at),
+        failureRate: Number(failureRate(row, now).toFixed(2)),
+    };
+}
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -3,8 +3,8 @@
     type AttemptState,
     chooseEndpoint,
     clearSuspect,
+    endpointFigures,
     type EndpointState,
-    failureRate,
     nextStep,
     noteConnectFailure,
     noteDuration,
@@ -27,11 +27,9 @@
 import { EventGate } from "./event-gate.js";
 import type { GatewayContext } from "./gateway-context.js";
 import { withoutLength } from "./raw-headers.js";
-import { type RefusalCause, sendRefusal } from "./refusal.js";
+import { type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
 import { TokenClaim } from "./token-claim.js";
 
-/** Range in ms of the wait that callers are asked for, so that they do not come back together. */
-const RETRY_AFTER_MS = [150, 450] as const;
 /** Statuses of endpoints that promise that a request has not run; passed on only if they say so themselves. */
 const promisingStatuses = new Set([408, 421, 429, 503]);
 const FAILURE_STATUS = 500;
@@ -345,7 +343,10 @@
                 this.gate.dropPartial();
                 return this.dispatch(true);
             case "refuse":
-                return this.refuse(failure === "unreachable" ? "no-endpoint" : "endpoint-full", this.retryAfter());
+                return this.refuse(
+                    failure === "unreachable" ? "no-endpoint" : "endpoint-full",
+                    retryAfterMs(this.context.chance()),
+                );
             case "fail":
                 return this.refuse("may-have-run", undefined);
             case "pass-on":
@@ -367,12 +368,10 @@
             this.cut(cause);
             return;
         }
-        this.refuse(this.mayHaveRun ? "may-have-run" : cause, this.mayHaveRun ? undefined : this.retryAfter());
-    }
-
-    private retryAfter(): number {
-        const [least, most] = RETRY_AFTER_MS;
-        return least + this.context.chance() * (most - least);
+        this.refuse(
+            this.mayHaveRun ? "may-have-run" : cause,
+            this.mayHaveRun ? undefined : retryAfterMs(this.context.chance()),
+        );
     }
 
     private timeOut(): void {
@@ -389,7 +388,7 @@
             this.cut("timed-out");
             return;
         }
-        this.refuse(begun ? "timed-out" : "deadline-exceeded", begun ? undefined : this.retryAfter());
+        this.refuse(begun ? "timed-out" : "deadline-exceeded", begun ? undefined : retryAfterMs(this.context.chance()));
     }
 
     private callerGone(): void {
@@ -477,12 +476,9 @@
             id: this.admitted.fields.requestId,
             route: this.admitted.route.name,
             account: this.admitted.account?.id,
-            endpoint: row.entry.id,
-            open: row.open,
-            loadAgeMs: row.load === undefined ? undefined : Math.round(now - row.load.at),
-            failureRate: Number(failureRate(row, now).toFixed(2)),
-            configuration: this.context.configurationVersion(),
             attempt: this.sends + 1,
+            configuration: this.context.configurationVersion(),
+            ...endpointFigures(row, now),
         });
     }
 
--- a/packages/router/src/gateway/refusal.ts
+++ b/packages/router/src/gateway/refusal.ts
@@ -31,3 +31,12 @@
     });
     response.end(body);
 }
+
+/** Range in ms of the wait that callers are asked for, so that they do not come back together. */
+const RETRY_AFTER_MS = [150, 450] as const;
+
+/** Returns a short wait in ms; chance is in [0, 1). */
+export function retryAfterMs(chance: number): number {
+    const [least, most] = RETRY_AFTER_MS;
+    return least + chance * (most - least);
+}
