Read the pace of watches and the length of leases from the settings

Cause, found on a last read: a store that grants only longer leases would have refused every registration, and shorter bounds on leaving endpoints would have been missed. A deployment without one of the bounds would have broken the settings file.

--- a/packages/router/src/gateway/fleet-registry.test.ts
+++ b/packages/router/src/gateway/fleet-registry.test.ts
@@ -22,10 +22,12 @@
 
 describe("fleet registry", () => {
     let registry: FleetRegistry;
+    const grantLease = vi.fn(async () => ({ kind: "unavailable", detail: "" }));
 
     beforeEach(() => {
         vi.useFakeTimers();
-        registry = new FleetRegistry({} as MetadataStore, memberOf("router-1"), createGatewayLogs({ level: "error" }));
+        const logs = createGatewayLogs({ level: "error" });
+        registry = new FleetRegistry({ grantLease } as unknown as MetadataStore, memberOf("router-1"), 5_000, logs);
         registry.put(itemOf("router-2", 1));
     });
 
@@ -54,6 +56,13 @@
         });
     });
 
+    describe("the own registration", () => {
+        it("lives at least as long as the store allows", () => {
+            registry.start();
+            expect(grantLease).toHaveBeenCalledWith(5_000);
+        });
+    });
+
     describe("a registration that ends while the store is well", () => {
         it("is no longer named at once", () => {
             registry.remove(FLEET_PREFIX + "router-2", 0);
--- a/packages/router/src/gateway/fleet-registry.ts
+++ b/packages/router/src/gateway/fleet-registry.ts
@@ -29,6 +29,8 @@
     constructor(
         private readonly store: MetadataStore,
         private readonly self: FleetMember,
+        /** Shortest lifetime in ms of a lease that the store grants. */
+        private readonly shortestLeaseMs: number,
         private readonly logs: GatewayLogs,
     ) {}
 
@@ -121,7 +123,7 @@
     }
 
     private async register(): Promise<void> {
-        const granted = await this.store.grantLease(LEASE_MS);
+        const granted = await this.store.grantLease(Math.max(LEASE_MS, this.shortestLeaseMs));
         if (granted.kind !== "done") {
             return;
         }
--- a/packages/router/src/gateway/gateway-settings.ts
+++ b/packages/router/src/gateway/gateway-settings.ts
@@ -21,11 +21,11 @@
         /** Shortest lifetime in ms that the store grants to a lease. */
         shortestLeaseMs: positive.default(1_000),
     }),
-    /** Time in ms between two heartbeats of an endpoint. */
-    heartbeatMs: positive.default(1_000),
     bounds: z.object({
         /** Time in ms for which a leaving endpoint still takes requests. */
         drainMs: positive.default(2_000),
+        /** Time in ms within which a configuration has to be in force. */
+        configurationMs: positive.default(2_000),
         /** Time in ms within which a router has to exit after SIGTERM. */
         shutdownMs: positive.default(8_000),
         retryRatio: z.number().min(0).default(0.2),
@@ -35,8 +35,6 @@
         promptCacheMs: positive.default(10_000),
         /** Longest time in ms that a caller may keep an address. */
         addressLifetimeMs: positive.default(5_000),
-        /** Time in ms without trouble after which a router counts as healthy. */
-        stabilityMs: positive.default(3_000),
     }).prefault({}),
     log: z.object({ level: z.enum(["debug", "info", "warn", "error"]).default("info") }).prefault({}),
 });
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -63,7 +63,7 @@
         const incarnation = brand<Incarnation>(randomBytes(9).toString("base64url"));
         const domain = brand<FailureDomain>(settings.domain);
         const self = { name: settings.name, incarnation, address: settings.listen.callers, domain };
-        this.registry = new FleetRegistry(store, self, this.logs);
+        this.registry = new FleetRegistry(store, self, settings.store.shortestLeaseMs, this.logs);
         this.suspects = new SuspectBoard(store, this.logs);
         const holder = { name: settings.name, incarnation, startedAt };
         this.prepaid = new PrepaidKeeper(
@@ -80,6 +80,7 @@
             },
             this.logs,
             this.clock,
+            () => Math.min(this.settings.bounds.drainMs, this.settings.bounds.configurationMs),
         );
         this.context = this.createContext(domain);
         this.ingress = new Ingress(this);
--- a/packages/router/src/gateway/store-follower.ts
+++ b/packages/router/src/gateway/store-follower.ts
@@ -3,8 +3,10 @@
 
 /** Longest time in ms that a watch waits; it bounds how long a silent connection goes unnoticed. */
 const WATCH_MS = 800;
-/** Shortest time in ms between two watches: changes gather meanwhile, as each call has its price. */
-const WATCH_PACE_MS = 500;
+/** Longest pause in ms between two watches: changes gather meanwhile, as each call has its price. */
+const LONGEST_PACE_MS = 500;
+/** Part of the shortest bound on news that the pause may take. */
+const PACE_SHARE = 0.25;
 /** Pause in ms after a failed call. */
 const RETRY_MS = 200;
 
@@ -29,6 +31,8 @@
         private readonly listener: StoreListener,
         private readonly logs: GatewayLogs,
         private readonly clock: () => number,
+        /** Time in ms within which news have to be acted upon. */
+        private readonly newsMs: () => number,
     ) {}
 
     /** True while the last call failed. */
@@ -41,7 +45,8 @@
         while (!this.stopped) {
             const startedAt = this.clock();
             const worked = this.revision === undefined ? await this.readAll() : await this.readChanges();
-            const pause = worked ? startedAt + WATCH_PACE_MS - this.clock() : RETRY_MS;
+            const pace = Math.min(LONGEST_PACE_MS, PACE_SHARE * this.newsMs());
+            const pause = worked ? startedAt + pace - this.clock() : RETRY_MS;
             await sleep(Math.max(0, pause));
         }
     }
