--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -1,4 +1,5 @@
 export * from "./attempts.js";
+export * from "./drain.js";
 export * from "./endpoint-health.js";
 export * from "./endpoint-table.js";
 export * from "./fleet.js";
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
     addressesForCaller,
     createEndpointTable,
     createRoutingTable,
+    type Drain,
     type EndpointEntry,
     putEndpoint,
     removeEndpoint,
@@ -40,7 +41,8 @@
     readonly ingress: Ingress;
     readonly clock = (): number => performance.now();
     table: RoutingTable | undefined;
-    draining = false;
+    /** Set once the router was told to stop. */
+    drain: Drain | undefined;
     private readonly endpoints = createEndpointTable();
     private readonly connections = new EndpointConnections();
     private readonly registry: FleetRegistry;
@@ -88,7 +90,7 @@
 
     /** Whether callers should be sent here. */
     get ready(): boolean {
-        return !this.draining && this.table !== undefined && this.endpoints.rows.size > 0;
+        return this.drain === undefined && this.table !== undefined && this.endpoints.rows.size > 0;
     }
 
     /** Starts to follow the store. */
@@ -100,8 +102,8 @@
     }
 
     /** Takes this router out of the answers to callers; it goes on serving those that still come. */
-    async drain(): Promise<void> {
-        this.draining = true;
+    async leave(cutAt: number): Promise<void> {
+        this.drain = { startedAt: this.clock(), cutAt };
         await this.registry.leave();
     }
 
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -1,16 +1,18 @@
 import { type AccountId, brand, digestBody } from "@gooseberrybend/core";
 import {
+    type Drain,
     findRoute,
     isPoison,
     pickService,
     type Route,
     type RoutingTable,
     type ServiceDeclaration,
+    takesWhileDraining,
 } from "@gooseberrybend/core/dispatch";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Exchange } from "./exchange.js";
 import type { GatewayContext } from "./gateway-context.js";
-import { type RefusalCause, sendRefusal } from "./refusal.js";
+import { type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
 
 /** Time in ms between two looks for connections that are too slow. */
 const CONNECTION_CHECK_MS = 250;
@@ -30,7 +32,7 @@
 export type IngressHost = {
     readonly context: GatewayContext;
     readonly table: RoutingTable | undefined;
-    readonly draining: boolean;
+    readonly drain: Drain | undefined;
 };
 
 /** The server that callers connect to. Its limits follow the configuration. */
@@ -64,7 +66,7 @@
         this.open++;
         response.once("close", () => this.open--);
         response.on("error", () => undefined);
-        if (this.gateway.draining) {
+        if (this.gateway.drain !== undefined) {
             response.shouldKeepAlive = false;
         }
         const limit = this.gateway.table?.configuration.limits.bodyBytes ?? Infinity;
@@ -96,7 +98,7 @@
     }
 
     private admit(request: IncomingMessage, response: ServerResponse, body: Buffer, arrivedAt: number): void {
-        const { table, context: { dialect } } = this.gateway;
+        const { table, context } = this.gateway;
         if (table === undefined) {
             this.refuse(request, response, "no-configuration", STARTING_RETRY_AFTER_MS, {});
             return;
@@ -106,7 +108,7 @@
             this.refuse(request, response, "no-route", undefined, { host: hostOf(request), path: request.url });
             return;
         }
-        const fields = dialect.readCaller(request.rawHeaders);
+        const fields = context.dialect.readCaller(request.rawHeaders);
         const account = fields.accessKey === undefined ? undefined : table.accountsByKey.get(fields.accessKey);
         if (account === undefined && !route.open && table.configuration.accounts !== undefined) {
             this.refuse(request, response, "unknown-key", undefined, { route: route.name });
@@ -117,6 +119,15 @@
             this.refuse(request, response, "no-endpoint", STARTING_RETRY_AFTER_MS, { route: route.name });
             return;
         }
+        const { drain } = this.gateway;
+        const longestMs = Math.min(route.timeoutMs, fields.patienceMs ?? Infinity);
+        if (drain !== undefined && !takesWhileDraining(drain, longestMs, arrivedAt)) {
+            this.refuse(request, response, "draining", retryAfterMs(context.chance()), {
+                route: route.name,
+                longestMs,
+            });
+            return;
+        }
         const bodyDigest = digestBody(
             account?.id ?? NO_ACCOUNT,
             `${request.method} ${request.url}\n${body.toString("latin1")}`,
--- a/packages/router/src/gateway/run-gateway.ts
+++ b/packages/router/src/gateway/run-gateway.ts
@@ -109,7 +109,7 @@
     const { shutdownMs } = gateway.settings.bounds;
     const startedAt = gateway.clock();
     gateway.logs.host.info("Draining.", { open: gateway.ingress.open });
-    await gateway.drain();
+    await gateway.leave(startedAt + shutdownMs * CUT_SHARE);
     const elapsed = (): number => gateway.clock() - startedAt;
     const earliest = Math.min(ADDRESS_LIFETIMES * ADDRESS_LIFETIME_MS, shutdownMs * SERVING_SHARE);
     while (elapsed() < shutdownMs * SERVING_SHARE && (elapsed() < earliest || gateway.ingress.open > 0)) {
