Drop state that nothing read or that was kept twice

The gone flag of endpoints (rows leave the table at once), whether a send was resumed, the caller's deadline beside the shorter one, a second lifetime of addresses, and three copies of the search for the own holding. Behaviour is the same.

--- a/packages/core/src/dispatch/endpoint-table.ts
+++ b/packages/core/src/dispatch/endpoint-table.ts
@@ -7,8 +7,6 @@
 /** An endpoint as this router sees it. Times in ms. */
 export type EndpointState = {
     entry: EndpointEntry;
-    /** Set when its registration is gone; the row stays until its requests have ended. */
-    gone: boolean;
     /** Time at which a registration that lapsed in an outage counts as gone. */
     lapsesAt: number | undefined;
     /** Requests of this router that were sent and have not ended. */
@@ -54,7 +52,6 @@
         && known.entry.address === entry.address && known.entry.service === entry.service;
     if (same) {
         known.entry = entry;
-        known.gone = false;
         known.lapsesAt = undefined;
         return undefined;
     }
@@ -73,7 +70,6 @@
     if (row === undefined) {
         return undefined;
     }
-    row.gone = true;
     table.rows.delete(id);
     const rows = table.byService.get(row.entry.service) ?? [];
     table.byService.set(row.entry.service, rows.filter((other) => other !== row));
@@ -83,7 +79,6 @@
 function createState(entry: EndpointEntry): EndpointState {
     return {
         entry,
-        gone: false,
         lapsesAt: undefined,
         open: 0,
         openAtLoad: 0,
--- a/packages/core/src/dispatch/mocks/fake-prepaid-fleet.ts
+++ b/packages/core/src/dispatch/mocks/fake-prepaid-fleet.ts
@@ -12,6 +12,7 @@
     notePrepaidRecord,
     notePrepaidWriteFailed,
     notePrepaidWriteSent,
+    ownHolding,
     planPrepaidWrite,
     type PrepaidHolder,
     type PrepaidRow,
@@ -190,8 +191,7 @@
         }
         node.unanswered = undefined;
         notePrepaidRecord(node.row, this.record.revision, this.record.value, node.holder);
-        const own = this.record.value.holdings[node.holder.name];
-        const isOwn = own?.incarnation === node.holder.incarnation && own.mark.sequence === write.mark.sequence;
+        const isOwn = ownHolding(this.record.value, node.holder)?.mark.sequence === write.mark.sequence;
         if (!applied && !isOwn) {
             notePrepaidWriteFailed(node.row, write);
         }
--- a/packages/core/src/dispatch/placement.ts
+++ b/packages/core/src/dispatch/placement.ts
@@ -34,7 +34,7 @@
 /** Returns the usable endpoints of a service, or those that are left when none is sound. */
 export function usableEndpoints(table: EndpointTable, query: PlacementQuery, now: number): EndpointState[] {
     const rows = table.byService.get(query.service) ?? [];
-    const taking = rows.filter((row) => !row.entry.leaving && !row.gone && !query.tried.has(row.entry.id));
+    const taking = rows.filter((row) => !row.entry.leaving && !query.tried.has(row.entry.id));
     const reachable = taking.filter((row) => row.unreachableUntil <= now);
     const sound = reachable.filter((row) => !isSilent(row, now));
     return sound.length > 0 ? sound : reachable;
--- a/packages/core/src/dispatch/prepaid.ts
+++ b/packages/core/src/dispatch/prepaid.ts
@@ -219,7 +219,7 @@
 }
 
 /** Returns what this process itself was granted by a record. */
-function ownHolding(record: PrepaidRecord, holder: PrepaidHolder): PrepaidHolding | undefined {
+export function ownHolding(record: PrepaidRecord, holder: PrepaidHolder): PrepaidHolding | undefined {
     const own = record.holdings[holder.name];
     return own?.incarnation === holder.incarnation ? own : undefined;
 }
--- a/packages/router/src/gateway/endpoint-send.ts
+++ b/packages/router/src/gateway/endpoint-send.ts
@@ -6,7 +6,6 @@
 export type Send = {
     readonly row: EndpointState;
     readonly sentAt: number;
-    readonly resumed: boolean;
     /** Expected work before the first byte. */
     readonly units: number;
     controller: Dispatcher.DispatchController | undefined;
@@ -23,11 +22,10 @@
 };
 
 /** Creates a send that has not begun. */
-export function createSend(row: EndpointState, resumed: boolean, units: number, sentAt: number): Send {
+export function createSend(row: EndpointState, units: number, sentAt: number): Send {
     return {
         row,
         sentAt,
-        resumed,
         units,
         controller: undefined,
         started: false,
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -41,7 +41,6 @@
 /** Carries one request from its caller to an endpoint and the answer back. */
 export class Exchange {
     private readonly deadline: number;
-    private readonly callerDeadline: number;
     private readonly tried = new Set<EndpointId>();
     private readonly gate = new EventGate();
     private readonly query: PlacementQuery;
@@ -57,8 +56,7 @@
 
     constructor(private readonly context: GatewayContext, private readonly admitted: AdmittedRequest) {
         const { route, fields, arrivedAt, service } = admitted;
-        this.callerDeadline = arrivedAt + (fields.patienceMs ?? Infinity);
-        this.deadline = Math.min(this.callerDeadline, arrivedAt + route.timeoutMs);
+        this.deadline = arrivedAt + Math.min(fields.patienceMs ?? Infinity, route.timeoutMs);
         this.claim = new TokenClaim(context, admitted);
         this.query = {
             service: service.name,
@@ -79,7 +77,7 @@
         this.timer = setTimeout(() => this.timeOut(), Math.max(0, this.deadline - this.context.clock()));
         if (await this.reserve()) {
             noteFirstSend(this.context.retries, this.query.service, this.context.clock());
-            this.dispatch(false);
+            this.dispatch();
         }
     }
 
@@ -101,14 +99,14 @@
         }
     }
 
-    private dispatch(resumed: boolean): void {
+    private dispatch(): void {
         const now = this.context.clock();
         const row = chooseEndpoint(this.context.endpoints, this.query, this.context.chance, now);
         if (row === undefined) {
             this.endWithout("no-endpoint");
             return;
         }
-        const send = createSend(row, resumed, workUnits(this.context.endpoints, row, this.query, now), now);
+        const send = createSend(row, workUnits(this.context.endpoints, row, this.query, now), now);
         this.send = send;
         this.logPlacement(row, now);
         setTimeout(() => this.giveUpConnecting(send), CONNECT_MS);
@@ -130,7 +128,7 @@
         const headers = this.context.dialect.forwardHeaders(request.rawHeaders, {
             endpoint: row.entry.id,
             account: account?.id,
-            timeLeftMs: Math.min(this.deadline, this.callerDeadline) - now,
+            timeLeftMs: this.deadline - now,
             priority: this.admitted.service.engine === undefined ? undefined : this.rank(priority),
             resumeAfter: this.gate.lastId ?? fields.resumeAfter,
         });
@@ -338,10 +336,10 @@
         this.context.logs.requests.info("Send failed.", { ...this.figures(send), failure, next: step.kind });
         switch (step.kind) {
             case "retry":
-                return this.dispatch(false);
+                return this.dispatch();
             case "resume":
                 this.gate.dropPartial();
-                return this.dispatch(true);
+                return this.dispatch();
             case "refuse":
                 return this.refuse(
                     failure === "unreachable" ? "no-endpoint" : "endpoint-full",
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -4,7 +4,6 @@
     createEndpointTable,
     createRoutingTable,
     type Drain,
-    type EndpointEntry,
     putEndpoint,
     removeEndpoint,
     type RoutingTable,
@@ -26,7 +25,7 @@
 import { SUSPECT_PREFIX, SuspectBoard } from "./suspect-board.js";
 
 /** Lifetime in ms of an answer with addresses; a short one lets routers leave soon. */
-const ADDRESS_LIFETIME_MS = 2_000;
+export const ADDRESS_LIFETIME_MS = 2_000;
 /** Time in ms after an outage of the store within which lapsed registrations come back. */
 const LAPSE_GRACE_MS = 2_000;
 
@@ -312,7 +311,7 @@
     private forgetEndpoint(id: EndpointId, reason: string): void {
         const row = removeEndpoint(this.endpoints, id);
         if (row !== undefined) {
-            this.connections.release(row.entry satisfies EndpointEntry);
+            this.connections.release(row.entry);
             this.logs.endpoints.info("Gone.", { endpoint: id, reason });
             this.metrics.endpoints.set(this.endpoints.rows.size);
         }
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -26,7 +26,6 @@
 const POISON_RETRY_AFTER_MS = 5_000;
 /** Stands for the account of requests without one. */
 const NO_ACCOUNT = brand<AccountId>("");
-const NOT_RUN_FOR_LACK_OF_BODY: RefusalCause = "too-large";
 
 /** What the server for callers needs of its router. */
 export type IngressHost = {
@@ -91,7 +90,7 @@
     private refuseBody(request: IncomingMessage, response: ServerResponse): void {
         if (!response.headersSent) {
             response.shouldKeepAlive = false;
-            this.refuse(request, response, NOT_RUN_FOR_LACK_OF_BODY, undefined, {});
+            this.refuse(request, response, "too-large", undefined, {});
         }
         request.removeAllListeners("data");
         request.resume();
--- a/packages/router/src/gateway/prepaid-keeper.ts
+++ b/packages/router/src/gateway/prepaid-keeper.ts
@@ -1,4 +1,4 @@
-import type { AccountId, Incarnation } from "@gooseberrybend/core";
+import type { AccountId } from "@gooseberrybend/core";
 import {
     canGainPrepaid,
     createPrepaidRow,
@@ -17,6 +17,7 @@
     notePrepaidShortage,
     notePrepaidWriteFailed,
     notePrepaidWriteSent,
+    ownHolding,
     planPrepaidWrite,
     type PrepaidHolder,
     type PrepaidPolicy,
@@ -362,8 +363,7 @@
     }
 
     private isApplied(write: PrepaidWrite): boolean {
-        const own = this.rowOf(write).record.holdings[this.holder.name];
-        return own?.incarnation === this.holder.incarnation && own.mark.sequence === write.mark.sequence;
+        return ownHolding(this.rowOf(write).record, this.holder)?.mark.sequence === write.mark.sequence;
     }
 
     // Marks are written once nothing of the process before is left, as its own marks are needed until then.
@@ -417,7 +417,7 @@
         rows.forEach((row) => noteMarkSent(row, sequence, now.steady));
         const committed = Object.fromEntries(rows.map((row) => [row.account, row.used + row.reserved]));
         return {
-            value: { incarnation: this.holder.incarnation as Incarnation, sequence, at: now.wall, committed },
+            value: { incarnation: this.holder.incarnation, sequence, at: now.wall, committed },
             answered: false,
         };
     }
--- a/packages/router/src/gateway/run-gateway.ts
+++ b/packages/router/src/gateway/run-gateway.ts
@@ -6,8 +6,8 @@
 import { watchFile } from "node:fs";
 import { createServer, type RequestListener, type Server } from "node:http";
 import type { Dialect } from "./dialect.js";
-import { type GatewaySettings, readGatewaySettings, splitAddress } from "./gateway-settings.js";
-import { Gateway } from "./gateway.js";
+import { readGatewaySettings, splitAddress } from "./gateway-settings.js";
+import { ADDRESS_LIFETIME_MS, Gateway } from "./gateway.js";
 import { GATEWAY, InternalController } from "./internal.controller.js";
 import type { MetadataStore } from "./metadata-store.js";
 import { sleep } from "./store-follower.js";
@@ -23,7 +23,6 @@
 const EXIT_CHECK_MS = 100;
 /** Time in ms for the last writes to the store. */
 const STOP_MS = 200;
-const ADDRESS_LIFETIME_MS = 2_000;
 /** Time in ms between two looks whether the settings file changed without a signal. */
 const SETTINGS_CHECK_MS = 2_000;
 
@@ -101,7 +100,7 @@
         gateway.logs.host.error("Settings can't be read; the last ones stay in force.", { faults: settings.error });
         return;
     }
-    gateway.settings = settings.value satisfies GatewaySettings;
+    gateway.settings = settings.value;
     gateway.logs.host.info("Reloaded.", { file });
 }
 
