--- a/packages/core/src/dispatch/attempts.test.ts
+++ b/packages/core/src/dispatch/attempts.test.ts
@@ -73,7 +73,7 @@
             for (const { router, repeat, pause } of moments) {
                 now += pause;
                 if (!repeat) {
-                    noteFirstSend(quotas[router]!, service, now);
+                    noteFirstSend(quotas[router]!, service, bounds.windowMs, now);
                     firsts.push(now);
                 }
                 else if (takeRepeat(quotas[router]!, service, bounds, 6, now)) {
@@ -86,6 +86,16 @@
     });
 });
 
+describe("first sends", () => {
+    it("are forgotten after the window, also where nothing is repeated", () => {
+        const quota: RetryQuota = new Map();
+        for (let now = 0; now < 100_000; now += 100) {
+            noteFirstSend(quota, service, 10_000, now);
+        }
+        expect(quota.get(service)!.firsts.length).toBeLessThanOrEqual(100);
+    });
+});
+
 describe("routing", () => {
     const configuration: FleetConfiguration = {
         version: 1,
--- a/packages/core/src/dispatch/retry-quota.ts
+++ b/packages/core/src/dispatch/retry-quota.ts
@@ -18,8 +18,10 @@
 const USED_SHARE = 0.8;
 
 /** Counts a first send to a service. */
-export function noteFirstSend(quota: RetryQuota, service: ServiceName, now: number): void {
-    sendsOf(quota, service).firsts.push(now);
+export function noteFirstSend(quota: RetryQuota, service: ServiceName, windowMs: number, now: number): void {
+    const { firsts } = sendsOf(quota, service);
+    dropBefore(firsts, now - windowMs);
+    firsts.push(now);
 }
 
 /**
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -76,7 +76,8 @@
         response.on("drain", () => this.resumeReading());
         this.timer = setTimeout(() => this.timeOut(), Math.max(0, this.deadline - this.context.clock()));
         if (await this.reserve()) {
-            noteFirstSend(this.context.retries, this.query.service, this.context.clock());
+            const { retryWindowMs } = this.context.settings().bounds;
+            noteFirstSend(this.context.retries, this.query.service, retryWindowMs, this.context.clock());
             this.dispatch();
         }
     }
