Choose an endpoint and estimate its work once; share the log line and the wait

The choice of an endpoint and the estimate of its work each filtered the endpoints and hashed the session; a choice now brings the estimate along. The two loggers share the format of a line, and the wait is the standard library's. Behaviour is the same.

--- a/packages/core/src/dispatch/placement.test.ts
+++ b/packages/core/src/dispatch/placement.test.ts
@@ -45,7 +45,7 @@
 };
 
 function choose(table: EndpointTable, query: PlacementQuery, now = 0): EndpointState {
-    return chooseEndpoint(table, query, () => 0.5, now)!;
+    return chooseEndpoint(table, query, () => 0.5, now)!.row;
 }
 
 describe("placement", () => {
--- a/packages/core/src/dispatch/placement.ts
+++ b/packages/core/src/dispatch/placement.ts
@@ -31,8 +31,11 @@
 /** Prompt parts remembered for each endpoint; beyond, the oldest go. */
 const REMEMBERED_PARTS = 2_000;
 
-/** Returns the usable endpoints of a service, or those that are left when none is sound. */
-export function usableEndpoints(table: EndpointTable, query: PlacementQuery, now: number): EndpointState[] {
+/** An endpoint that was chosen, and the work expected there before the first byte of an answer. */
+export type Placement = { readonly row: EndpointState; readonly units: number; };
+
+// The usable endpoints of a service, or those that are left when none is sound.
+function usableEndpoints(table: EndpointTable, query: PlacementQuery, now: number): EndpointState[] {
     const rows = table.byService.get(query.service) ?? [];
     const taking = rows.filter((row) => !row.entry.leaving && !query.tried.has(row.entry.id));
     const reachable = taking.filter((row) => row.unreachableUntil <= now);
@@ -46,7 +49,7 @@
     query: PlacementQuery,
     chance: () => number,
     now: number,
-): EndpointState | undefined {
+): Placement | undefined {
     const rows = usableEndpoints(table, query, now);
     const home = query.engine === undefined ? undefined : homeOf(rows, query.parts);
     let best: EndpointState | undefined;
@@ -58,7 +61,7 @@
             best = row;
         }
     }
-    return best;
+    return best === undefined ? undefined : { row: best, units: workUnits(best, query, best === home, now) };
 }
 
 function costOf(row: EndpointState, query: PlacementQuery, home: EndpointState | undefined, now: number): number {
@@ -74,8 +77,8 @@
     return (reading + RUNNING_COST_TOKENS * (busy + 1) + crowding) * penalty + (foreign ? DOMAIN_COST_TOKENS : 0);
 }
 
-/** Estimates the requests at an endpoint from its last report and this router's own sends since. */
-export function busyRequests(row: EndpointState): number {
+// Estimates the requests at an endpoint from its last report and this router's own sends since.
+function busyRequests(row: EndpointState): number {
     if (row.load === undefined) {
         return row.open;
     }
@@ -83,8 +86,8 @@
     return Math.max(row.open, reported + row.open - row.openAtLoad);
 }
 
-/** Returns the endpoint that all routers prefer for a session, by rendezvous hashing. */
-export function homeOf(rows: readonly EndpointState[], parts: readonly PromptPart[]): EndpointState | undefined {
+// The endpoint that all routers prefer for a session, by rendezvous hashing.
+function homeOf(rows: readonly EndpointState[], parts: readonly PromptPart[]): EndpointState | undefined {
     const session = sessionPart(parts);
     if (session === undefined) {
         return undefined;
@@ -115,12 +118,11 @@
 /** Time to read a prompt that engines take in any case, in prompt tokens. */
 const FIXED_COST_TOKENS = 1_500;
 
-/** Estimates the work before the first byte of an answer: tokens to read, or one request. */
-export function workUnits(table: EndpointTable, row: EndpointState, query: PlacementQuery, now: number): number {
+// The unit of work is a token to read for engines and a request for plain services.
+function workUnits(row: EndpointState, query: PlacementQuery, isHome: boolean, now: number): number {
     if (query.engine === undefined) {
         return 1;
     }
-    const isHome = homeOf(usableEndpoints(table, query, now), query.parts) === row;
     return FIXED_COST_TOKENS + row.waitingPromptTokens + uncachedTokens(row, query, isHome, now);
 }
 
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -19,7 +19,6 @@
     rankAtEngine,
     type SendFailure,
     takeRepeat,
-    workUnits,
 } from "@gooseberrybend/core/dispatch";
 import type { Dispatcher } from "undici";
 import type { AdmittedRequest } from "./admitted-request.js";
@@ -102,12 +101,13 @@
 
     private dispatch(): void {
         const now = this.context.clock();
-        const row = chooseEndpoint(this.context.endpoints, this.query, this.context.chance, now);
-        if (row === undefined) {
+        const placement = chooseEndpoint(this.context.endpoints, this.query, this.context.chance, now);
+        if (placement === undefined) {
             this.endWithout("no-endpoint");
             return;
         }
-        const send = createSend(row, workUnits(this.context.endpoints, row, this.query, now), now);
+        const { row, units } = placement;
+        const send = createSend(row, units, now);
         this.send = send;
         this.logPlacement(row, now);
         setTimeout(() => this.giveUpConnecting(send), CONNECT_MS);
--- a/packages/router/src/gateway/log-sink.ts
+++ b/packages/router/src/gateway/log-sink.ts
@@ -1,8 +1,8 @@
 import { write } from "node:fs";
 import { Logger } from "tslog";
+import { lineOf, logLevels } from "../observability/log.js";
 import type { GatewaySettings } from "./gateway-settings.js";
 
-const levels = { debug: 2, info: 3, warn: 4, error: 5 } as const;
 /** Bytes that wait for a slow reader; later lines are dropped and counted. */
 const BUFFER_BYTES = 256 * 1024;
 /** Lines of one sentence in a second beyond which they are only counted. */
@@ -15,9 +15,6 @@
 /** Writes bytes and calls back; replaced in tests. */
 export type ByteWriter = (text: string, done: (error: NodeJS.ErrnoException | undefined) => void) => void;
 
-/** A line of the log with its fields. */
-export type LogFields = Readonly<Record<string, unknown>>;
-
 /** Writes log lines without ever waiting for their reader, in bounded memory. */
 export class LogSink {
     private waiting: string[] = [];
@@ -121,24 +118,15 @@
 /** Loggers by part. */
 export type GatewayLogs = Readonly<Record<GatewayPart, Logger<unknown>>>;
 
-type Entry = {
-    readonly 0?: string;
-    readonly 1?: string;
-    readonly 2?: LogFields;
-    readonly _meta: { readonly date: Date; readonly logLevelName: string; };
-};
-
 /** Creates the loggers. */
 export function createGatewayLogs(settings: GatewaySettings["log"], sink = new LogSink()): GatewayLogs {
     const transport = (entry: unknown): void => {
-        const { 0: prefix, 1: message, 2: fields, _meta: meta } = entry as Entry;
-        const part = prefix?.replace(/:$/, "");
-        const line = { at: meta.date, level: meta.logLevelName, part, message, ...fields };
-        sink.add(`${part} ${message}`, JSON.stringify(line), meta.date.getTime());
+        const line = lineOf(entry);
+        sink.add(`${line.part} ${line.message}`, JSON.stringify(line), line.at.getTime());
     };
     const root = new Logger<unknown>({
         type: "json",
-        minLevel: levels[settings.level],
+        minLevel: logLevels[settings.level],
         hideLogPositionForProduction: true,
         overwrite: { transportJSON: transport },
     });
--- a/packages/router/src/gateway/run-gateway.ts
+++ b/packages/router/src/gateway/run-gateway.ts
@@ -5,12 +5,12 @@
 import { once } from "node:events";
 import { watchFile } from "node:fs";
 import { createServer, type RequestListener, type Server } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Dialect } from "./dialect.js";
 import { readGatewaySettings, splitAddress } from "./gateway-settings.js";
 import { ADDRESS_LIFETIME_MS, Gateway } from "./gateway.js";
 import { GATEWAY, InternalController } from "./internal.controller.js";
 import type { MetadataStore } from "./metadata-store.js";
-import { sleep } from "./store-follower.js";
 
 /** Exit codes of the program. */
 const WRONG_SETTINGS = 2;
--- a/packages/router/src/gateway/store-follower.ts
+++ b/packages/router/src/gateway/store-follower.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import type { GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoreChange, StoredItem, StoreFailure } from "./metadata-store.js";
 
@@ -103,10 +104,3 @@
         }
     }
 }
-
-/** Resolves after a time in ms. */
-export function sleep(time: number): Promise<void> {
-    return new Promise((resolve) => {
-        setTimeout(resolve, time);
-    });
-}
--- a/packages/router/src/observability/log.ts
+++ b/packages/router/src/observability/log.ts
@@ -1,7 +1,8 @@
 import { Logger } from "tslog";
 import type { Settings } from "../settings.js";
 
-const levels = { debug: 2, info: 3, warn: 4, error: 5 } as const;
+/** Numbers of the log levels in the logging library. */
+export const logLevels = { debug: 2, info: 3, warn: 4, error: 5 } as const;
 
 /** A part of a router that logs under its own prefix. */
 export type LogPart = "admission" | "configuration" | "endpoints" | "host" | "ledger" | "peers";
@@ -16,11 +17,22 @@
     readonly _meta: { readonly date: Date; readonly logLevelName: string; };
 };
 
-// A line has its time, level, part and sentence, and the fields that were logged with it.
-function writeLine(entry: unknown): void {
+/** A line of the log: its time, level, part and sentence, and the fields that were logged with it. */
+export type LogLine = {
+    readonly at: Date;
+    readonly level: string;
+    readonly part: string | undefined;
+    readonly message: string | undefined;
+};
+
+/** Returns the line of an entry as the logging library hands it over. */
+export function lineOf(entry: unknown): LogLine {
     const { 0: prefix, 1: message, 2: fields, _meta: meta } = entry as Entry;
-    const line = { at: meta.date, level: meta.logLevelName, part: prefix?.replace(/:$/, ""), message, ...fields };
-    process.stdout.write(`${JSON.stringify(line)}\n`);
+    return { at: meta.date, level: meta.logLevelName, part: prefix?.replace(/:$/, ""), message, ...fields };
+}
+
+function writeLine(entry: unknown): void {
+    process.stdout.write(`${JSON.stringify(lineOf(entry))}\n`);
 }
 
 /** Creates the loggers: JSON lines, or readable text on a terminal. */
@@ -28,7 +40,7 @@
     const format = settings.format ?? (process.stdout.isTTY ? "pretty" : "json");
     const root = new Logger<unknown>({
         type: format,
-        minLevel: levels[settings.level],
+        minLevel: logLevels[settings.level],
         hideLogPositionForProduction: true,
         overwrite: { transportJSON: writeLine },
     });
