Send callers to half of the fleet's capacity; let routers lend tokens (decisions)

Cause: every router was named to callers. Ruled out: naming by failure domain (callers of one may send most traffic). Loans are decisions only so far; the wiring follows. The retry quota's property now plays the unequal parts of routers, which add up to the whole.

--- a/packages/core/src/dispatch/attempts.test.ts
+++ b/packages/core/src/dispatch/attempts.test.ts
@@ -1,6 +1,8 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
 import { type AttemptState, nextStep, type SendFailure } from "./attempts.js";
+import { partOfFleet, servingRouters } from "./fleet.js";
+import { memberOf } from "./mocks/fleet-members.js";
 import { noteFirstSend, type RetryQuota, takeRepeat } from "./retry-quota.js";
 import { createRoutingTable, findRoute, pickService } from "./routing.js";
 import type { FleetConfiguration, Route, ServiceName } from "./types.js";
@@ -65,6 +67,9 @@
     it("keeps a fleet within its bound in every window, however failures come", () => {
         const bounds = { ratio: 0.2, slack: 50, windowMs: 10_000 };
         const moment = fc.record({ router: fc.nat(5), repeat: fc.boolean(), pause: fc.nat(60) });
+        const members = Array.from({ length: 6 }, (unused, index) => memberOf(`router-${index}`));
+        const serving = servingRouters(members);
+        const parts = members.map((member) => partOfFleet(member.name, serving, members.length));
         fc.assert(fc.property(fc.array(moment, { maxLength: 600, size: "max" }), (moments) => {
             const quotas: RetryQuota[] = Array.from({ length: 6 }, () => new Map());
             const firsts: number[] = [];
@@ -76,7 +81,7 @@
                     noteFirstSend(quotas[router]!, service, bounds.windowMs, now);
                     firsts.push(now);
                 }
-                else if (takeRepeat(quotas[router]!, service, bounds, 6, now)) {
+                else if (takeRepeat(quotas[router]!, service, bounds, parts[router]!, now)) {
                     repeats.push(now);
                 }
                 const within = (times: number[]): number => times.filter((time) => time > now - 10_000).length;
--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -4,6 +4,7 @@
 export * from "./endpoint-table.js";
 export * from "./fleet.js";
 export * from "./placement.js";
+export * from "./prepaid-loan.js";
 export * from "./prepaid-record.js";
 export * from "./prepaid.js";
 export * from "./retry-quota.js";
--- a/packages/core/src/dispatch/mocks/fake-prepaid-fleet.ts
+++ b/packages/core/src/dispatch/mocks/fake-prepaid-fleet.ts
@@ -1,4 +1,5 @@
 import { type AccountId, brand, type Incarnation } from "../../types/ids.js";
+import { lendPrepaid, takeLoan } from "../prepaid-loan.js";
 import { emptyPrepaidRecord, type MarkSheet, type PrepaidRecord } from "../prepaid-record.js";
 import {
     createPrepaidRow,
@@ -31,6 +32,7 @@
     | { readonly kind: "write"; readonly router: number; readonly wanted: number; readonly fate: Fate; }
     | { readonly kind: "mark"; readonly router: number; readonly fate: Fate; }
     | { readonly kind: "pass"; readonly time: number; }
+    | { readonly kind: "lend"; readonly router: number; readonly to: number; readonly tokens: number; readonly arrives: boolean; }
     | { readonly kind: "restart"; readonly router: number; }
     | { readonly kind: "restart-all"; }
     | { readonly kind: "land-late"; }
@@ -59,6 +61,7 @@
     private now = 0;
     private revision = 0;
     private starts = 0;
+    private loans = 0;
     /** Tokens that requests may have cost: delivered ones, and all of those whose router died. */
     private spent = 0;
     private readonly usedByLost = new Map<Incarnation, number>();
@@ -99,6 +102,8 @@
             case "pass":
                 this.now += step.time;
                 return;
+            case "lend":
+                return this.lend(this.nodes[step.router]!, this.nodes[step.to]!, step.tokens, step.arrives);
             case "restart":
                 return this.restart(step.router);
             case "restart-all":
@@ -150,6 +155,19 @@
         }
     }
 
+    private lend(lender: Node, borrower: Node, tokens: number, arrives: boolean): void {
+        const request = {
+            id: `loan-${++this.loans}`,
+            borrower: borrower.holder.incarnation,
+            account: this.account,
+            tokens,
+        };
+        const lent = lendPrepaid(lender.row, new Map(), request, this.now);
+        if (arrives) {
+            takeLoan(borrower.row, lent);
+        }
+    }
+
     private settle(node: Node, share: number): void {
         const reserved = node.open.shift();
         if (reserved !== undefined) {
--- /dev/null
+++ b/packages/core/src/dispatch/mocks/fleet-members.ts
@@ -0,0 +1,15 @@
+import { brand, type FailureDomain, type Incarnation } from "../../types/ids.js";
+import type { FleetMember } from "../types.js";
+
+/** Returns a router for tests; unless told otherwise it is like all others. */
+export function memberOf(name: string, changes: Partial<Omit<FleetMember, "domain">> = {}, domain = "a"): FleetMember {
+    return {
+        name,
+        incarnation: brand<Incarnation>(`start-of-${name}`),
+        address: `${name}:1`,
+        domain: brand<FailureDomain>(domain),
+        capacity: { cores: 1, linkMbps: 100 },
+        strained: false,
+        ...changes,
+    };
+}
--- a/packages/core/src/dispatch/prepaid.test.ts
+++ b/packages/core/src/dispatch/prepaid.test.ts
@@ -151,6 +151,16 @@
                     share: fc.integer({ min: 0, max: 100 }),
                 }),
             },
+            {
+                weight: 2,
+                arbitrary: fc.record({
+                    kind: fc.constant("lend" as const),
+                    router: fc.nat(2),
+                    to: fc.nat(2),
+                    tokens: fc.integer({ min: 1, max: 2_000 }),
+                    arrives: fc.boolean(),
+                }),
+            },
             { weight: 1, arbitrary: fc.record({ kind: fc.constant("restart" as const), router: fc.nat(2) }) },
             { weight: 1, arbitrary: fc.constant({ kind: "restart-all" as const }) },
             { weight: 1, arbitrary: fc.constant({ kind: "land-late" as const }) },
--- a/packages/core/src/dispatch/retry-quota.ts
+++ b/packages/core/src/dispatch/retry-quota.ts
@@ -32,13 +32,14 @@
     quota: RetryQuota,
     service: ServiceName,
     bounds: RetryBounds,
-    fleetSize: number,
+    /** Part of the slack that is for this router. */
+    part: number,
     now: number,
 ): boolean {
     const sends = sendsOf(quota, service);
     dropBefore(sends.firsts, now - bounds.windowMs);
     dropBefore(sends.repeats, now - bounds.windowMs);
-    const allowed = USED_SHARE * (bounds.ratio * sends.firsts.length + bounds.slack / Math.max(1, fleetSize));
+    const allowed = USED_SHARE * (bounds.ratio * sends.firsts.length + bounds.slack * part);
     if (sends.repeats.length + 1 > allowed) {
         return false;
     }
--- a/packages/core/src/dispatch/types.ts
+++ b/packages/core/src/dispatch/types.ts
@@ -101,6 +101,14 @@
 /** The tokens that a request may use. */
 export type TokenBound = { readonly prompt: number; readonly output: number; };
 
+/** What an instance has. */
+export type InstanceCapacity = {
+    /** Processor, in cores of usual speed. */
+    readonly cores: number;
+    /** Bandwidth of its link in Mbit/s. */
+    readonly linkMbps: number;
+};
+
 /** A router as the others know it. */
 export type FleetMember = {
     readonly name: string;
@@ -108,4 +116,7 @@
     /** Where callers connect. */
     readonly address: string;
     readonly domain: FailureDomain;
+    readonly capacity: InstanceCapacity;
+    /** True while most of its processor is in use. */
+    readonly strained: boolean;
 };
--- a/packages/router/src/gateway/endpoint-connections.ts
+++ b/packages/router/src/gateway/endpoint-connections.ts
@@ -13,19 +13,23 @@
 /** Time in ms for which the connections of an endpoint that is gone finish what is under way. */
 const CLOSE_MS = 20_000;
 const FEWEST_CONNECTIONS = 4;
+/** Growth of this router's part from which new connections replace the old, whose number is fixed. */
+const GROWTH = 2;
 
 /** Connections to endpoints, by endpoint and start. */
 export class EndpointConnections {
-    private readonly byStart = new Map<string, Pool>();
+    private readonly byStart = new Map<string, { readonly pool: Pool; readonly limit: number; }>();
 
-    /** Returns the connections of an endpoint; its limit is shared among the routers. */
-    poolOf(entry: EndpointEntry, connectionLimit: number, fleetSize: number): Dispatcher {
+    /** Returns the connections of an endpoint, of which this router may have a part. */
+    poolOf(entry: EndpointEntry, connectionLimit: number, part: number): Dispatcher {
+        const limit = Math.max(FEWEST_CONNECTIONS, Math.floor(connectionLimit * part));
         const known = this.byStart.get(startOf(entry));
-        if (known !== undefined) {
-            return known;
+        if (known !== undefined && known.limit * GROWTH > limit) {
+            return known.pool;
         }
+        this.release(entry);
         const pool = new Pool(`http://${entry.address}`, {
-            connections: Math.max(FEWEST_CONNECTIONS, Math.floor(connectionLimit / Math.max(1, fleetSize))),
+            connections: limit,
             connect: connectStrictly,
             pipelining: 1,
             headersTimeout: 0,
@@ -34,13 +38,13 @@
             keepAliveMaxTimeout: LONGEST_IDLE_MS,
             keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
         });
-        this.byStart.set(startOf(entry), pool);
+        this.byStart.set(startOf(entry), { pool, limit });
         return pool;
     }
 
     /** Closes the connections of an endpoint once its requests have ended. */
     release(entry: EndpointEntry): void {
-        const pool = this.byStart.get(startOf(entry));
+        const pool = this.byStart.get(startOf(entry))?.pool;
         if (pool === undefined) {
             return;
         }
@@ -51,7 +55,7 @@
 
     /** Closes all connections. */
     async close(): Promise<void> {
-        await Promise.all([...this.byStart.values()].map((pool) => pool.destroy()));
+        await Promise.all([...this.byStart.values()].map(({ pool }) => pool.destroy()));
     }
 }
 
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -358,7 +358,7 @@
     private takeRepeat(now: number): boolean {
         const { retryRatio, retrySlack, retryWindowMs } = this.context.settings().bounds;
         const bounds = { ratio: retryRatio, slack: retrySlack, windowMs: retryWindowMs };
-        return takeRepeat(this.context.retries, this.query.service, bounds, this.context.fleetSize(), now);
+        return takeRepeat(this.context.retries, this.query.service, bounds, this.context.partOfFleet(), now);
     }
 
     // No endpoint is left to send to.
--- a/packages/router/src/gateway/fleet-registry.test.ts
+++ b/packages/router/src/gateway/fleet-registry.test.ts
@@ -13,6 +13,8 @@
         incarnation: brand<Incarnation>(`start-of-${name}`),
         address: `${name}:1`,
         domain: brand<FailureDomain>("a"),
+        capacity: { cores: 1, linkMbps: 100 },
+        strained: false,
     };
 }
 
--- a/packages/router/src/gateway/fleet-registry.ts
+++ b/packages/router/src/gateway/fleet-registry.ts
@@ -1,5 +1,5 @@
 import { brand, type FailureDomain, type Incarnation } from "@gooseberrybend/core";
-import type { FleetMember } from "@gooseberrybend/core/dispatch";
+import { type FleetMember, servingRouters } from "@gooseberrybend/core/dispatch";
 import { z } from "zod";
 import type { GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoredItem } from "./metadata-store.js";
@@ -16,19 +16,25 @@
     incarnation: z.string(),
     address: z.string(),
     domain: z.string(),
+    capacity: z.object({ cores: z.number(), linkMbps: z.number() }),
+    strained: z.boolean(),
 });
 
 /** Registers this router in the store, and knows the others. */
 export class FleetRegistry {
     readonly members = new Map<string, FleetMember>();
+    /** The routers that callers are sent to, until the members change. */
+    private chosen: readonly FleetMember[] | undefined;
     private lease: number | undefined;
     private leaving = false;
     private timer: NodeJS.Timeout | undefined;
     private busy = false;
+    /** True when the registration does not tell what holds now. */
+    private outdated = false;
 
     constructor(
         private readonly store: MetadataStore,
-        private readonly self: FleetMember,
+        private self: FleetMember,
         /** Shortest lifetime in ms of a lease that the store grants. */
         private readonly shortestLeaseMs: number,
         private readonly logs: GatewayLogs,
@@ -44,13 +50,28 @@
     async leave(): Promise<void> {
         this.leaving = true;
         clearInterval(this.timer);
-        this.members.delete(FLEET_PREFIX + this.self.name);
+        this.deleteMember(FLEET_PREFIX + this.self.name);
         if (this.lease !== undefined) {
             const result = await this.store.endLease(this.lease);
             this.logs.fleet.info("Registration ended.", { result: result.kind });
         }
     }
 
+    /** The routers that callers are sent to. */
+    get serving(): readonly FleetMember[] {
+        this.chosen ??= servingRouters(this.members.values());
+        return this.chosen;
+    }
+
+    /** Tells the others whether this router is strained. */
+    tellStrain(strained: boolean): void {
+        if (this.self.strained !== strained) {
+            this.self = { ...this.self, strained };
+            this.logs.fleet.info("Strain changed.", { strained });
+            this.outdated = true;
+        }
+    }
+
     /** Takes in all registrations. */
     replace(items: readonly StoredItem[], graceMs: number): void {
         const keys = new Set(items.map((item) => item.key));
@@ -69,7 +90,7 @@
             if (!this.members.has(item.key)) {
                 this.logs.fleet.info("Router joined.", { router: member.name, address: member.address });
             }
-            this.members.set(item.key, {
+            this.setMember(item.key, {
                 ...member,
                 incarnation: brand<Incarnation>(member.incarnation),
                 domain: brand<FailureDomain>(member.domain),
@@ -100,7 +121,7 @@
     // A registration that came back since is another member.
     private drop(key: string, member: FleetMember): void {
         if (this.members.get(key) === member) {
-            this.members.delete(key);
+            this.deleteMember(key);
             this.logs.fleet.info("Router left.", { key });
         }
     }
@@ -117,23 +138,37 @@
             }
         }
         if (this.lease === undefined) {
-            await this.register();
+            const granted = await this.store.grantLease(Math.max(LEASE_MS, this.shortestLeaseMs));
+            this.outdated = granted.kind === "done";
+            if (granted.kind === "done") {
+                this.lease = granted.value;
+            }
+        }
+        if (this.outdated && this.lease !== undefined) {
+            await this.register(this.lease);
         }
         this.busy = false;
     }
 
-    private async register(): Promise<void> {
-        const granted = await this.store.grantLease(Math.max(LEASE_MS, this.shortestLeaseMs));
-        if (granted.kind !== "done") {
-            return;
-        }
+    private async register(lease: number): Promise<void> {
         const key = FLEET_PREFIX + this.self.name;
-        const put = { key, value: JSON.stringify(this.self), lease: granted.value };
+        const member = this.self;
+        const put = { key, value: JSON.stringify(member), lease };
         const written = await this.store.transact({ conditions: new Map(), puts: [put], deletes: [] });
         if (written.kind === "done") {
-            this.lease = granted.value;
-            this.members.set(key, { ...this.self });
-            this.logs.fleet.info("Registered.", { address: this.self.address });
+            this.outdated = this.self !== member;
+            this.setMember(key, member);
+            this.logs.fleet.info("Registered.", { address: member.address, lease });
         }
     }
+
+    private setMember(key: string, member: FleetMember): void {
+        this.members.set(key, member);
+        this.chosen = undefined;
+    }
+
+    private deleteMember(key: string): void {
+        this.members.delete(key);
+        this.chosen = undefined;
+    }
 }
--- a/packages/router/src/gateway/gateway-context.ts
+++ b/packages/router/src/gateway/gateway-context.ts
@@ -29,7 +29,8 @@
     /** A random number in [0, 1). */
     readonly chance: () => number;
     readonly settings: () => GatewaySettings;
-    readonly fleetSize: () => number;
+    /** This router's part of what the fleet may use together. */
+    readonly partOfFleet: () => number;
     readonly configurationVersion: () => number | undefined;
     readonly connectionsOf: (entry: EndpointEntry, service: ServiceDeclaration) => Dispatcher;
     readonly countRefusal: (cause: RefusalCause) => void;
--- a/packages/router/src/gateway/gateway-settings.ts
+++ b/packages/router/src/gateway/gateway-settings.ts
@@ -36,6 +36,14 @@
         /** Longest time in ms that a caller may keep an address. */
         addressLifetimeMs: positive.default(5_000),
     }).prefault({}),
+    /** What this instance has; callers are sent to the larger ones. */
+    instance: z.object({
+        /** Part of a core that the router may use. */
+        coreShare: positive.default(1),
+        /** Speed of that core relative to the usual. */
+        coreSpeed: positive.default(1),
+        linkMbps: positive.default(1_000),
+    }).prefault({}),
     log: z.object({ level: z.enum(["debug", "info", "warn", "error"]).default("info") }).prefault({}),
 });
 
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -4,6 +4,9 @@
     createEndpointTable,
     createRoutingTable,
     type Drain,
+    type InstanceCapacity,
+    isStrained,
+    partOfFleet,
     putEndpoint,
     removeEndpoint,
     type RoutingTable,
@@ -29,6 +32,8 @@
 /** Time in ms after an outage of the store within which lapsed registrations come back. */
 const LAPSE_GRACE_MS = 2_000;
 
+/** Time in ms over which the use of the processor is measured. */
+const STRAIN_MS = 1_000;
 /** Time in ms between two lines that sum up the calls to the store. */
 const SUMMARY_MS = 10_000;
 
@@ -49,7 +54,9 @@
     private readonly follower: StoreFollower;
     private readonly suspects: SuspectBoard;
     private readonly storeCalls = new Map<string, number>();
-    private timer: NodeJS.Timeout | undefined;
+    private readonly timers: NodeJS.Timeout[] = [];
+    private loopUse = performance.eventLoopUtilization();
+    private strained = false;
     private readonly faults = new Map<string, string>();
 
     constructor(
@@ -63,7 +70,14 @@
         this.logs = createGatewayLogs(settings.log);
         const incarnation = brand<Incarnation>(randomBytes(9).toString("base64url"));
         const domain = brand<FailureDomain>(settings.domain);
-        const self = { name: settings.name, incarnation, address: settings.listen.callers, domain };
+        const self = {
+            name: settings.name,
+            incarnation,
+            address: settings.listen.callers,
+            domain,
+            capacity: capacityOf(settings),
+            strained: false,
+        };
         this.registry = new FleetRegistry(store, self, settings.store.shortestLeaseMs, this.logs);
         this.suspects = new SuspectBoard(store, this.logs);
         const holder = { name: settings.name, incarnation, startedAt };
@@ -97,7 +111,8 @@
         void this.follower.run();
         this.registry.start();
         this.prepaid.start();
-        this.timer = setInterval(() => this.summarize(), SUMMARY_MS);
+        this.timers.push(setInterval(() => this.summarize(), SUMMARY_MS));
+        this.timers.push(setInterval(() => this.measureStrain(), STRAIN_MS));
     }
 
     /** Takes this router out of the answers to callers; it goes on serving those that still come. */
@@ -109,18 +124,18 @@
     /** Ends all work. */
     async stop(): Promise<void> {
         this.follower.stop();
-        clearInterval(this.timer);
+        this.timers.forEach((timer) => clearInterval(timer));
         await this.prepaid.close();
         await this.connections.close();
     }
 
     /** Returns the answer to a question for addresses, or undefined when there are none to name. */
     answerAddresses(): unknown {
-        const members = [...this.registry.members.values()];
-        if (members.length === 0) {
+        const { serving } = this.registry;
+        if (serving.length === 0) {
             return undefined;
         }
-        const addresses = addressesForCaller(members, Math.random);
+        const addresses = addressesForCaller(serving, Math.random);
         const lifetimeMs = Math.min(ADDRESS_LIFETIME_MS, this.settings.bounds.addressLifetimeMs);
         return this.dialect.addressBody(addresses, lifetimeMs);
     }
@@ -136,8 +151,16 @@
         this.storeCalls.clear();
     }
 
-    private fleetSize(): number {
-        return Math.max(1, this.registry.members.size);
+    private partOfFleet(): number {
+        return partOfFleet(this.settings.name, this.registry.serving, this.registry.members.size);
+    }
+
+    private measureStrain(): void {
+        const now = performance.eventLoopUtilization();
+        const { utilization } = performance.eventLoopUtilization(now, this.loopUse);
+        this.loopUse = now;
+        this.strained = isStrained(this.strained, utilization);
+        this.registry.tellStrain(this.strained);
     }
 
     private createContext(domain: FailureDomain): GatewayContext {
@@ -152,10 +175,10 @@
             clock: this.clock,
             chance: Math.random,
             settings: () => this.settings,
-            fleetSize: () => this.fleetSize(),
+            partOfFleet: () => this.partOfFleet(),
             configurationVersion: () => this.table?.configuration.version,
             connectionsOf: (entry, service) =>
-                this.connections.poolOf(entry, service.connectionLimit, this.fleetSize()),
+                this.connections.poolOf(entry, service.connectionLimit, this.partOfFleet()),
             countRefusal: (cause) => this.metrics.refusals.inc({ cause }),
             countRetry: (next, failure) => this.metrics.failedSends.inc({ next, failure }),
             countCut: () => this.metrics.cuts.inc(),
@@ -317,3 +340,8 @@
         }
     }
 }
+
+function capacityOf(settings: GatewaySettings): InstanceCapacity {
+    const { coreShare, coreSpeed, linkMbps } = settings.instance;
+    return { cores: coreShare * coreSpeed, linkMbps };
+}
