Let routers lend tokens and pass on changes of the store

Every router watched the store itself. Change: a router that lacks tokens borrows from the one that holds most by the record; a loan moves used tokens between the holdings, so the sum stays right without the store, also when an answer is lost (property with loans). Routers that callers are not sent to read changes from one that is, and ask the store themselves when its news are old or missing.

--- a/packages/core/src/dispatch/fleet.test.ts
+++ b/packages/core/src/dispatch/fleet.test.ts
@@ -10,7 +10,10 @@
 function unequalFleet(): FleetMember[] {
     return ["a", "b", "c", "d"].flatMap((domain) => [
         ...[1, 2].map((index) => memberOf(`large-${domain}${index}`, { capacity: large }, domain)),
-        ...Array.from({ length: 15 }, (unused, index) => memberOf(`small-${domain}${index}`, { capacity: small }, domain)),
+        ...Array.from(
+            { length: 15 },
+            (unused, index) => memberOf(`small-${domain}${index}`, { capacity: small }, domain),
+        ),
     ]);
 }
 
@@ -36,7 +39,8 @@
 
         it("are chosen alike by all routers, whatever order they know each other in", () => {
             const fleet = unequalFleet();
-            const names = (members: readonly FleetMember[]): string[] => servingRouters(members).map(({ name }) => name);
+            const names = (members: readonly FleetMember[]): string[] =>
+                servingRouters(members).map(({ name }) => name);
             expect(names([...fleet].reverse())).toEqual(names(fleet));
         });
 
--- a/packages/core/src/dispatch/mocks/fake-prepaid-fleet.ts
+++ b/packages/core/src/dispatch/mocks/fake-prepaid-fleet.ts
@@ -32,7 +32,13 @@
     | { readonly kind: "write"; readonly router: number; readonly wanted: number; readonly fate: Fate; }
     | { readonly kind: "mark"; readonly router: number; readonly fate: Fate; }
     | { readonly kind: "pass"; readonly time: number; }
-    | { readonly kind: "lend"; readonly router: number; readonly to: number; readonly tokens: number; readonly arrives: boolean; }
+    | {
+        readonly kind: "lend";
+        readonly router: number;
+        readonly to: number;
+        readonly tokens: number;
+        readonly arrives: boolean;
+    }
     | { readonly kind: "restart"; readonly router: number; }
     | { readonly kind: "restart-all"; }
     | { readonly kind: "land-late"; }
--- a/packages/core/src/dispatch/mocks/fleet-members.ts
+++ b/packages/core/src/dispatch/mocks/fleet-members.ts
@@ -7,6 +7,7 @@
         name,
         incarnation: brand<Incarnation>(`start-of-${name}`),
         address: `${name}:1`,
+        peerAddress: `${name}:2`,
         domain: brand<FailureDomain>(domain),
         capacity: { cores: 1, linkMbps: 100 },
         strained: false,
--- a/packages/core/src/dispatch/prepaid-loan.test.ts
+++ b/packages/core/src/dispatch/prepaid-loan.test.ts
@@ -2,7 +2,14 @@
 import { type AccountId, brand, type Incarnation } from "../types/ids.js";
 import { lendersOf, lendPrepaid, loanWanted, takeLoan } from "./prepaid-loan.js";
 import type { PrepaidHolding, PrepaidRecord } from "./prepaid-record.js";
-import { createPrepaidRow, notePrepaidRecord, type PrepaidHolder, type PrepaidRow, reservePrepaid, spendableTokens } from "./prepaid.js";
+import {
+    createPrepaidRow,
+    notePrepaidRecord,
+    type PrepaidHolder,
+    type PrepaidRow,
+    reservePrepaid,
+    spendableTokens,
+} from "./prepaid.js";
 
 const account = brand<AccountId>("press-floor");
 const CALM_MS = 60_000;
--- a/packages/core/src/dispatch/types.ts
+++ b/packages/core/src/dispatch/types.ts
@@ -115,6 +115,8 @@
     readonly incarnation: Incarnation;
     /** Where callers connect. */
     readonly address: string;
+    /** Where other routers connect. */
+    readonly peerAddress: string;
     readonly domain: FailureDomain;
     readonly capacity: InstanceCapacity;
     /** True while most of its processor is in use. */
--- a/packages/router/src/gateway/fleet-registry.test.ts
+++ b/packages/router/src/gateway/fleet-registry.test.ts
@@ -12,6 +12,7 @@
         name,
         incarnation: brand<Incarnation>(`start-of-${name}`),
         address: `${name}:1`,
+        peerAddress: `${name}:2`,
         domain: brand<FailureDomain>("a"),
         capacity: { cores: 1, linkMbps: 100 },
         strained: false,
--- a/packages/router/src/gateway/fleet-registry.ts
+++ b/packages/router/src/gateway/fleet-registry.ts
@@ -15,6 +15,7 @@
     name: z.string(),
     incarnation: z.string(),
     address: z.string(),
+    peerAddress: z.string(),
     domain: z.string(),
     capacity: z.object({ cores: z.number(), linkMbps: z.number() }),
     strained: z.boolean(),
@@ -63,6 +64,16 @@
         return this.chosen;
     }
 
+    /** Whether callers are sent to this router. */
+    get isServing(): boolean {
+        return this.serving.some((member) => member.name === this.self.name);
+    }
+
+    /** Returns where a router takes calls of others, or undefined when it is not known. */
+    peerAddressOf(name: string): string | undefined {
+        return this.members.get(FLEET_PREFIX + name)?.peerAddress;
+    }
+
     /** Tells the others whether this router is strained. */
     tellStrain(strained: boolean): void {
         if (this.self.strained !== strained) {
--- a/packages/router/src/gateway/gateway-settings.ts
+++ b/packages/router/src/gateway/gateway-settings.ts
@@ -15,6 +15,8 @@
         ready: address,
         addresses: address,
         metrics: address,
+        /** Where other routers connect. */
+        peers: address,
     }),
     store: z.object({
         address,
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -1,9 +1,10 @@
-import { brand, type EndpointId, type FailureDomain, type Incarnation } from "@gooseberrybend/core";
+import { brand, type EndpointId, type FailureDomain, type Incarnation, rendezvousOrder } from "@gooseberrybend/core";
 import {
     addressesForCaller,
     createEndpointTable,
     createRoutingTable,
     type Drain,
+    type FleetMember,
     type InstanceCapacity,
     isStrained,
     partOfFleet,
@@ -11,6 +12,7 @@
     removeEndpoint,
     type RoutingTable,
 } from "@gooseberrybend/core/dispatch";
+import { type JSONRPCRequest, type JSONRPCResponse, JSONRPCServer } from "json-rpc-2.0";
 import { randomBytes } from "node:crypto";
 import { performance } from "node:perf_hooks";
 import { CountedStore } from "./counted-store.js";
@@ -23,9 +25,12 @@
 import { Ingress } from "./ingress.js";
 import { createGatewayLogs, type GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoreChange, StoredItem } from "./metadata-store.js";
+import { PeerCalls } from "./peer-calls.js";
+import { NEWS_METHOD, NewsHistory, PeerNews } from "./peer-news.js";
 import { MARK_PREFIX, PREPAID_PREFIX, PrepaidKeeper } from "./prepaid-keeper.js";
 import { StoreFollower } from "./store-follower.js";
 import { SUSPECT_PREFIX, SuspectBoard } from "./suspect-board.js";
+import { LEND_METHOD } from "./token-loans.js";
 
 /** Lifetime in ms of an answer with addresses; a short one lets routers leave soon. */
 export const ADDRESS_LIFETIME_MS = 2_000;
@@ -49,6 +54,8 @@
     drain: Drain | undefined;
     private readonly endpoints = createEndpointTable();
     private readonly connections = new EndpointConnections();
+    private readonly peers = new PeerCalls();
+    private readonly peerServer = new JSONRPCServer();
     private readonly registry: FleetRegistry;
     private readonly prepaid: PrepaidKeeper;
     private readonly follower: StoreFollower;
@@ -74,6 +81,7 @@
             name: settings.name,
             incarnation,
             address: settings.listen.callers,
+            peerAddress: settings.listen.peers,
             domain,
             capacity: capacityOf(settings),
             strained: false,
@@ -86,7 +94,16 @@
             holder,
             this.logs,
             () => ({ steady: this.clock(), wall: Date.now() }),
+            this.peers,
+            (router) => this.registry.peerAddressOf(router),
         );
+        const news = new PeerNews(this.peers, () => this.newsSources(), this.clock);
+        const history = new NewsHistory(
+            (key) => !key.startsWith(PREPAID_PREFIX) && !key.startsWith(MARK_PREFIX),
+            this.clock,
+        );
+        this.peerServer.addMethod(LEND_METHOD, (parameters) => this.prepaid.lend(parameters));
+        this.peerServer.addMethod(NEWS_METHOD, (parameters) => history.answer(parameters));
         this.follower = new StoreFollower(
             store,
             {
@@ -96,6 +113,8 @@
             this.logs,
             this.clock,
             () => Math.min(this.settings.bounds.drainMs, this.settings.bounds.configurationMs),
+            () => this.registry.isServing ? undefined : news,
+            history,
         );
         this.context = this.createContext(domain);
         this.ingress = new Ingress(this);
@@ -127,6 +146,12 @@
         this.timers.forEach((timer) => clearInterval(timer));
         await this.prepaid.close();
         await this.connections.close();
+        await this.peers.close();
+    }
+
+    /** Answers a call of another router. */
+    receivePeerCall(call: JSONRPCRequest): Promise<JSONRPCResponse | null> {
+        return Promise.resolve(this.peerServer.receive(call));
     }
 
     /** Returns the answer to a question for addresses, or undefined when there are none to name. */
@@ -151,6 +176,16 @@
         this.storeCalls.clear();
     }
 
+    // Routers that follow the store themselves; those of this failure domain first, as bytes between domains cost.
+    private newsSources(): string[] {
+        const { serving } = this.registry;
+        const near = (member: FleetMember): number => member.domain === this.settings.domain ? 0 : 1;
+        const order = rendezvousOrder(this.settings.name, serving.map((member) => member.name));
+        return [...serving]
+            .sort((one, other) => near(one) - near(other) || order.indexOf(one.name) - order.indexOf(other.name))
+            .map((member) => member.peerAddress);
+    }
+
     private partOfFleet(): number {
         return partOfFleet(this.settings.name, this.registry.serving, this.registry.members.size);
     }
--- a/packages/router/src/gateway/internal.controller.ts
+++ b/packages/router/src/gateway/internal.controller.ts
@@ -1,5 +1,7 @@
-import { Controller, Get, Inject, Req, Res } from "@nestjs/common";
+import { Controller, Get, Inject, Post, Req, Res } from "@nestjs/common";
 import type { FastifyReply, FastifyRequest } from "fastify";
+import type { JSONRPCRequest } from "json-rpc-2.0";
+import { splitAddress } from "./gateway-settings.js";
 import type { Gateway } from "./gateway.js";
 
 /** Token of the gateway among the providers. */
@@ -17,6 +19,17 @@
         await reply.header("content-type", registry.contentType).send(await registry.metrics());
     }
 
+    /** Calls of other routers, by JSON-RPC; they come to the address for them only. */
+    @Post("peer")
+    async peer(@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
+        const { port } = splitAddress(this.gateway.settings.listen.peers);
+        if (request.socket.localPort !== port) {
+            await reply.status(404).send();
+            return;
+        }
+        await reply.status(200).send(await this.gateway.receivePeerCall(request.body as JSONRPCRequest));
+    }
+
     /** Addresses or readiness, at the paths of the dialect. */
     @Get("*")
     async other(@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
--- /dev/null
+++ b/packages/router/src/gateway/peer-calls.ts
@@ -0,0 +1,44 @@
+import { JSONRPCClient } from "json-rpc-2.0";
+import { err, ok, type Result } from "neverthrow";
+import { Agent, request } from "undici";
+
+/** Time in ms in which a connection to another router is made; a few ms between failure domains. */
+const CONNECT_TIMEOUT_MS = 300;
+
+/** Why a call to another router has no answer. */
+export type PeerFailure = { readonly kind: "no-answer"; readonly detail: string; };
+
+/** Calls other routers by JSON-RPC. */
+export class PeerCalls {
+    private readonly agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, pipelining: 1 });
+
+    /** Calls a method of the router at an address, waiting for at most a time in ms. */
+    async call(
+        address: string,
+        method: string,
+        parameters: object,
+        timeoutMs: number,
+    ): Promise<Result<unknown, PeerFailure>> {
+        const client: JSONRPCClient = new JSONRPCClient(async (payload) => {
+            const response = await request(`http://${address}/peer`, {
+                method: "POST",
+                body: JSON.stringify(payload),
+                headers: { "content-type": "application/json" },
+                signal: AbortSignal.timeout(timeoutMs),
+                dispatcher: this.agent,
+            });
+            client.receive(await response.body.json() as never);
+        });
+        try {
+            return ok(await client.request(method, parameters) as unknown);
+        }
+        catch (error) {
+            return err({ kind: "no-answer", detail: (error as Error).message });
+        }
+    }
+
+    /** Closes the connections. */
+    async close(): Promise<void> {
+        await this.agent.destroy();
+    }
+}
--- a/packages/router/src/gateway/prepaid-keeper.ts
+++ b/packages/router/src/gateway/prepaid-keeper.ts
@@ -31,6 +31,8 @@
 import { z } from "zod";
 import type { GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoredItem, StoreResult } from "./metadata-store.js";
+import type { PeerCalls } from "./peer-calls.js";
+import { TokenLoans } from "./token-loans.js";
 
 /** Prefix of the keys of accounts' records. */
 export const PREPAID_PREFIX = "gooseberrybend/prepaid/";
@@ -48,8 +50,8 @@
 const CLOSING_TRIES = 8;
 /** Conflicting writes in a row before the waiting requests are judged. */
 const CONFLICT_TRIES = 6;
-/** Time in ms for which a failing store is not asked for tokens again. */
-const BACKOFF_MS = 300;
+/** Time in ms for which a failing store is not asked for tokens again; marks show its return sooner. */
+const BACKOFF_MS = 1_000;
 
 const markSchema = z.object({ sequence: z.number(), committed: z.number(), at: z.number() });
 const recordSchema = z.object({
@@ -98,14 +100,26 @@
     /** Rows of which other routers lack tokens. */
     private readonly returning = new Set<PrepaidRow>();
     private readonly timers: NodeJS.Timeout[] = [];
+    private readonly loans: TokenLoans;
 
     constructor(
         private readonly store: MetadataStore,
         private readonly holder: PrepaidHolder,
         private readonly logs: GatewayLogs,
         private readonly clock: () => Instant,
+        peers: PeerCalls,
+        /** Returns where a router takes calls, or undefined when it is not known. */
+        addressOf: (router: string) => string | undefined,
         private readonly policy: PrepaidPolicy = defaultPrepaidPolicy,
-    ) {}
+    ) {
+        const host = { holder, rows: this.rows, addressOf, now: () => clock().steady };
+        this.loans = new TokenLoans(host, peers, logs);
+    }
+
+    /** Answers a router that asks for tokens. */
+    lend(parameters: unknown): { readonly tokens: number; } {
+        return this.loans.lend(parameters);
+    }
 
     /** Starts the periodic work. */
     start(): void {
@@ -216,8 +230,21 @@
         if (first === "reserved" || first === "exhausted") {
             return first;
         }
-        if (now - this.failedAt < BACKOFF_MS || !canGainPrepaid(row, tokens, this.holder, now)) {
+        const asked = await this.askStore(row, tokens, waitMs);
+        if (asked !== "short") {
+            return asked;
+        }
+        await this.loans.borrow(row, tokens);
+        const lent = reservePrepaid(row, tokens, this.clock().steady);
+        if (lent === "short") {
             notePrepaidShortage(row, tokens);
+        }
+        return lent;
+    }
+
+    private async askStore(row: PrepaidRow, tokens: number, waitMs: number): Promise<Reservation> {
+        const now = this.clock().steady;
+        if (now - this.failedAt < BACKOFF_MS || !canGainPrepaid(row, tokens, this.holder, now)) {
             return "short";
         }
         return new Promise((resolve) => {
@@ -264,7 +291,6 @@
         const index = this.waiters.indexOf(waiter);
         if (index >= 0) {
             this.waiters.splice(index, 1);
-            notePrepaidShortage(waiter.row, waiter.tokens);
             waiter.resolve("short");
         }
     }
@@ -333,14 +359,14 @@
         again: boolean,
     ): "done" | "conflict" | "failed" {
         if (result.kind === "done") {
-            this.failingSince = undefined;
+            this.noteAnswer();
             this.unanswered = undefined;
             writes.forEach((write) => notePrepaidRecord(this.rowOf(write), result.value, write.record, this.holder));
             return "done";
         }
         if (result.kind === "conflict") {
             // A condition that does not hold ends every try of these writes; one may have been applied before.
-            this.failingSince = undefined;
+            this.noteAnswer();
             this.unanswered = undefined;
             result.items.forEach((item) => this.noteItem(item));
             writes.filter((write) => !this.isApplied(write))
@@ -368,7 +394,8 @@
 
     // Marks are written once nothing of the process before is left, as its own marks are needed until then.
     private async writeMarks(): Promise<void> {
-        const rows = [...this.rows.values()].filter((row) => row.granted > 0);
+        // Without tokens at hand there is nothing that a mark could bring back.
+        const rows = [...this.rows.values()].filter((row) => row.granted > row.used + row.reserved);
         const reclaimed = [...this.rows.values()].every((row) => !hasPredecessor(row.record, this.holder));
         if (this.marking || this.storeRevision === undefined || !reclaimed || rows.length === 0) {
             return;
@@ -389,6 +416,7 @@
             deletes: [],
         });
         if (result.kind === "done") {
+            this.noteAnswer();
             this.sheetRevision = result.value;
             this.noteSheetStored(sheet.value.sequence);
         }
@@ -434,6 +462,11 @@
         this.rows.forEach((row) => noteMarkFailed(row, sequence));
     }
 
+    private noteAnswer(): void {
+        this.failingSince = undefined;
+        this.failedAt = -Infinity;
+    }
+
     private noteFailure(kind: string, detail: string): void {
         this.failedAt = this.clock().steady;
         this.failingSince ??= this.failedAt;
@@ -449,9 +482,6 @@
                 this.waiters.push(waiter);
                 continue;
             }
-            if (reservation === "short") {
-                notePrepaidShortage(waiter.row, waiter.tokens);
-            }
             waiter.resolve(reservation);
         }
     }
--- a/packages/router/src/gateway/run-gateway.ts
+++ b/packages/router/src/gateway/run-gateway.ts
@@ -70,8 +70,8 @@
 }
 
 async function listenInternally(gateway: Gateway): Promise<void> {
-    const { ready, addresses, metrics } = gateway.settings.listen;
-    const distinct = [...new Set([ready, addresses, metrics])];
+    const { ready, addresses, metrics, peers } = gateway.settings.listen;
+    const distinct = [...new Set([ready, addresses, metrics, peers])];
     let handle: RequestListener | undefined;
     const serverFactory = (handler: RequestListener): Server => {
         handle = handler;
--- a/packages/router/src/gateway/store-follower.ts
+++ b/packages/router/src/gateway/store-follower.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { GatewayLogs } from "./log-sink.js";
-import type { MetadataStore, StoreChange, StoredItem, StoreFailure } from "./metadata-store.js";
+import type { MetadataStore, StoreChange, StoreChanges, StoredItem, StoreFailure } from "./metadata-store.js";
+import type { NewsHistory, PeerNews } from "./peer-news.js";
 
 /** Longest time in ms that a watch waits; it bounds how long a silent connection goes unnoticed. */
 const WATCH_MS = 800;
@@ -8,8 +9,13 @@
 const LONGEST_PACE_MS = 500;
 /** Part of the shortest bound on news that the pause may take. */
 const PACE_SHARE = 0.25;
-/** Pause in ms after a failed call. */
-const RETRY_MS = 200;
+/** Pause in ms after a failed call; a call without success has its price too. */
+const RETRY_MS = 500;
+/** Pause in ms between two questions to another router. */
+const PEER_PACE_MS = 100;
+/** Parts of the shortest bound on news that a question to another router may wait, and that its news may be old. */
+const PEER_WAIT_SHARE = 0.2;
+const PEER_AGE_SHARE = 0.4;
 
 /** Takes in what the store holds. */
 export type StoreListener = {
@@ -22,6 +28,8 @@
 export class StoreFollower {
     private revision: number | undefined;
     private stopped = false;
+    /** True while changes that others need not know may have been missed. */
+    private partial = false;
     /** Time of the first failure since the last success. */
     private failingSince: number | undefined;
     /** Time at which the store answered again after its last outage. */
@@ -34,6 +42,9 @@
         private readonly clock: () => number,
         /** Time in ms within which news have to be acted upon. */
         private readonly newsMs: () => number,
+        /** Other routers that pass on changes; undefined while this router asks the store itself. */
+        private readonly news: () => PeerNews | undefined,
+        private readonly history: NewsHistory,
     ) {}
 
     /** True while the last call failed. */
@@ -45,10 +56,41 @@
     async run(): Promise<void> {
         while (!this.stopped) {
             const startedAt = this.clock();
-            const worked = this.revision === undefined ? await this.readAll() : await this.readChanges();
-            const pace = Math.min(LONGEST_PACE_MS, PACE_SHARE * this.newsMs());
-            const pause = worked ? startedAt + pace - this.clock() : RETRY_MS;
-            await sleep(Math.max(0, pause));
+            const pace = await this.read();
+            await sleep(Math.max(0, startedAt + pace - this.clock()));
+        }
+    }
+
+    // Returns the time in ms from the start of this read to the next one.
+    private async read(): Promise<number> {
+        const news = this.revision === undefined ? undefined : this.news();
+        if (news !== undefined && await this.readFromPeer(news)) {
+            return PEER_PACE_MS;
+        }
+        if (news === undefined && this.partial) {
+            this.revision = undefined;
+        }
+        const worked = this.revision === undefined ? await this.readAll() : await this.readChanges();
+        return worked ? Math.min(LONGEST_PACE_MS, PACE_SHARE * this.newsMs()) : RETRY_MS;
+    }
+
+    private async readFromPeer(news: PeerNews): Promise<boolean> {
+        const waitMs = PEER_WAIT_SHARE * this.newsMs();
+        const found = await news.changes(this.revision!, waitMs, PEER_AGE_SHARE * this.newsMs());
+        if (found === undefined) {
+            return false;
+        }
+        this.partial = true;
+        this.noteSuccess();
+        this.apply(found);
+        return true;
+    }
+
+    private apply({ changes, revision }: StoreChanges): void {
+        this.revision = revision;
+        const now = this.clock();
+        for (const change of changes) {
+            this.listener.changed(change, now);
         }
     }
 
@@ -65,6 +107,8 @@
         }
         this.noteSuccess();
         this.revision = result.value.revision;
+        this.partial = false;
+        this.history.restart(result.value.revision);
         this.listener.replaced(result.value.items, result.value.revision, this.clock());
         return true;
     }
@@ -81,11 +125,8 @@
             return false;
         }
         this.noteSuccess();
-        this.revision = result.value.revision;
-        const now = this.clock();
-        for (const change of result.value.changes) {
-            this.listener.changed(change, now);
-        }
+        this.history.add(result.value.changes, result.value.revision);
+        this.apply(result.value);
         return true;
     }
 
--- /dev/null
+++ b/packages/router/src/gateway/token-loans.ts
@@ -0,0 +1,134 @@
+import type { AccountId } from "@gooseberrybend/core";
+import {
+    lendersOf,
+    lendPrepaid,
+    type LoanId,
+    type LoanRequest,
+    loanWanted,
+    type PrepaidHolder,
+    type PrepaidRow,
+    takeLoan,
+} from "@gooseberrybend/core/dispatch";
+import { z } from "zod";
+import type { GatewayLogs } from "./log-sink.js";
+import type { PeerCalls } from "./peer-calls.js";
+
+/** Name of the method by which a router asks another one for tokens. */
+export const LEND_METHOD = "lend";
+
+/** Time in ms in which a lender answers; a router that is busy for longer is no help for a caller. */
+const LOAN_TIMEOUT_MS = 150;
+/** Time in ms for which a lender that did not answer is not asked again. */
+const SILENCE_MS = 1_000;
+/** Routers that are asked for one request. */
+const MOST_LENDERS = 3;
+
+const requestSchema = z.object({
+    id: z.string(),
+    borrower: z.string(),
+    account: z.string(),
+    tokens: z.number().int().nonnegative(),
+});
+const loanSchema = z.object({ tokens: z.number().int().nonnegative() });
+
+/** A loan whose answer did not come; it may have been made. */
+type OpenLoan = { readonly row: PrepaidRow; readonly request: LoanRequest; };
+
+/** What loans need to know of this router. */
+export type LoanHost = {
+    readonly holder: PrepaidHolder;
+    readonly rows: ReadonlyMap<AccountId, PrepaidRow>;
+    /** Returns where a router takes calls, or undefined when it is not known. */
+    readonly addressOf: (router: string) => string | undefined;
+    /** Steady time in ms. */
+    readonly now: () => number;
+};
+
+/** Lends tokens to other routers and borrows from them, which needs no store. */
+export class TokenLoans {
+    private readonly made = new Map<LoanId, number>();
+    private readonly open = new Map<string, OpenLoan[]>();
+    private readonly borrowing = new Map<PrepaidRow, Promise<void>>();
+    /** Times until which lenders that did not answer are not asked again. */
+    private readonly silentUntil = new Map<string, number>();
+    private count = 0;
+
+    constructor(
+        private readonly host: LoanHost,
+        private readonly peers: PeerCalls,
+        private readonly logs: GatewayLogs,
+    ) {}
+
+    /** Answers a router that asks for tokens. */
+    lend(parameters: unknown): { readonly tokens: number; } {
+        const request = requestSchema.parse(parameters) as LoanRequest;
+        const row = this.host.rows.get(request.account as AccountId);
+        const tokens = row === undefined ? 0 : lendPrepaid(row, this.made, request, this.host.now());
+        this.logs.prepaid.info("Lent.", { ...request, lent: tokens });
+        return { tokens };
+    }
+
+    /** Borrows what a request lacks. Requests of one account that come meanwhile wait for the same loans. */
+    async borrow(row: PrepaidRow, tokens: number): Promise<void> {
+        const running = this.borrowing.get(row);
+        if (running !== undefined) {
+            await running;
+        }
+        if (loanWanted(row, tokens, this.host.now()) === 0) {
+            return;
+        }
+        const asking = this.askLenders(row, tokens);
+        this.borrowing.set(row, asking);
+        await asking;
+        if (this.borrowing.get(row) === asking) {
+            this.borrowing.delete(row);
+        }
+    }
+
+    private async askLenders(row: PrepaidRow, tokens: number): Promise<void> {
+        for (const lender of lendersOf(row, this.host.holder).slice(0, MOST_LENDERS)) {
+            const address = this.host.addressOf(lender);
+            const silent = (this.silentUntil.get(lender) ?? -Infinity) > this.host.now();
+            if (address === undefined || silent || !await this.askAgain(lender, address)) {
+                continue;
+            }
+            const wanted = loanWanted(row, tokens, this.host.now());
+            if (wanted === 0) {
+                return;
+            }
+            await this.ask(lender, address, { row, request: this.requestFor(row, wanted) });
+        }
+    }
+
+    private requestFor(row: PrepaidRow, tokens: number): LoanRequest {
+        const borrower = this.host.holder.incarnation;
+        return { id: `${borrower}/${++this.count}`, borrower, account: row.account, tokens };
+    }
+
+    // A loan that was made without its answer arriving is not lost: the lender knows it by its id.
+    private async askAgain(lender: string, address: string): Promise<boolean> {
+        const open = this.open.get(lender) ?? [];
+        while (open.length > 0) {
+            if (!await this.ask(lender, address, open.shift()!)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    // Returns false when no answer came.
+    private async ask(lender: string, address: string, loan: OpenLoan): Promise<boolean> {
+        const answer = await this.peers.call(address, LEND_METHOD, loan.request, LOAN_TIMEOUT_MS);
+        const parsed = loanSchema.safeParse(answer.unwrapOr(undefined));
+        if (!parsed.success) {
+            this.open.set(lender, [...this.open.get(lender) ?? [], loan]);
+            const detail = answer.isErr() ? answer.error.detail : parsed.error.message;
+            this.silentUntil.set(lender, this.host.now() + SILENCE_MS);
+            this.logs.prepaid.warn("No loan.", { lender, ...loan.request, detail });
+            return false;
+        }
+        takeLoan(loan.row, parsed.data.tokens);
+        this.logs.prepaid.info("Borrowed.", { lender, ...loan.request, lent: parsed.data.tokens });
+        return true;
+    }
+}
