--- a/packages/router/src/gateway/fleet-registry.test.ts
+++ b/packages/router/src/gateway/fleet-registry.test.ts
@@ -46,6 +46,12 @@
             expect(registry.members.size).toBe(0);
         });
 
+        it("still tells where the router takes calls of others", () => {
+            registry.remove(FLEET_PREFIX + "router-2", 0);
+            expect(registry.peerAddressOf("router-2")).toBe("router-2:2");
+            expect(registry.peerAddressOf("router-3")).toBeUndefined();
+        });
+
         it("stays when it comes back", () => {
             registry.remove(FLEET_PREFIX + "router-2", GRACE_MS);
             registry.put(itemOf("router-2", 5));
--- a/packages/router/src/gateway/fleet-registry.ts
+++ b/packages/router/src/gateway/fleet-registry.ts
@@ -24,6 +24,8 @@
 /** Registers this router in the store, and knows the others. */
 export class FleetRegistry {
     readonly members = new Map<string, FleetMember>();
+    /** Where routers take calls of others, also of those whose registration has ended. */
+    private readonly peerAddresses = new Map<string, string>();
     /** The routers that callers are sent to, until the members change. */
     private chosen: readonly FleetMember[] | undefined;
     private lease: number | undefined;
@@ -69,9 +71,12 @@
         return this.serving.some((member) => member.name === this.self.name);
     }
 
-    /** Returns where a router takes calls of others, or undefined when it is not known. */
+    /**
+     * Returns where a router takes calls of others, or undefined when it was never known. A router that
+     * is cut off from the store loses its registration, but may still be reached.
+     */
     peerAddressOf(name: string): string | undefined {
-        return this.members.get(FLEET_PREFIX + name)?.peerAddress;
+        return this.peerAddresses.get(name);
     }
 
     /** Tells the others whether this router is strained. */
@@ -175,6 +180,7 @@
 
     private setMember(key: string, member: FleetMember): void {
         this.members.set(key, member);
+        this.peerAddresses.set(member.name, member.peerAddress);
         this.chosen = undefined;
     }
 
