--- /dev/null
+++ b/packages/router/src/gateway/peer-news.test.ts
@@ -0,0 +1,88 @@
+import { ok } from "neverthrow";
+import { describe, expect, it, vi } from "vitest";
+import { createGatewayLogs } from "./log-sink.js";
+import type { MetadataStore, StoreChange } from "./metadata-store.js";
+import type { PeerCalls } from "./peer-calls.js";
+import { type NewsAnswer, NewsHistory, PeerNews } from "./peer-news.js";
+import { StoreFollower } from "./store-follower.js";
+
+const NEWS_MS = 2_000;
+
+function changeAt(revision: number): StoreChange {
+    const key = `key-${revision}`;
+    return { key, revision, item: { key, revision, value: Buffer.from("{}") } };
+}
+
+describe("news", () => {
+    describe("a router that passes them on", () => {
+        it("answers with what changed after a revision, or at the end of the wait", async () => {
+            const history = new NewsHistory(() => true, () => 0);
+            history.restart(5);
+            const answer = history.answer({ after: 5, waitMs: 1_000 });
+            history.add([changeAt(7)], 8, 0);
+            expect(await answer).toMatchObject({ revision: 8, changes: [{ key: "key-7", revision: 7 }] });
+            expect(await history.answer({ after: 8, waitMs: 10 })).toEqual({ revision: 8, ageMs: 0, changes: [] });
+        });
+
+        it("sends away who missed more than it keeps", async () => {
+            const history = new NewsHistory(() => true, () => 0);
+            history.restart(5);
+            expect((await history.answer({ after: 4, waitMs: 10 })).revision).toBeUndefined();
+        });
+
+        it("leaves out what others need not know", async () => {
+            const history = new NewsHistory((key) => key !== "key-7", () => 0);
+            history.restart(5);
+            history.add([changeAt(7), changeAt(8)], 8, 0);
+            expect((await history.answer({ after: 5, waitMs: 10 })).changes).toMatchObject([{ key: "key-8" }]);
+        });
+
+        it("also tells what it was told itself before it asked the store again", async () => {
+            let relayed = true;
+            const answer: NewsAnswer = { revision: 7, ageMs: 0, changes: [{ key: "key-7", revision: 7, value: "" }] };
+            const call = vi.fn(async () => ok(relayed ? answer : {}));
+            const news = new PeerNews({ call } as unknown as PeerCalls, () => ["peer"], () => 0);
+            const store = {
+                list: async () => ({ kind: "done", value: { items: [], revision: 5 } }),
+                changes: async () => ({ kind: "done", value: { changes: [changeAt(9)], revision: 9 } }),
+            } as unknown as MetadataStore;
+            const history = new NewsHistory(() => true, () => 0);
+            const follower = new StoreFollower(
+                store,
+                {
+                    replaced: () => undefined,
+                    changed: ({ key }) => {
+                        relayed = key !== "key-7";
+                        if (key === "key-9") {
+                            follower.stop();
+                        }
+                    },
+                },
+                createGatewayLogs({ level: "error" }),
+                () => performance.now(),
+                () => NEWS_MS,
+                () => news,
+                history,
+            );
+            await follower.run();
+            const keys = (await history.answer({ after: 5, waitMs: 10 })).changes.map(({ key }) => key);
+            expect(keys).toEqual(["key-7", "key-9"]);
+        });
+    });
+
+    describe("a router that asks for them", () => {
+        const answerOf = (answer: object): PeerCalls => ({ call: async () => ok(answer) }) as unknown as PeerCalls;
+
+        it("does not take those that are too old, and asks another router next", async () => {
+            const call = vi.fn(async () => ok({ revision: 8, ageMs: 900, changes: [] }));
+            const news = new PeerNews({ call } as unknown as PeerCalls, () => ["near", "far"], () => 0);
+            expect(await news.changes(5, 400, 800)).toBeUndefined();
+            expect(await news.changes(5, 400, 1_000)).toMatchObject({ revision: 8 });
+            expect(call.mock.calls.map(([address]: unknown[]) => address)).toEqual(["near", "far"]);
+        });
+
+        it("gets none when nobody passes them on", async () => {
+            expect(await new PeerNews(answerOf({}), () => [], () => 0).changes(5, 400, 800)).toBeUndefined();
+        });
+    });
+});
--- a/packages/router/src/gateway/peer-news.ts
+++ b/packages/router/src/gateway/peer-news.ts
@@ -54,9 +54,9 @@
         this.heardAt = this.now();
     }
 
-    /** Takes in changes that were read from the store. */
-    add(changes: readonly StoreChange[], revision: number): void {
-        this.heardAt = this.now();
+    /** Takes in changes that the store had at a time, whether read there or told by another router. */
+    add(changes: readonly StoreChange[], revision: number, heardAt: number): void {
+        this.heardAt = Math.max(this.heardAt, heardAt);
         this.revision = revision;
         const news = changes.filter((change) => this.isNews(change.key));
         this.kept.push(...news);
@@ -101,6 +101,9 @@
     }
 }
 
+/** Changes that another router passed on, and the time in ms at which the store had told them. */
+export type PassedChanges = StoreChanges & { readonly heardAt: number; };
+
 /** Reads changes of the store from other routers, so that not every router has to ask the store. */
 export class PeerNews {
     private readonly silentUntil = new Map<string, number>();
@@ -113,7 +116,7 @@
     ) {}
 
     /** Returns the changes after a revision, or undefined when no router knows them freshly enough. */
-    async changes(after: number, waitMs: number, oldestMs: number): Promise<StoreChanges | undefined> {
+    async changes(after: number, waitMs: number, oldestMs: number): Promise<PassedChanges | undefined> {
         const now = this.now();
         const source = this.sources().find((address) => (this.silentUntil.get(address) ?? -Infinity) <= now);
         if (source === undefined) {
@@ -125,7 +128,11 @@
             this.silentUntil.set(source, this.now() + SILENCE_MS);
             return undefined;
         }
-        return { revision: parsed.data.revision, changes: parsed.data.changes.map(changeOf) };
+        return {
+            revision: parsed.data.revision,
+            changes: parsed.data.changes.map(changeOf),
+            heardAt: this.now() - parsed.data.ageMs,
+        };
     }
 }
 
--- a/packages/router/src/gateway/store-follower.ts
+++ b/packages/router/src/gateway/store-follower.ts
@@ -82,6 +82,7 @@
         }
         this.partial = true;
         this.noteSuccess();
+        this.history.add(found.changes, found.revision, found.heardAt);
         this.apply(found);
         return true;
     }
@@ -125,7 +126,7 @@
             return false;
         }
         this.noteSuccess();
-        this.history.add(result.value.changes, result.value.revision);
+        this.history.add(result.value.changes, result.value.revision, this.clock());
         this.apply(result.value);
         return true;
     }
