Shed load at an overloaded router, and keep 16 connections to each endpoint

A small router had 4 connections to each endpoint (685 requests found none in time) and its requests reached endpoints after their callers had left (GONE broken). Ruled out: wrong directories (all 75 routers knew 75), news with gaps. Change: at least 16 connections; a router whose processor is in use for more than nine tenths refuses a growing share at once, as not run.

--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -9,5 +9,6 @@
 export * from "./prepaid.js";
 export * from "./retry-quota.js";
 export * from "./routing.js";
+export * from "./shedding.js";
 export * from "./suspects.js";
 export * from "./types.js";
--- a/packages/router/src/gateway/endpoint-connections.ts
+++ b/packages/router/src/gateway/endpoint-connections.ts
@@ -12,7 +12,8 @@
 const IDLE_MARGIN_MS = 500;
 /** Time in ms for which the connections of an endpoint that is gone finish what is under way. */
 const CLOSE_MS = 20_000;
-const FEWEST_CONNECTIONS = 4;
+/** Fewest connections to an endpoint: some callers stay with a router that few others are sent to. */
+const FEWEST_CONNECTIONS = 16;
 /** Growth of this router's part from which new connections replace the old, whose number is fixed. */
 const GROWTH = 2;
 
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
     type FleetMember,
     type InstanceCapacity,
     isStrained,
+    nextShedShare,
     partOfFleet,
     putEndpoint,
     removeEndpoint,
@@ -38,7 +39,7 @@
 const LAPSE_GRACE_MS = 2_000;
 
 /** Time in ms over which the use of the processor is measured. */
-const STRAIN_MS = 1_000;
+const STRAIN_MS = 500;
 /** Time in ms between two lines that sum up the calls to the store. */
 const SUMMARY_MS = 10_000;
 
@@ -64,6 +65,8 @@
     private readonly timers: NodeJS.Timeout[] = [];
     private loopUse = performance.eventLoopUtilization();
     private strained = false;
+    /** Share of new requests that are refused because this router is overloaded. */
+    shedShare = 0;
     private readonly faults = new Map<string, string>();
 
     constructor(
@@ -196,6 +199,15 @@
         this.loopUse = now;
         this.strained = isStrained(this.strained, utilization);
         this.registry.tellStrain(this.strained);
+        // Alone, a late answer is all that callers can get.
+        const hasOthers = this.registry.serving.some((member) => member.name !== this.settings.name);
+        const shedShare = hasOthers ? nextShedShare(this.shedShare, utilization) : 0;
+        if ((shedShare > 0) !== (this.shedShare > 0)) {
+            this.logs.host.warn(shedShare > 0 ? "Overloaded, refusing a part." : "No more overloaded.", {
+                utilization,
+            });
+        }
+        this.shedShare = shedShare;
     }
 
     private createContext(domain: FailureDomain): GatewayContext {
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -32,6 +32,8 @@
     readonly context: GatewayContext;
     readonly table: RoutingTable | undefined;
     readonly drain: Drain | undefined;
+    /** Share of new requests that are refused because the router is overloaded. */
+    readonly shedShare: number;
 };
 
 /** The server that callers connect to. Its limits follow the configuration. */
@@ -127,6 +129,12 @@
             });
             return;
         }
+        const { shedShare } = this.gateway;
+        if (context.chance() < shedShare) {
+            const waitMs = retryAfterMs(context.chance());
+            this.refuse(request, response, "router-overloaded", waitMs, { route: route.name, shedShare });
+            return;
+        }
         const bodyDigest = digestBody(
             account?.id ?? NO_ACCOUNT,
             `${request.method} ${request.url}\n${body.toString("latin1")}`,
--- a/packages/router/src/gateway/refusal.ts
+++ b/packages/router/src/gateway/refusal.ts
@@ -13,6 +13,7 @@
     "endpoint-full": 503,
     "deadline-exceeded": 503,
     "draining": 503,
+    "router-overloaded": 503,
     "poison-request": 503,
     "may-have-run": 502,
     "timed-out": 504,
