--- a/packages/core/src/dispatch/shedding.ts
+++ b/packages/core/src/dispatch/shedding.ts
@@ -2,7 +2,7 @@
 const SHED_ABOVE = 0.9;
 const SHED_BELOW = 0.7;
 /** Steps by which the share of refused requests grows and falls with each measurement. */
-const SHED_STEP = 0.15;
+const SHED_STEP = 0.3;
 const RECOVERY_STEP = 0.05;
 /** Largest share; some requests are served whatever the load. */
 const MOST_SHED = 0.8;
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -101,6 +101,11 @@
 
     private dispatch(): void {
         const now = this.context.clock();
+        if (now >= this.deadline) {
+            // The caller has left, though a busy router may not have read that yet.
+            this.timeOut();
+            return;
+        }
         const placement = chooseEndpoint(this.context.endpoints, this.query, this.context.chance, now);
         if (placement === undefined) {
             this.endWithout("no-endpoint");
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -65,6 +65,9 @@
     private readonly timers: NodeJS.Timeout[] = [];
     private loopUse = performance.eventLoopUtilization();
     private strained = false;
+    private measuredAt = 0;
+    /** Time in ms that what arrives lately waited before it was read. */
+    lagMs = 0;
     /** Share of new requests that are refused because this router is overloaded. */
     shedShare = 0;
     private readonly faults = new Map<string, string>();
@@ -134,6 +137,7 @@
         this.registry.start();
         this.prepaid.start();
         this.timers.push(setInterval(() => this.summarize(), SUMMARY_MS));
+        this.measuredAt = this.clock();
         this.timers.push(setInterval(() => this.measureStrain(), STRAIN_MS));
     }
 
@@ -197,6 +201,9 @@
         const now = performance.eventLoopUtilization();
         const { utilization } = performance.eventLoopUtilization(now, this.loopUse);
         this.loopUse = now;
+        const measuredAt = this.clock();
+        this.lagMs = Math.max(0, measuredAt - this.measuredAt - STRAIN_MS);
+        this.measuredAt = measuredAt;
         this.strained = isStrained(this.strained, utilization);
         this.registry.tellStrain(this.strained);
         // Alone, a late answer is all that callers can get.
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -34,6 +34,8 @@
     readonly drain: Drain | undefined;
     /** Share of new requests that are refused because the router is overloaded. */
     readonly shedShare: number;
+    /** Time in ms that what arrives lately waited before it was read. */
+    readonly lagMs: number;
 };
 
 /** The server that callers connect to. Its limits follow the configuration. */
@@ -63,7 +65,7 @@
     }
 
     private receive(request: IncomingMessage, response: ServerResponse): void {
-        const arrivedAt = this.gateway.context.clock();
+        const arrivedAt = this.gateway.context.clock() - this.gateway.lagMs;
         this.open++;
         response.once("close", () => this.open--);
         response.on("error", () => undefined);
