--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -103,13 +103,11 @@
         const now = this.context.clock();
         if (now >= this.deadline) {
             // The caller has left, though a busy router may not have read that yet.
-            this.timeOut();
-            return;
+            return this.timeOut();
         }
         const placement = chooseEndpoint(this.context.endpoints, this.query, this.context.chance, now);
         if (placement === undefined) {
-            this.endWithout("no-endpoint");
-            return;
+            return this.endWithout("no-endpoint");
         }
         const { row, units } = placement;
         const send = createSend(row, units, now);
@@ -271,8 +269,7 @@
     private passOn(send: Send): void {
         if (promisingStatuses.has(send.status) && !send.fields!.notRun) {
             // The endpoint does not say that it did not run the request, so neither may the router.
-            this.refuse("may-have-run", undefined, this.figures(send));
-            return;
+            return this.refuse("may-have-run", undefined, this.figures(send));
         }
         const headers = withoutLength(this.context.dialect.answerHeaders(send.headers));
         const body = Buffer.concat(send.chunks);
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -40,6 +40,8 @@
 
 /** Time in ms over which the use of the processor is measured. */
 const STRAIN_MS = 500;
+/** Longest time in ms that a request counts as having waited unread; callers leave after that time. */
+const MOST_LAG_MS = 1_000;
 /** Time in ms between two lines that sum up the calls to the store. */
 const SUMMARY_MS = 10_000;
 
@@ -202,7 +204,7 @@
         const { utilization } = performance.eventLoopUtilization(now, this.loopUse);
         this.loopUse = now;
         const measuredAt = this.clock();
-        this.lagMs = Math.max(0, measuredAt - this.measuredAt - STRAIN_MS);
+        this.lagMs = Math.min(MOST_LAG_MS, Math.max(0, measuredAt - this.measuredAt - STRAIN_MS));
         this.measuredAt = measuredAt;
         this.strained = isStrained(this.strained, utilization);
         this.registry.tellStrain(this.strained);
