--- a/packages/core/src/dispatch/fleet.test.ts
+++ b/packages/core/src/dispatch/fleet.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { addressesForCaller, isStrained, partOfFleet, servingRouters } from "./fleet.js";
+import { addressesForCaller, isStrained, newsSources, partOfFleet, servingRouters } from "./fleet.js";
 import { memberOf } from "./mocks/fleet-members.js";
 import type { FleetMember } from "./types.js";
 
@@ -85,6 +85,20 @@
         });
     });
 
+    describe("the routers that pass on changes", () => {
+        it("are those of the same failure domain first, in an order of each router's own", () => {
+            const serving = equalFleet(12);
+            const sources = newsSources(serving, memberOf("asker", {}, "domain-1"));
+            const near = serving.filter((member) => member.domain === "domain-1").map((member) => member.peerAddress);
+            expect(new Set(sources.slice(0, 4))).toEqual(new Set(near));
+            const firsts = Array.from(
+                { length: 30 },
+                (unused, index) => newsSources(serving, memberOf(`asker-${index}`, {}, "domain-1"))[0],
+            );
+            expect(new Set(firsts).size).toBe(4);
+        });
+    });
+
     describe("strain", () => {
         it("begins with most of the processor in use and ends well below", () => {
             expect(isStrained(false, 0.5)).toBe(false);
--- a/packages/core/src/dispatch/fleet.ts
+++ b/packages/core/src/dispatch/fleet.ts
@@ -70,6 +70,18 @@
         : (1 - SERVING_PART) / others;
 }
 
+/**
+ * Returns where a router asks for changes of the store: at those that callers are sent to, which follow
+ * it. Those of its own failure domain come first, as bytes between domains cost.
+ */
+export function newsSources(serving: readonly FleetMember[], self: FleetMember): string[] {
+    const order = rendezvousOrder(self.name, serving.map((member) => member.name));
+    const distance = (member: FleetMember): number => member.domain === self.domain ? 0 : 1;
+    return [...serving]
+        .sort((one, other) => distance(one) - distance(other) || order.indexOf(one.name) - order.indexOf(other.name))
+        .map((member) => member.peerAddress);
+}
+
 /** Part of its processor from which a router counts as strained, and below which it does no more. */
 const STRAINED_ABOVE = 0.6;
 const STRAINED_UNTIL = 0.3;
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -1,13 +1,11 @@
-import { brand, type EndpointId, type FailureDomain, type Incarnation, rendezvousOrder } from "@gooseberrybend/core";
+import { brand, type EndpointId, type FailureDomain, type Incarnation } from "@gooseberrybend/core";
 import {
     addressesForCaller,
     createEndpointTable,
     createRoutingTable,
     type Drain,
-    type FleetMember,
     type InstanceCapacity,
-    isStrained,
-    nextShedShare,
+    newsSources,
     partOfFleet,
     putEndpoint,
     removeEndpoint,
@@ -24,6 +22,7 @@
 import { createGatewayMetrics, type GatewayMetrics } from "./gateway-metrics.js";
 import type { GatewaySettings } from "./gateway-settings.js";
 import { Ingress } from "./ingress.js";
+import { GAUGE_MS, LoadGauge } from "./load-gauge.js";
 import { createGatewayLogs, type GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoreChange, StoredItem } from "./metadata-store.js";
 import { PeerCalls } from "./peer-calls.js";
@@ -38,10 +37,6 @@
 /** Time in ms after an outage of the store within which lapsed registrations come back. */
 const LAPSE_GRACE_MS = 2_000;
 
-/** Time in ms over which the use of the processor is measured. */
-const STRAIN_MS = 500;
-/** Longest time in ms that a request counts as having waited unread; callers leave after that time. */
-const MOST_LAG_MS = 1_000;
 /** Time in ms between two lines that sum up the calls to the store. */
 const SUMMARY_MS = 10_000;
 
@@ -51,6 +46,7 @@
     readonly logs: GatewayLogs;
     readonly context: GatewayContext;
     readonly ingress: Ingress;
+    readonly load: LoadGauge;
     readonly clock = (): number => performance.now();
     table: RoutingTable | undefined;
     /** Set once the router was told to stop. */
@@ -58,20 +54,13 @@
     private readonly endpoints = createEndpointTable();
     private readonly connections = new EndpointConnections();
     private readonly peers = new PeerCalls();
-    private readonly peerServer = new JSONRPCServer();
+    private readonly peerServer: JSONRPCServer;
     private readonly registry: FleetRegistry;
     private readonly prepaid: PrepaidKeeper;
     private readonly follower: StoreFollower;
     private readonly suspects: SuspectBoard;
     private readonly storeCalls = new Map<string, number>();
     private readonly timers: NodeJS.Timeout[] = [];
-    private loopUse = performance.eventLoopUtilization();
-    private strained = false;
-    private measuredAt = 0;
-    /** Time in ms that what arrives lately waited before it was read. */
-    lagMs = 0;
-    /** Share of new requests that are refused because this router is overloaded. */
-    shedShare = 0;
     private readonly faults = new Map<string, string>();
 
     constructor(
@@ -83,6 +72,7 @@
     ) {
         const store = new CountedStore(platformStore, (operation, result) => this.countStoreCall(operation, result));
         this.logs = createGatewayLogs(settings.log);
+        this.load = new LoadGauge(this.logs);
         const incarnation = brand<Incarnation>(randomBytes(9).toString("base64url"));
         const domain = brand<FailureDomain>(settings.domain);
         const self = {
@@ -105,11 +95,14 @@
             this.peers,
             (router) => this.registry.peerAddressOf(router),
         );
-        const news = new PeerNews(this.peers, () => this.newsSources(), this.clock);
+        const news = new PeerNews(this.peers, () => newsSources(this.registry.serving, self), this.clock);
         const history = new NewsHistory(
             (key) => !key.startsWith(PREPAID_PREFIX) && !key.startsWith(MARK_PREFIX),
             this.clock,
         );
+        this.peerServer = new JSONRPCServer({
+            errorListener: (detail) => this.logs.fleet.warn("Call of another router failed.", { detail }),
+        });
         this.peerServer.addMethod(LEND_METHOD, (parameters) => this.prepaid.lend(parameters));
         this.peerServer.addMethod(NEWS_METHOD, (parameters) => history.answer(parameters));
         this.follower = new StoreFollower(
@@ -139,8 +132,7 @@
         this.registry.start();
         this.prepaid.start();
         this.timers.push(setInterval(() => this.summarize(), SUMMARY_MS));
-        this.measuredAt = this.clock();
-        this.timers.push(setInterval(() => this.measureStrain(), STRAIN_MS));
+        this.timers.push(setInterval(() => this.measureLoad(), GAUGE_MS));
     }
 
     /** Takes this router out of the answers to callers; it goes on serving those that still come. */
@@ -185,38 +177,14 @@
         this.storeCalls.clear();
     }
 
-    // Routers that follow the store themselves; those of this failure domain first, as bytes between domains cost.
-    private newsSources(): string[] {
-        const { serving } = this.registry;
-        const near = (member: FleetMember): number => member.domain === this.settings.domain ? 0 : 1;
-        const order = rendezvousOrder(this.settings.name, serving.map((member) => member.name));
-        return [...serving]
-            .sort((one, other) => near(one) - near(other) || order.indexOf(one.name) - order.indexOf(other.name))
-            .map((member) => member.peerAddress);
-    }
-
     private partOfFleet(): number {
         return partOfFleet(this.settings.name, this.registry.serving, this.registry.members.size);
     }
 
-    private measureStrain(): void {
-        const now = performance.eventLoopUtilization();
-        const { utilization } = performance.eventLoopUtilization(now, this.loopUse);
-        this.loopUse = now;
-        const measuredAt = this.clock();
-        this.lagMs = Math.min(MOST_LAG_MS, Math.max(0, measuredAt - this.measuredAt - STRAIN_MS));
-        this.measuredAt = measuredAt;
-        this.strained = isStrained(this.strained, utilization);
-        this.registry.tellStrain(this.strained);
-        // Alone, a late answer is all that callers can get.
+    private measureLoad(): void {
         const hasOthers = this.registry.serving.some((member) => member.name !== this.settings.name);
-        const shedShare = hasOthers ? nextShedShare(this.shedShare, utilization) : 0;
-        if ((shedShare > 0) !== (this.shedShare > 0)) {
-            this.logs.host.warn(shedShare > 0 ? "Overloaded, refusing a part." : "No more overloaded.", {
-                utilization,
-            });
-        }
-        this.shedShare = shedShare;
+        this.load.measure(hasOthers, this.clock());
+        this.registry.tellStrain(this.load.strained);
     }
 
     private createContext(domain: FailureDomain): GatewayContext {
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -12,6 +12,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Exchange } from "./exchange.js";
 import type { GatewayContext } from "./gateway-context.js";
+import type { LoadGauge } from "./load-gauge.js";
 import { type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
 
 /** Time in ms between two looks for connections that are too slow. */
@@ -32,10 +33,7 @@
     readonly context: GatewayContext;
     readonly table: RoutingTable | undefined;
     readonly drain: Drain | undefined;
-    /** Share of new requests that are refused because the router is overloaded. */
-    readonly shedShare: number;
-    /** Time in ms that what arrives lately waited before it was read. */
-    readonly lagMs: number;
+    readonly load: Pick<LoadGauge, "shedShare" | "lagMs">;
 };
 
 /** The server that callers connect to. Its limits follow the configuration. */
@@ -65,7 +63,7 @@
     }
 
     private receive(request: IncomingMessage, response: ServerResponse): void {
-        const arrivedAt = this.gateway.context.clock() - this.gateway.lagMs;
+        const arrivedAt = this.gateway.context.clock() - this.gateway.load.lagMs;
         this.open++;
         response.once("close", () => this.open--);
         response.on("error", () => undefined);
@@ -131,7 +129,7 @@
             });
             return;
         }
-        const { shedShare } = this.gateway;
+        const { shedShare } = this.gateway.load;
         if (context.chance() < shedShare) {
             const waitMs = retryAfterMs(context.chance());
             this.refuse(request, response, "router-overloaded", waitMs, { route: route.name, shedShare });
