Ask the store for news only when no router passes it on

Change: such a router watches the prefixes of configuration, endpoints, routers and suspects; answers may take 800 ms.

--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -116,6 +116,7 @@
             () => Math.min(this.settings.bounds.drainMs, this.settings.bounds.configurationMs),
             () => this.registry.isServing ? undefined : news,
             history,
+            [dialect.configurationKey, dialect.endpointPrefix, FLEET_PREFIX, SUSPECT_PREFIX],
         );
         this.context = this.createContext(domain);
         this.ingress = new Ingress(this);
--- a/packages/router/src/gateway/peer-news.test.ts
+++ b/packages/router/src/gateway/peer-news.test.ts
@@ -63,6 +63,7 @@
                 () => NEWS_MS,
                 () => news,
                 history,
+                ["key-"],
             );
             await follower.run();
             const keys = (await history.answer({ after: 5, waitMs: 10 })).changes.map(({ key }) => key);
@@ -70,6 +71,40 @@
         });
     });
 
+    describe("a router that nobody tells", () => {
+        it("asks the store for the prefixes of news only, and misses nothing between them", async () => {
+            const asked: [string, number][] = [];
+            const store = {
+                list: async () => ({ kind: "done", value: { items: [], revision: 5 } }),
+                changes: async (prefix: string, after: number) => {
+                    asked.push([prefix, after]);
+                    const revision = prefix === "a/" ? 7 : 9;
+                    const changes = prefix === "a/" || after >= 9 ? [] : [changeAt(9)];
+                    return { kind: "done", value: { changes, revision } };
+                },
+            } as unknown as MetadataStore;
+            const follower = new StoreFollower(
+                store,
+                {
+                    replaced: () => undefined,
+                    changed: () => {
+                        if (asked.length === 4) {
+                            follower.stop();
+                        }
+                    },
+                },
+                createGatewayLogs({ level: "error" }),
+                () => performance.now(),
+                () => NEWS_MS,
+                () => new PeerNews({} as PeerCalls, () => [], () => 0),
+                new NewsHistory(() => true, () => 0),
+                ["a/", "b/"],
+            );
+            await follower.run();
+            expect(asked).toEqual([["a/", 5], ["b/", 5], ["a/", 7], ["b/", 7]]);
+        });
+    });
+
     describe("a router that asks for them", () => {
         const answerOf = (answer: object): PeerCalls => ({ call: async () => ok(answer) }) as unknown as PeerCalls;
 
--- a/packages/router/src/gateway/peer-news.ts
+++ b/packages/router/src/gateway/peer-news.ts
@@ -5,8 +5,8 @@
 /** Name of the method by which a router asks another one for changes of the store. */
 export const NEWS_METHOD = "news";
 
-/** Time in ms that an answer may take beyond the time it was asked to wait. */
-const ANSWER_MS = 300;
+/** Time in ms that an answer may take beyond the time it was asked to wait; it may hold a whole configuration. */
+const ANSWER_MS = 800;
 /** Time in ms for which a router that gave no news is not asked again. */
 const SILENCE_MS = 2_000;
 /** Longest time in ms that a router holds a question for changes. */
--- a/packages/router/src/gateway/store-follower.ts
+++ b/packages/router/src/gateway/store-follower.ts
@@ -1,6 +1,13 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { GatewayLogs } from "./log-sink.js";
-import type { MetadataStore, StoreChange, StoreChanges, StoredItem, StoreFailure } from "./metadata-store.js";
+import type {
+    MetadataStore,
+    StoreChange,
+    StoreChanges,
+    StoredItem,
+    StoreFailure,
+    StoreResult,
+} from "./metadata-store.js";
 import type { NewsHistory, PeerNews } from "./peer-news.js";
 
 /** Longest time in ms that a watch waits; it bounds how long a silent connection goes unnoticed. */
@@ -17,6 +24,10 @@
 const PEER_WAIT_SHARE = 0.2;
 const PEER_AGE_SHARE = 0.4;
 
+/** The prefix of all keys. */
+const EVERYTHING = "";
+const EVERYTHING_ONLY = [EVERYTHING];
+
 /** Takes in what the store holds. */
 export type StoreListener = {
     /** All items, after a start or a gap. */
@@ -45,6 +56,11 @@
         /** Other routers that pass on changes; undefined while this router asks the store itself. */
         private readonly news: () => PeerNews | undefined,
         private readonly history: NewsHistory,
+        /**
+         * Prefixes that a router asks the store for when no other router passes changes on. The rest is
+         * much more than small links carry.
+         */
+        private readonly newsPrefixes: readonly string[],
     ) {}
 
     /** True while the last call failed. */
@@ -70,7 +86,9 @@
         if (news === undefined && this.partial) {
             this.revision = undefined;
         }
-        const worked = this.revision === undefined ? await this.readAll() : await this.readChanges();
+        const worked = this.revision === undefined
+            ? await this.readAll()
+            : await this.readChanges(news === undefined ? EVERYTHING_ONLY : this.newsPrefixes);
         return worked ? Math.min(LONGEST_PACE_MS, PACE_SHARE * this.newsMs()) : RETRY_MS;
     }
 
@@ -101,7 +119,7 @@
     }
 
     private async readAll(): Promise<boolean> {
-        const result = await this.store.list("");
+        const result = await this.store.list(EVERYTHING);
         if (result.kind !== "done") {
             this.noteFailure(result);
             return false;
@@ -114,8 +132,8 @@
         return true;
     }
 
-    private async readChanges(): Promise<boolean> {
-        const result = await this.store.changes("", this.revision!, WATCH_MS);
+    private async readChanges(prefixes: readonly string[]): Promise<boolean> {
+        const result = await this.changesOf(prefixes);
         if (result.kind === "compacted") {
             this.logs.store.warn("History is gone, reading everything.", { revision: this.revision });
             this.revision = undefined;
@@ -126,11 +144,31 @@
             return false;
         }
         this.noteSuccess();
+        this.partial ||= prefixes !== EVERYTHING_ONLY;
         this.history.add(result.value.changes, result.value.revision, this.clock());
         this.apply(result.value);
         return true;
     }
 
+    // Changes of several prefixes count as read up to the least of their revisions; what is newer comes again.
+    private async changesOf(prefixes: readonly string[]): Promise<StoreResult<StoreChanges>> {
+        const waitMs = WATCH_MS / prefixes.length;
+        const results = await Promise.all(
+            prefixes.map((prefix) => this.store.changes(prefix, this.revision!, waitMs)),
+        );
+        const changes: StoreChange[] = [];
+        let revision = Infinity;
+        for (const result of results) {
+            if (result.kind !== "done") {
+                return result;
+            }
+            changes.push(...result.value.changes);
+            revision = Math.min(revision, result.value.revision);
+        }
+        changes.sort((one, other) => one.revision - other.revision);
+        return { kind: "done", value: { changes, revision } };
+    }
+
     private noteFailure(failure: StoreFailure): void {
         if (this.failingSince === undefined) {
             this.failingSince = this.clock();
