--- a/packages/core/src/dispatch/fleet.ts
+++ b/packages/core/src/dispatch/fleet.ts
@@ -8,7 +8,7 @@
 /** Fewest routers that callers are sent to, so that one death leaves them a choice. */
 const FEWEST_SERVING = 3;
 
-type Candidate = { readonly member: FleetMember; readonly weight: number; readonly rank: number; };
+type Candidate = { readonly member: FleetMember; readonly weight: number; };
 
 /**
  * Chooses the routers that callers are sent to: the largest ones, spread over the failure domains. Few
@@ -33,23 +33,24 @@
     return chosen.map(({ member }) => member);
 }
 
-// The weight of a router is its scarcest resource relative to the best of the fleet.
+// The weight of a router is its scarcest resource relative to the best of the fleet. The order decides between equals.
 function candidatesOf(members: readonly FleetMember[]): Candidate[] {
     const mostCores = Math.max(...members.map((member) => member.capacity.cores));
     const mostMbps = Math.max(...members.map((member) => member.capacity.linkMbps));
-    const order = rendezvousOrder("serving", members.map((member) => member.name));
-    const ranks = new Map(order.map((name, index) => [name, index]));
-    return members.map((member) => ({
+    return orderedFor("serving", members).map((member) => ({
         member,
         weight: Math.min(member.capacity.cores / mostCores, member.capacity.linkMbps / mostMbps),
-        rank: ranks.get(member.name)!,
     }));
 }
 
+function orderedFor(key: string, members: readonly FleetMember[]): FleetMember[] {
+    const byName = new Map(members.map((member) => [member.name, member]));
+    return rendezvousOrder(key, byName.keys()).map((name) => byName.get(name)!);
+}
+
 function precedes(one: Candidate, other: Candidate, perDomain: ReadonlyMap<string, number>): boolean {
     const difference = one.weight - other.weight
-        || (perDomain.get(other.member.domain) ?? 0) - (perDomain.get(one.member.domain) ?? 0)
-        || other.rank - one.rank;
+        || (perDomain.get(other.member.domain) ?? 0) - (perDomain.get(one.member.domain) ?? 0);
     return difference > 0;
 }
 
@@ -75,11 +76,10 @@
  * it. Those of its own failure domain come first, as bytes between domains cost.
  */
 export function newsSources(serving: readonly FleetMember[], self: FleetMember): string[] {
-    const order = rendezvousOrder(self.name, serving.map((member) => member.name));
-    const distance = (member: FleetMember): number => member.domain === self.domain ? 0 : 1;
-    return [...serving]
-        .sort((one, other) => distance(one) - distance(other) || order.indexOf(one.name) - order.indexOf(other.name))
-        .map((member) => member.peerAddress);
+    const ordered = orderedFor(self.name, serving);
+    const near = ordered.filter((member) => member.domain === self.domain);
+    const far = ordered.filter((member) => member.domain !== self.domain);
+    return [...near, ...far].map((member) => member.peerAddress);
 }
 
 /** Part of its processor from which a router counts as strained, and below which it does no more. */
--- a/packages/core/src/dispatch/prepaid.ts
+++ b/packages/core/src/dispatch/prepaid.ts
@@ -96,7 +96,7 @@
 /** Factor on what is returned, as some holders are cut off or late. */
 const RETURN_FACTOR = 2;
 /** Time in ms that others take to return what they can spare. */
-const LACK_MS = 700;
+export const LACK_MS = 700;
 /** Change of an allowance, relative to its target, that is worth a write of its own. */
 const ALLOWANCE_TOLERANCE = 0.4;
 
--- a/packages/core/src/mocks/index.ts
+++ b/packages/core/src/mocks/index.ts
@@ -1,3 +1,4 @@
+export { memberOf } from "../dispatch/mocks/fleet-members.js";
 export { schedules } from "./arbitraries.js";
 export { CoreBrain, RouterBrain } from "./brain.js";
 export type { RequestPlan, RequestRecord } from "./fake-callers.js";
--- a/packages/router/src/gateway/fleet-registry.test.ts
+++ b/packages/router/src/gateway/fleet-registry.test.ts
@@ -1,5 +1,4 @@
-import { brand, type FailureDomain, type Incarnation } from "@gooseberrybend/core";
-import type { FleetMember } from "@gooseberrybend/core/dispatch";
+import { memberOf } from "@gooseberrybend/core/mocks";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { FLEET_PREFIX, FleetRegistry } from "./fleet-registry.js";
 import { createGatewayLogs } from "./log-sink.js";
@@ -7,18 +6,6 @@
 
 const GRACE_MS = 2_000;
 
-function memberOf(name: string): FleetMember {
-    return {
-        name,
-        incarnation: brand<Incarnation>(`start-of-${name}`),
-        address: `${name}:1`,
-        peerAddress: `${name}:2`,
-        domain: brand<FailureDomain>("a"),
-        capacity: { cores: 1, linkMbps: 100 },
-        strained: false,
-    };
-}
-
 function itemOf(name: string, revision: number): StoredItem {
     return { key: FLEET_PREFIX + name, value: Buffer.from(JSON.stringify(memberOf(name))), revision };
 }
--- a/packages/router/src/gateway/fleet-registry.ts
+++ b/packages/router/src/gateway/fleet-registry.ts
@@ -155,9 +155,9 @@
         }
         if (this.lease === undefined) {
             const granted = await this.store.grantLease(Math.max(LEASE_MS, this.shortestLeaseMs));
-            this.outdated = granted.kind === "done";
             if (granted.kind === "done") {
                 this.lease = granted.value;
+                this.outdated = true;
             }
         }
         if (this.outdated && this.lease !== undefined) {
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -96,10 +96,9 @@
             (router) => this.registry.peerAddressOf(router),
         );
         const news = new PeerNews(this.peers, () => newsSources(this.registry.serving, self), this.clock);
-        const history = new NewsHistory(
-            (key) => !key.startsWith(PREPAID_PREFIX) && !key.startsWith(MARK_PREFIX),
-            this.clock,
-        );
+        // Records and marks are left out: they are most of what changes, and routers that do not serve do without.
+        const newsPrefixes = [dialect.configurationKey, dialect.endpointPrefix, FLEET_PREFIX, SUSPECT_PREFIX];
+        const history = new NewsHistory(newsPrefixes, this.clock);
         this.peerServer = new JSONRPCServer({
             errorListener: (detail) => this.logs.fleet.warn("Call of another router failed.", { detail }),
         });
@@ -116,7 +115,7 @@
             () => Math.min(this.settings.bounds.drainMs, this.settings.bounds.configurationMs),
             () => this.registry.isServing ? undefined : news,
             history,
-            [dialect.configurationKey, dialect.endpointPrefix, FLEET_PREFIX, SUSPECT_PREFIX],
+            newsPrefixes,
         );
         this.context = this.createContext(domain);
         this.ingress = new Ingress(this);
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -10,6 +10,7 @@
     takesWhileDraining,
 } from "@gooseberrybend/core/dispatch";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { CallerFields } from "./dialect.js";
 import { Exchange } from "./exchange.js";
 import type { GatewayContext } from "./gateway-context.js";
 import type { LoadGauge } from "./load-gauge.js";
@@ -92,7 +93,8 @@
     private refuseBody(request: IncomingMessage, response: ServerResponse): void {
         if (!response.headersSent) {
             response.shouldKeepAlive = false;
-            this.refuse(request, response, "too-large", undefined, {});
+            const fields = this.gateway.context.dialect.readCaller(request.rawHeaders);
+            this.refuse(fields, response, "too-large", undefined, {});
         }
         request.removeAllListeners("data");
         request.resume();
@@ -100,30 +102,30 @@
 
     private admit(request: IncomingMessage, response: ServerResponse, body: Buffer, arrivedAt: number): void {
         const { table, context } = this.gateway;
+        const fields = context.dialect.readCaller(request.rawHeaders);
         if (table === undefined) {
-            this.refuse(request, response, "no-configuration", STARTING_RETRY_AFTER_MS, {});
+            this.refuse(fields, response, "no-configuration", STARTING_RETRY_AFTER_MS, {});
             return;
         }
         const route = findRoute(table, hostOf(request), request.url ?? "/");
         if (route === undefined) {
-            this.refuse(request, response, "no-route", undefined, { host: hostOf(request), path: request.url });
+            this.refuse(fields, response, "no-route", undefined, { host: hostOf(request), path: request.url });
             return;
         }
-        const fields = context.dialect.readCaller(request.rawHeaders);
         const account = fields.accessKey === undefined ? undefined : table.accountsByKey.get(fields.accessKey);
         if (account === undefined && !route.open && table.configuration.accounts !== undefined) {
-            this.refuse(request, response, "unknown-key", undefined, { route: route.name });
+            this.refuse(fields, response, "unknown-key", undefined, { route: route.name });
             return;
         }
         const service = this.serviceOf(route);
         if (service === undefined) {
-            this.refuse(request, response, "no-endpoint", STARTING_RETRY_AFTER_MS, { route: route.name });
+            this.refuse(fields, response, "no-endpoint", STARTING_RETRY_AFTER_MS, { route: route.name });
             return;
         }
         const { drain } = this.gateway;
         const longestMs = Math.min(route.timeoutMs, fields.patienceMs ?? Infinity);
         if (drain !== undefined && !takesWhileDraining(drain, longestMs, arrivedAt)) {
-            this.refuse(request, response, "draining", retryAfterMs(context.chance()), {
+            this.refuse(fields, response, "draining", retryAfterMs(context.chance()), {
                 route: route.name,
                 longestMs,
             });
@@ -132,19 +134,19 @@
         const { shedShare } = this.gateway.load;
         if (context.chance() < shedShare) {
             const waitMs = retryAfterMs(context.chance());
-            this.refuse(request, response, "router-overloaded", waitMs, { route: route.name, shedShare });
+            this.refuse(fields, response, "router-overloaded", waitMs, { route: route.name, shedShare });
             return;
         }
         const bodyDigest = digestBody(
             account?.id ?? NO_ACCOUNT,
             `${request.method} ${request.url}\n${body.toString("latin1")}`,
         );
-        if (isPoison(this.gateway.context.suspects.table, bodyDigest)) {
-            this.refuse(request, response, "poison-request", POISON_RETRY_AFTER_MS, { route: route.name, bodyDigest });
+        if (isPoison(context.suspects.table, bodyDigest)) {
+            this.refuse(fields, response, "poison-request", POISON_RETRY_AFTER_MS, { route: route.name, bodyDigest });
             return;
         }
         const admitted = { request, response, body, fields, route, service, account, bodyDigest, arrivedAt };
-        void new Exchange(this.gateway.context, admitted).run();
+        void new Exchange(context, admitted).run();
     }
 
     private serviceOf(route: Route): ServiceDeclaration | undefined {
@@ -153,16 +155,14 @@
     }
 
     private refuse(
-        request: IncomingMessage,
+        { requestId: id }: CallerFields,
         response: ServerResponse,
         cause: RefusalCause,
         retryAfterMs: number | undefined,
         figures: object,
     ): void {
         const { context } = this.gateway;
-        const { dialect } = context;
         context.countRefusal(cause);
-        const id = dialect.readCaller(request.rawHeaders).requestId;
         const configuration = context.configurationVersion();
         context.logs.requests.info("Refused.", { id, cause, configuration, ...figures });
         sendRefusal(response, cause, retryAfterMs);
--- a/packages/router/src/gateway/peer-calls.ts
+++ b/packages/router/src/gateway/peer-calls.ts
@@ -42,3 +42,20 @@
         await this.agent.destroy();
     }
 }
+
+/** Routers that are not asked for a time, as they gave no answer. */
+export class PausedPeers {
+    private readonly until = new Map<string, number>();
+
+    constructor(private readonly pauseMs: number) {}
+
+    /** Pauses a router. */
+    add(peer: string, now: number): void {
+        this.until.set(peer, now + this.pauseMs);
+    }
+
+    /** Returns whether a router is paused. */
+    has(peer: string, now: number): boolean {
+        return (this.until.get(peer) ?? -Infinity) > now;
+    }
+}
--- a/packages/router/src/gateway/peer-news.test.ts
+++ b/packages/router/src/gateway/peer-news.test.ts
@@ -16,7 +16,7 @@
 describe("news", () => {
     describe("a router that passes them on", () => {
         it("answers with what changed after a revision, or at the end of the wait", async () => {
-            const history = new NewsHistory(() => true, () => 0);
+            const history = new NewsHistory([""], () => 0);
             history.restart(5);
             const answer = history.answer({ after: 5, waitMs: 1_000 });
             history.add([changeAt(7)], 8, 0);
@@ -25,13 +25,13 @@
         });
 
         it("sends away who missed more than it keeps", async () => {
-            const history = new NewsHistory(() => true, () => 0);
+            const history = new NewsHistory([""], () => 0);
             history.restart(5);
             expect((await history.answer({ after: 4, waitMs: 10 })).revision).toBeUndefined();
         });
 
         it("leaves out what others need not know", async () => {
-            const history = new NewsHistory((key) => key !== "key-7", () => 0);
+            const history = new NewsHistory(["key-8"], () => 0);
             history.restart(5);
             history.add([changeAt(7), changeAt(8)], 8, 0);
             expect((await history.answer({ after: 5, waitMs: 10 })).changes).toMatchObject([{ key: "key-8" }]);
@@ -46,7 +46,7 @@
                 list: async () => ({ kind: "done", value: { items: [], revision: 5 } }),
                 changes: async () => ({ kind: "done", value: { changes: [changeAt(9)], revision: 9 } }),
             } as unknown as MetadataStore;
-            const history = new NewsHistory(() => true, () => 0);
+            const history = new NewsHistory([""], () => 0);
             const follower = new StoreFollower(
                 store,
                 {
@@ -97,7 +97,7 @@
                 () => performance.now(),
                 () => NEWS_MS,
                 () => new PeerNews({} as PeerCalls, () => [], () => 0),
-                new NewsHistory(() => true, () => 0),
+                new NewsHistory([""], () => 0),
                 ["a/", "b/"],
             );
             await follower.run();
--- a/packages/router/src/gateway/peer-news.ts
+++ b/packages/router/src/gateway/peer-news.ts
@@ -1,6 +1,6 @@
 import { z } from "zod";
 import type { StoreChange, StoreChanges } from "./metadata-store.js";
-import type { PeerCalls } from "./peer-calls.js";
+import { PausedPeers, type PeerCalls } from "./peer-calls.js";
 
 /** Name of the method by which a router asks another one for changes of the store. */
 export const NEWS_METHOD = "news";
@@ -8,7 +8,7 @@
 /** Time in ms that an answer may take beyond the time it was asked to wait; it may hold a whole configuration. */
 const ANSWER_MS = 800;
 /** Time in ms for which a router that gave no news is not asked again. */
-const SILENCE_MS = 2_000;
+const PAUSE_MS = 2_000;
 /** Longest time in ms that a router holds a question for changes. */
 const LONGEST_WAIT_MS = 2_000;
 /** Changes that a router keeps for others; who missed more asks the store. */
@@ -41,8 +41,8 @@
     private readonly waiting = new Set<() => void>();
 
     constructor(
-        /** Whether others need changes of a key. */
-        private readonly isNews: (key: string) => boolean,
+        /** Prefixes of the keys whose changes others need. */
+        private readonly prefixes: readonly string[],
         private readonly now: () => number,
     ) {}
 
@@ -58,7 +58,7 @@
     add(changes: readonly StoreChange[], revision: number, heardAt: number): void {
         this.heardAt = Math.max(this.heardAt, heardAt);
         this.revision = revision;
-        const news = changes.filter((change) => this.isNews(change.key));
+        const news = changes.filter(({ key }) => this.prefixes.some((prefix) => key.startsWith(prefix)));
         this.kept.push(...news);
         if (this.kept.length > KEPT_CHANGES) {
             const dropped = this.kept.splice(0, this.kept.length - KEPT_CHANGES);
@@ -106,7 +106,7 @@
 
 /** Reads changes of the store from other routers, so that not every router has to ask the store. */
 export class PeerNews {
-    private readonly silentUntil = new Map<string, number>();
+    private readonly paused = new PausedPeers(PAUSE_MS);
 
     constructor(
         private readonly peers: PeerCalls,
@@ -118,14 +118,14 @@
     /** Returns the changes after a revision, or undefined when no router knows them freshly enough. */
     async changes(after: number, waitMs: number, oldestMs: number): Promise<PassedChanges | undefined> {
         const now = this.now();
-        const source = this.sources().find((address) => (this.silentUntil.get(address) ?? -Infinity) <= now);
+        const source = this.sources().find((address) => !this.paused.has(address, now));
         if (source === undefined) {
             return undefined;
         }
         const answer = await this.peers.call(source, NEWS_METHOD, { after, waitMs }, waitMs + ANSWER_MS);
         const parsed = answerSchema.safeParse(answer.unwrapOr(undefined));
         if (!parsed.success || parsed.data.revision === undefined || parsed.data.ageMs > oldestMs) {
-            this.silentUntil.set(source, this.now() + SILENCE_MS);
+            this.paused.add(source, this.now());
             return undefined;
         }
         return {
--- a/packages/router/src/gateway/prepaid-keeper.ts
+++ b/packages/router/src/gateway/prepaid-keeper.ts
@@ -7,6 +7,7 @@
     hasPredecessor,
     type Instant,
     isAskedToReturn,
+    LACK_MS,
     type MarkSheet,
     needsPrepaidWrite,
     noteMarkFailed,
@@ -75,9 +76,6 @@
     committed: z.record(z.string(), z.number()),
 });
 
-/** Time in ms in which other routers return tokens that are lacking here. */
-const SHORTAGE_MS = 700;
-
 type Waiter = { readonly row: PrepaidRow; readonly tokens: number; readonly resolve: (value: Reservation) => void; };
 
 /** Holds this router's tokens, and writes what it used and needs into the store. */
@@ -227,7 +225,7 @@
         const now = this.clock().steady;
         notePrepaidDemand(row, tokens, now);
         const first = reservePrepaid(row, tokens, now);
-        if (first === "reserved" || first === "exhausted") {
+        if (first !== "short") {
             return first;
         }
         const asked = await this.askStore(row, tokens, waitMs);
@@ -258,7 +256,7 @@
     /** Returns the time in ms after which tokens may be at hand again. */
     retryAfterMs(now: number): number {
         // An outage lasts on average as long again as it has lasted.
-        return this.failingSince === undefined ? SHORTAGE_MS : Math.max(SHORTAGE_MS, now - this.failingSince);
+        return this.failingSince === undefined ? LACK_MS : Math.max(LACK_MS, now - this.failingSince);
     }
 
     /** Ends a reservation. */
--- a/packages/router/src/gateway/store-follower.ts
+++ b/packages/router/src/gateway/store-follower.ts
@@ -26,7 +26,6 @@
 
 /** The prefix of all keys. */
 const EVERYTHING = "";
-const EVERYTHING_ONLY = [EVERYTHING];
 
 /** Takes in what the store holds. */
 export type StoreListener = {
@@ -35,7 +34,7 @@
     readonly changed: (change: StoreChange, now: number) => void;
 };
 
-/** Follows all keys of the store by watches. */
+/** Follows the store, by watches or by what other routers pass on. */
 export class StoreFollower {
     private revision: number | undefined;
     private stopped = false;
@@ -63,11 +62,6 @@
         private readonly newsPrefixes: readonly string[],
     ) {}
 
-    /** True while the last call failed. */
-    get failing(): boolean {
-        return this.failingSince !== undefined;
-    }
-
     /** Follows the store until stopped. */
     async run(): Promise<void> {
         while (!this.stopped) {
@@ -77,6 +71,11 @@
         }
     }
 
+    /** Ends the watch after the call on its way. */
+    stop(): void {
+        this.stopped = true;
+    }
+
     // Returns the time in ms from the start of this read to the next one.
     private async read(): Promise<number> {
         const news = this.revision === undefined ? undefined : this.news();
@@ -88,7 +87,7 @@
         }
         const worked = this.revision === undefined
             ? await this.readAll()
-            : await this.readChanges(news === undefined ? EVERYTHING_ONLY : this.newsPrefixes);
+            : await this.readChanges(news !== undefined);
         return worked ? Math.min(LONGEST_PACE_MS, PACE_SHARE * this.newsMs()) : RETRY_MS;
     }
 
@@ -113,11 +112,6 @@
         }
     }
 
-    /** Ends the watch after the call on its way. */
-    stop(): void {
-        this.stopped = true;
-    }
-
     private async readAll(): Promise<boolean> {
         const result = await this.store.list(EVERYTHING);
         if (result.kind !== "done") {
@@ -132,8 +126,8 @@
         return true;
     }
 
-    private async readChanges(prefixes: readonly string[]): Promise<boolean> {
-        const result = await this.changesOf(prefixes);
+    private async readChanges(newsOnly: boolean): Promise<boolean> {
+        const result = await this.changesOf(newsOnly ? this.newsPrefixes : [EVERYTHING]);
         if (result.kind === "compacted") {
             this.logs.store.warn("History is gone, reading everything.", { revision: this.revision });
             this.revision = undefined;
@@ -144,7 +138,7 @@
             return false;
         }
         this.noteSuccess();
-        this.partial ||= prefixes !== EVERYTHING_ONLY;
+        this.partial ||= newsOnly;
         this.history.add(result.value.changes, result.value.revision, this.clock());
         this.apply(result.value);
         return true;
@@ -152,6 +146,7 @@
 
     // Changes of several prefixes count as read up to the least of their revisions; what is newer comes again.
     private async changesOf(prefixes: readonly string[]): Promise<StoreResult<StoreChanges>> {
+        // Nothing is applied before the last watch has ended, so several wait less each.
         const waitMs = WATCH_MS / prefixes.length;
         const results = await Promise.all(
             prefixes.map((prefix) => this.store.changes(prefix, this.revision!, waitMs)),
--- a/packages/router/src/gateway/token-loans.ts
+++ b/packages/router/src/gateway/token-loans.ts
@@ -11,7 +11,7 @@
 } from "@gooseberrybend/core/dispatch";
 import { z } from "zod";
 import type { GatewayLogs } from "./log-sink.js";
-import type { PeerCalls } from "./peer-calls.js";
+import { PausedPeers, type PeerCalls } from "./peer-calls.js";
 
 /** Name of the method by which a router asks another one for tokens. */
 export const LEND_METHOD = "lend";
@@ -19,7 +19,7 @@
 /** Time in ms in which a lender answers; a router that is busy for longer is no help for a caller. */
 const LOAN_TIMEOUT_MS = 150;
 /** Time in ms for which a lender that did not answer is not asked again. */
-const SILENCE_MS = 1_000;
+const PAUSE_MS = 1_000;
 /** Routers that are asked for one request. */
 const MOST_LENDERS = 3;
 
@@ -49,8 +49,7 @@
     private readonly made = new Map<LoanId, number>();
     private readonly open = new Map<string, OpenLoan[]>();
     private readonly borrowing = new Map<PrepaidRow, Promise<void>>();
-    /** Times until which lenders that did not answer are not asked again. */
-    private readonly silentUntil = new Map<string, number>();
+    private readonly paused = new PausedPeers(PAUSE_MS);
     private count = 0;
 
     constructor(
@@ -88,8 +87,8 @@
     private async askLenders(row: PrepaidRow, tokens: number): Promise<void> {
         for (const lender of lendersOf(row, this.host.holder).slice(0, MOST_LENDERS)) {
             const address = this.host.addressOf(lender);
-            const silent = (this.silentUntil.get(lender) ?? -Infinity) > this.host.now();
-            if (address === undefined || silent || !await this.askAgain(lender, address)) {
+            const isPaused = this.paused.has(lender, this.host.now());
+            if (address === undefined || isPaused || !await this.askAgain(lender, address)) {
                 continue;
             }
             const wanted = loanWanted(row, tokens, this.host.now());
@@ -123,7 +122,7 @@
         if (!parsed.success) {
             this.open.set(lender, [...this.open.get(lender) ?? [], loan]);
             const detail = answer.isErr() ? answer.error.detail : parsed.error.message;
-            this.silentUntil.set(lender, this.host.now() + SILENCE_MS);
+            this.paused.add(lender, this.host.now());
             this.logs.prepaid.warn("No loan.", { lender, ...loan.request, detail });
             return false;
         }
