--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -182,6 +182,7 @@
     }
 
     private measureLoad(): void {
+        this.metrics.members.set(this.registry.members.size);
         const hasOthers = this.registry.serving.some((member) => member.name !== this.settings.name);
         this.load.measure(hasOthers, this.clock());
         this.registry.tellStrain(this.load.strained);
