Leave endpoints that say in an answer that they leave or want no requests

An endpoint that leaves says so in all answers, in touch or not; one that turns a request away may name a time for which it wants nothing. Neither was read. Both are kept with the endpoint's row: leaving holds until its next start, also over a lapsed registration; quiet holds for probes, repeats and resumptions alike, as all go through one choice. When all want quiet, callers are refused at once and told when the first one takes requests. Ruled out: passing either on to other routers. The registration tells them within the bound, and a wait is meant for one instance.

--- a/packages/core/src/dispatch/endpoint-table.ts
+++ b/packages/core/src/dispatch/endpoint-table.ts
@@ -25,6 +25,10 @@
     /** Moving average of the time to an answer, relative to what was expected of it. */
     slowness: number;
     unreachableUntil: number;
+    /** True once it said in an answer that it leaves, which its registration may tell late or never. */
+    saidLeaving: boolean;
+    /** Time until which it wants no requests of this router. */
+    quietUntil: number;
     connectFailures: number;
     /** Time at which each prompt part was last sent there. */
     readonly parts: Map<PromptPartId, number>;
@@ -38,11 +42,13 @@
     readonly rows: Map<EndpointId, EndpointState>;
     readonly byService: Map<ServiceName, EndpointState[]>;
     readonly paces: Map<ServiceName, ServicePace>;
+    /** Starts of endpoints that said that they leave, also while their registrations are missing. */
+    readonly saidLeaving: Map<EndpointId, number>;
 };
 
 /** Creates an empty table. */
 export function createEndpointTable(): EndpointTable {
-    return { rows: new Map(), byService: new Map(), paces: new Map() };
+    return { rows: new Map(), byService: new Map(), paces: new Map(), saidLeaving: new Map() };
 }
 
 /** Takes in a registration. Returns the row that it replaces when the endpoint has started again. */
@@ -57,6 +63,7 @@
     }
     const replaced = known === undefined ? undefined : removeEndpoint(table, entry.id);
     const row = createState(entry);
+    row.saidLeaving = table.saidLeaving.get(entry.id) === entry.startedAt;
     table.rows.set(entry.id, row);
     const rows = table.byService.get(entry.service) ?? [];
     rows.push(row);
@@ -90,6 +97,8 @@
         outcomesAt: 0,
         slowness: 1,
         unreachableUntil: -Infinity,
+        saidLeaving: false,
+        quietUntil: -Infinity,
         connectFailures: 0,
         parts: new Map(),
     };
--- /dev/null
+++ b/packages/core/src/dispatch/endpoint-wishes.test.ts
@@ -0,0 +1,94 @@
+import { describe, expect, it } from "vitest";
+import { brand, type EndpointId, type FailureDomain } from "../types/ids.js";
+import { createEndpointTable, type EndpointTable, putEndpoint, removeEndpoint } from "./endpoint-table.js";
+import { noteLeaving, noteQuiet, quietMs } from "./endpoint-wishes.js";
+import { chooseEndpoint, type PlacementQuery } from "./placement.js";
+import type { EndpointEntry, ServiceName } from "./types.js";
+
+const service = brand<ServiceName>("library");
+const domain = brand<FailureDomain>("a");
+
+function entryOf(name: string, changes: Partial<EndpointEntry> = {}): EndpointEntry {
+    const id = brand<EndpointId>(name);
+    return { id, startedAt: 1, service, address: `${name}:80`, domain, slots: 6, leaving: false, ...changes };
+}
+
+function tableOf(...names: string[]): EndpointTable {
+    const table = createEndpointTable();
+    names.forEach((name) => putEndpoint(table, entryOf(name)));
+    return table;
+}
+
+function chosen(table: EndpointTable, now: number): string | undefined {
+    const query: PlacementQuery = {
+        service,
+        engine: undefined,
+        parts: [],
+        promptTokens: 0,
+        domain,
+        tried: new Set(),
+        cacheMs: 0,
+    };
+    return chooseEndpoint(table, query, () => 0.5, now)?.row.entry.id;
+}
+
+describe("what an endpoint says of itself in its answers", () => {
+    describe("that it leaves", () => {
+        it("takes it out at once, whatever its registration says later", () => {
+            const table = tableOf("one", "two");
+            noteLeaving(table, table.rows.get(brand<EndpointId>("one"))!);
+            putEndpoint(table, entryOf("one"));
+            for (let now = 0; now < 10; now++) {
+                expect(chosen(table, now)).toBe("two");
+            }
+        });
+
+        it("holds when its registration lapses and comes back", () => {
+            const table = tableOf("one");
+            noteLeaving(table, table.rows.get(brand<EndpointId>("one"))!);
+            removeEndpoint(table, brand<EndpointId>("one"));
+            putEndpoint(table, entryOf("one"));
+            expect(chosen(table, 0)).toBeUndefined();
+        });
+
+        it("ends with its next start", () => {
+            const table = tableOf("one");
+            noteLeaving(table, table.rows.get(brand<EndpointId>("one"))!);
+            putEndpoint(table, entryOf("one", { startedAt: 2 }));
+            expect(chosen(table, 0)).toBe("one");
+        });
+
+        it("leaves no endpoint to choose when all leave", () => {
+            const table = tableOf("one", "two");
+            table.rows.forEach((row) => noteLeaving(table, row));
+            expect(chosen(table, 0)).toBeUndefined();
+        });
+    });
+
+    describe("that it wants no requests for a while", () => {
+        it("takes it out until then", () => {
+            const table = tableOf("one", "two");
+            noteQuiet(table.rows.get(brand<EndpointId>("one"))!, 2_000, 100);
+            expect(chosen(table, 2_099)).toBe("two");
+            noteQuiet(table.rows.get(brand<EndpointId>("two"))!, 5_000, 100);
+            expect(chosen(table, 2_100)).toBe("one");
+        });
+
+        it("is not shortened by a later answer", () => {
+            const table = tableOf("one");
+            const row = table.rows.get(brand<EndpointId>("one"))!;
+            noteQuiet(row, 2_000, 0);
+            noteQuiet(row, 100, 50);
+            expect(chosen(table, 1_999)).toBeUndefined();
+        });
+
+        it("tells callers when the first one takes requests again, if all want quiet", () => {
+            const table = tableOf("one", "two");
+            noteQuiet(table.rows.get(brand<EndpointId>("one"))!, 2_000, 0);
+            expect(quietMs(table, service, 500)).toBe(0);
+            noteQuiet(table.rows.get(brand<EndpointId>("two"))!, 900, 0);
+            expect(quietMs(table, service, 500)).toBe(400);
+            expect(chosen(table, 500)).toBeUndefined();
+        });
+    });
+});
--- a/packages/core/src/dispatch/placement.ts
+++ b/packages/core/src/dispatch/placement.ts
@@ -2,6 +2,7 @@
 import type { EndpointId, FailureDomain } from "../types/ids.js";
 import { failureRate, isSilent } from "./endpoint-health.js";
 import type { EndpointState, EndpointTable, ServicePace } from "./endpoint-table.js";
+import { takesRequests } from "./endpoint-wishes.js";
 import type { EngineDeclaration, PromptPart, PromptPartId, ServiceName } from "./types.js";
 
 /** What the choice of an endpoint goes by. */
@@ -37,7 +38,7 @@
 // The usable endpoints of a service, or those that are left when none is sound.
 function usableEndpoints(table: EndpointTable, query: PlacementQuery, now: number): EndpointState[] {
     const rows = table.byService.get(query.service) ?? [];
-    const taking = rows.filter((row) => !row.entry.leaving && !query.tried.has(row.entry.id));
+    const taking = rows.filter((row) => takesRequests(row, now) && !query.tried.has(row.entry.id));
     const reachable = taking.filter((row) => row.unreachableUntil <= now);
     const sound = reachable.filter((row) => !isSilent(row, now));
     return sound.length > 0 ? sound : reachable;
--- a/packages/router/src/gateway/dialect.ts
+++ b/packages/router/src/gateway/dialect.ts
@@ -43,6 +43,10 @@
     readonly load: { readonly running: number; readonly waiting: number; } | undefined;
     /** True when the answer proves that the endpoint ran the request. */
     readonly sealed: boolean;
+    /** True when the endpoint says that it leaves. */
+    readonly leaving: boolean;
+    /** Time in ms for which the endpoint wants no requests of this router. */
+    readonly quietMs: number | undefined;
 };
 
 /** Raw headers: names and values in turn. */
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -7,21 +7,21 @@
     type EndpointState,
     nextStep,
     noteConnectFailure,
-    noteDuration,
     noteFirstByte,
     noteFirstSend,
     noteHeard,
-    noteLoad,
     noteOutcome,
     noteSend,
     paceOf,
     type PlacementQuery,
+    quietMs,
     rankAtEngine,
     type SendFailure,
     takeRepeat,
 } from "@gooseberrybend/core/dispatch";
 import type { Dispatcher } from "undici";
 import type { AdmittedRequest } from "./admitted-request.js";
+import { noteAnswerHead } from "./answer-head.js";
 import { createSend, type Send } from "./endpoint-send.js";
 import { EventGate } from "./event-gate.js";
 import type { GatewayContext } from "./gateway-context.js";
@@ -175,10 +175,8 @@
         send.status = status;
         send.headers = headers;
         send.fields = this.context.dialect.readEndpointHeaders(status, headers);
-        this.noteFirst(send, now);
-        if (send.fields.load !== undefined) {
-            noteLoad(send.row, send.fields.load.running, send.fields.load.waiting, now);
-        }
+        noteAnswerHead(this.context, this.query, send, now);
+        this.firstMs ??= Math.round(now - this.admitted.arrivedAt);
         if (this.isForeign(send)) {
             this.context.logs.requests.warn("Answer of another request.", this.figures(send));
             this.endSend(send, true);
@@ -344,10 +342,7 @@
                 this.gate.dropPartial();
                 return this.dispatch();
             case "refuse":
-                return this.refuse(
-                    failure === "unreachable" ? "no-endpoint" : "endpoint-full",
-                    retryAfterMs(this.context.chance()),
-                );
+                return this.refuse(failure === "unreachable" ? "no-endpoint" : "endpoint-full", this.waitMs(now));
             case "fail":
                 return this.refuse("may-have-run", undefined);
             case "pass-on":
@@ -371,10 +366,15 @@
         }
         this.refuse(
             this.mayHaveRun ? "may-have-run" : cause,
-            this.mayHaveRun ? undefined : retryAfterMs(this.context.chance()),
+            this.mayHaveRun ? undefined : this.waitMs(this.context.clock()),
         );
     }
 
+    // Time in ms after which an endpoint may take the request.
+    private waitMs(now: number): number {
+        return quietMs(this.context.endpoints, this.query.service, now) + retryAfterMs(this.context.chance());
+    }
+
     private timeOut(): void {
         if (this.done) {
             return;
@@ -420,15 +420,6 @@
         noteOutcome(send.row, failed, this.context.clock());
     }
 
-    private noteFirst(send: Send, now: number): void {
-        noteHeard(send.row);
-        send.heard = true;
-        noteFirstByte(send.row, this.query);
-        const { endpoints } = this.context;
-        noteDuration(paceOf(endpoints, this.query.service), send.row, now - send.sentAt, send.units);
-        this.firstMs ??= Math.round(now - this.admitted.arrivedAt);
-    }
-
     private refuse(cause: RefusalCause, retryAfterMs: number | undefined, figures: object = {}): void {
         this.context.countRefusal(cause);
         this.context.logs.requests.info("Refused.", { ...this.figures(this.send), cause, retryAfterMs, ...figures });
