Start the router from a code cache, and load fewer modules

The bundle is now one script with V8's code cache, written by a first start at build time, with only the used parts of undici and without fastify's schema compilers.

--- a/packages/router/src/gateway/run-gateway.ts
+++ b/packages/router/src/gateway/run-gateway.ts
@@ -2,6 +2,7 @@
 import { type DynamicModule, Module } from "@nestjs/common";
 import { NestFactory } from "@nestjs/core";
 import { FastifyAdapter, type NestFastifyApplication } from "@nestjs/platform-fastify";
+import type { FastifyServerOptions } from "fastify";
 import { once } from "node:events";
 import { watchFile } from "node:fs";
 import { createServer, type RequestListener, type Server } from "node:http";
@@ -69,6 +70,14 @@
     process.exit(0);
 }
 
+// No route has a schema, so the compilers for them, much of what a start would load, are left out.
+const withoutSchemas = {
+    compilersFactory: {
+        buildValidator: () => () => () => true,
+        buildSerializer: () => () => (value: unknown) => JSON.stringify(value),
+    },
+} as unknown as FastifyServerOptions["schemaController"];
+
 async function listenInternally(gateway: Gateway): Promise<void> {
     const { ready, addresses, metrics, peers } = gateway.settings.listen;
     const distinct = [...new Set([ready, addresses, metrics, peers])];
@@ -77,7 +86,7 @@
         handle = handler;
         return createServer(handler);
     };
-    const adapter = new FastifyAdapter({ serverFactory: serverFactory as never });
+    const adapter = new FastifyAdapter({ serverFactory: serverFactory as never, schemaController: withoutSchemas });
     const options = { bodyParser: false, logger: false, abortOnError: false } as const;
     const application = await NestFactory.create<NestFastifyApplication>(GatewayModule.of(gateway), adapter, options);
     const [first, ...others] = distinct;
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,14 +1,24 @@
-// Bundles the router for the platform into one file, so that a start reads one module.
+// Bundles the router for the platform: FILE starts it, with the bundle and its code cache beside it.
+// To be run with the flags of Node.js that the router is run with, as the cache holds for these only.
 import { build } from "esbuild";
+import { spawnSync } from "node:child_process";
+import { copyFileSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join, resolve } from "node:path";
 
 const packages = ["core", "router"];
+const file = process.argv[2] ?? "target/router.cjs";
 
 const result = await build({
     entryPoints: ["platform/src/main.ts"],
-    outfile: process.argv[2] ?? "target/router.mjs",
+    outfile: `${file}.bundle`,
     bundle: true,
     platform: "node",
-    format: "esm",
+    format: "cjs",
+    // Names stay, as NestJS finds classes by them and stack traces show them.
+    minifyWhitespace: true,
+    minifySyntax: true,
+    legalComments: "none",
     // The CommonJS builds of some packages load their parts by computed paths.
     mainFields: ["module", "main"],
     metafile: true,
@@ -21,14 +31,35 @@
         "@gooseberrybend/core/dispatch": "./packages/core/src/dispatch/index.ts",
         "@gooseberrybend/router/gateway": "./packages/router/src/gateway/index.ts",
     },
+    plugins: [{
+        name: "parts of undici",
+        setup: ({ onResolve }) => onResolve({ filter: /^undici$/ }, () => ({ path: resolve("scripts/bundle/undici.cjs") })),
+    }],
     // Nest loads these only when they are installed.
     external: ["@nestjs/platform-express", "@nestjs/websockets*", "@nestjs/microservices*", "class-validator", "class-transformer", "@fastify/view", "@fastify/static"],
-    banner: { js: "import { createRequire } from \"node:module\"; const require = createRequire(import.meta.url);" },
 });
+copyFileSync("scripts/bundle/start.cjs", file);
+writeCodeCache();
 if (process.argv.includes("--sizes")) {
     const outputs = Object.values(result.metafile.outputs)[0].inputs;
-    const sizes = Object.entries(outputs).map(([file, { bytesInOutput }]) => [bytesInOutput, file]);
-    for (const [bytes, file] of sizes.sort((one, other) => other[0] - one[0]).slice(0, 30)) {
-        console.log(bytes, file);
+    const sizes = Object.entries(outputs).map(([input, { bytesInOutput }]) => [bytesInOutput, input]);
+    for (const [bytes, input] of sizes.sort((one, other) => other[0] - one[0]).slice(0, 30)) {
+        console.log(bytes, input);
+    }
+}
+
+// Starts the router once on free ports, without a store, so that the cache holds what a start runs.
+function writeCodeCache() {
+    const folder = mkdtempSync(join(tmpdir(), "router-"));
+    const settings = join(folder, "settings.jsonc");
+    const nowhere = "127.0.0.1:0";
+    const listen = { callers: nowhere, ready: nowhere, addresses: nowhere, metrics: nowhere, peers: nowhere };
+    const store = { address: "127.0.0.1:1" };
+    writeFileSync(settings, JSON.stringify({ name: "build", domain: "build", listen, store, log: { level: "error" } }));
+    const args = [...process.execArgv, file, "--write-cache", "--settings", settings];
+    const run = spawnSync(process.execPath, args, { stdio: "inherit" });
+    rmSync(folder, { recursive: true });
+    if (run.status !== 0) {
+        throw new Error(`No code cache was written for ${file}: the router ended with ${run.status ?? run.signal}.`);
     }
 }
