Let three routers follow the store, and write and renew less

Three routers in different failure domains follow the store, whatever the fleet's size, and all others ask these; a follower that fails asks another. Failed calls are repeated after growing pauses, and the first watch shows whether the rest is worth asking. Marks every 1.5 s in place of 0.6 s, none while the store is known to be away. Routers that callers are not sent to register for 10 s, so that cuts do not make them register anew. Strain lasts 5 s at least, as each change is a write that all routers read. A registration test names a longer shortest lease now, as the usual lease of a router is longer than what it named.

--- a/packages/core/src/dispatch/fleet.test.ts
+++ b/packages/core/src/dispatch/fleet.test.ts
@@ -1,5 +1,13 @@
 import { describe, expect, it } from "vitest";
-import { addressesForCaller, isStrained, newsSources, partOfFleet, servingRouters } from "./fleet.js";
+import {
+    addressesForCaller,
+    followersOf,
+    newsSources,
+    nextStrain,
+    partOfFleet,
+    servingRouters,
+    type Strain,
+} from "./fleet.js";
 import { memberOf } from "./mocks/fleet-members.js";
 import type { FleetMember } from "./types.js";
 
@@ -85,6 +93,29 @@
         });
     });
 
+    describe("the routers that follow the store", () => {
+        it("are three of those that callers are sent to, whatever the fleet's size", () => {
+            for (const size of [4, 24, 400]) {
+                const serving = servingRouters(equalFleet(size));
+                const followers = followersOf(serving);
+                expect(followers).toHaveLength(3);
+                expect(serving).toEqual(expect.arrayContaining(followers));
+                expect(new Set(followers.map(({ domain }) => domain)).size).toBe(3);
+            }
+        });
+
+        it("are all where there are fewer", () => {
+            expect(followersOf(equalFleet(2))).toHaveLength(2);
+        });
+
+        it("are not chosen anew when another router leaves", () => {
+            const fleet = equalFleet(60);
+            const followers = followersOf(fleet);
+            const left = fleet.filter((member) => member !== fleet.find((other) => !followers.includes(other)));
+            expect(followersOf(left)).toEqual(followers);
+        });
+    });
+
     describe("the routers that pass on changes", () => {
         it("are those of the same failure domain first, in an order of each router's own", () => {
             const serving = equalFleet(12);
@@ -100,11 +131,25 @@
     });
 
     describe("strain", () => {
+        const calm = { strained: false, since: 0 };
+        const strained = { strained: true, since: 0 };
+
         it("begins with most of the processor in use and ends well below", () => {
-            expect(isStrained(false, 0.5)).toBe(false);
-            expect(isStrained(false, 0.7)).toBe(true);
-            expect(isStrained(true, 0.5)).toBe(true);
-            expect(isStrained(true, 0.2)).toBe(false);
+            expect(nextStrain(calm, 0.5, 10_000).strained).toBe(false);
+            expect(nextStrain(calm, 0.7, 10_000)).toEqual({ strained: true, since: 10_000 });
+            expect(nextStrain(strained, 0.5, 10_000).strained).toBe(true);
+            expect(nextStrain(strained, 0.2, 10_000).strained).toBe(false);
+        });
+
+        it("lasts for seconds, so that short peaks do not write to the store again and again", () => {
+            let strain: Strain = calm;
+            let changes = 0;
+            for (let now = 500; now <= 30_000; now += 500) {
+                const next = nextStrain(strain, now % 1_000 === 0 ? 0.1 : 0.9, now);
+                changes += next.strained === strain.strained ? 0 : 1;
+                strain = next;
+            }
+            expect(changes).toBeLessThanOrEqual(12);
         });
     });
 
--- a/packages/core/src/dispatch/fleet.ts
+++ b/packages/core/src/dispatch/fleet.ts
@@ -71,12 +71,26 @@
         : (1 - SERVING_PART) / others;
 }
 
+/** Routers that read changes from the store for all others: enough that one is left after two deaths. */
+const FOLLOWERS = 3;
+
+/**
+ * Chooses the routers that follow the store itself, in different failure domains where there are any.
+ * They are among those that callers are sent to, which are the largest.
+ */
+export function followersOf(serving: readonly FleetMember[]): FleetMember[] {
+    const ordered = orderedFor("followers", serving);
+    const domains = new Set<string>();
+    const firsts = ordered.filter((member) => !domains.has(member.domain) && domains.add(member.domain));
+    return [...new Set([...firsts, ...ordered])].slice(0, FOLLOWERS);
+}
+
 /**
- * Returns where a router asks for changes of the store: at those that callers are sent to, which follow
- * it. Those of its own failure domain come first, as bytes between domains cost.
+ * Returns where a router asks for changes of the store: at those that follow it. Those of its own failure
+ * domain come first, as bytes between domains cost.
  */
-export function newsSources(serving: readonly FleetMember[], self: FleetMember): string[] {
-    const ordered = orderedFor(self.name, serving);
+export function newsSources(followers: readonly FleetMember[], self: FleetMember): string[] {
+    const ordered = orderedFor(self.name, followers.filter((member) => member.name !== self.name));
     const near = ordered.filter((member) => member.domain === self.domain);
     const far = ordered.filter((member) => member.domain !== self.domain);
     return [...near, ...far].map((member) => member.peerAddress);
@@ -86,9 +100,19 @@
 const STRAINED_ABOVE = 0.6;
 const STRAINED_UNTIL = 0.3;
 
-/** Returns whether a router is strained, from whether it was and the part of its processor in use. */
-export function isStrained(before: boolean, utilization: number): boolean {
-    return utilization > (before ? STRAINED_UNTIL : STRAINED_ABOVE);
+/** Shortest time in ms of strain; each change is written to the store, and read by all routers. */
+const SHORTEST_STRAIN_MS = 5_000;
+
+/** Whether a router is strained, and since when in ms. */
+export type Strain = { readonly strained: boolean; readonly since: number; };
+
+/** Returns the strain of a router, from the one before and the part of its processor in use. */
+export function nextStrain(before: Strain, utilization: number, now: number): Strain {
+    if (before.strained && now - before.since < SHORTEST_STRAIN_MS) {
+        return before;
+    }
+    const strained = utilization > (before.strained ? STRAINED_UNTIL : STRAINED_ABOVE);
+    return strained === before.strained ? before : { strained, since: now };
 }
 
 /** Returns the addresses of routers in random order, as many as one answer names. */
--- a/packages/router/src/gateway/fleet-registry.test.ts
+++ b/packages/router/src/gateway/fleet-registry.test.ts
@@ -12,12 +12,28 @@
 
 describe("fleet registry", () => {
     let registry: FleetRegistry;
-    const grantLease = vi.fn(async () => ({ kind: "unavailable", detail: "" }));
+    let now = 0;
+    const grantLease = vi.fn(async (unusedMs: number): Promise<object> => ({ kind: "unavailable", detail: "" }));
+    const renewLease = vi.fn(async () => ({ kind: "done", value: undefined }));
+    const transact = vi.fn(async () => ({ kind: "done", value: 2 }));
+    const pass = async (timeMs: number): Promise<void> => {
+        for (const end = now + timeMs; now < end;) {
+            now += 100;
+            await vi.advanceTimersByTimeAsync(100);
+        }
+    };
+
+    const createRegistry = (shortestLeaseMs: number): FleetRegistry => {
+        const store = { grantLease, renewLease, transact } as unknown as MetadataStore;
+        const logs = createGatewayLogs({ level: "error" });
+        return new FleetRegistry(store, memberOf("router-1"), shortestLeaseMs, logs, () => now);
+    };
 
     beforeEach(() => {
         vi.useFakeTimers();
-        const logs = createGatewayLogs({ level: "error" });
-        registry = new FleetRegistry({ grantLease } as unknown as MetadataStore, memberOf("router-1"), 5_000, logs);
+        now = 0;
+        vi.clearAllMocks();
+        registry = createRegistry(1_000);
         registry.put(itemOf("router-2", 1));
     });
 
@@ -52,17 +68,48 @@
         });
     });
 
-    describe("the own registration", () => {
-        it("lives at least as long as the store allows", () => {
-            registry.start();
-            expect(grantLease).toHaveBeenCalledWith(5_000);
-        });
-    });
-
     describe("a registration that ends while the store is well", () => {
         it("is no longer named at once", () => {
             registry.remove(FLEET_PREFIX + "router-2", 0);
             expect(registry.members.size).toBe(0);
         });
     });
+
+    describe("its own registration", () => {
+        beforeEach(() => {
+            grantLease.mockImplementation(async () => ({ kind: "done", value: 7 }));
+        });
+
+        it("lives at least as long as the store allows", async () => {
+            registry = createRegistry(20_000);
+            registry.start();
+            await pass(6_000);
+            expect(grantLease.mock.calls.map(([lifetimeMs]) => lifetimeMs)).toEqual([20_000, 20_000]);
+        });
+
+        it("is renewed rarely while callers are sent to others", async () => {
+            for (let index = 2; index <= 30; index++) {
+                registry.put({
+                    ...itemOf(`router-${index}`, 1),
+                    value: Buffer.from(JSON.stringify(memberOf(`router-${index}`, {
+                        capacity: { cores: 4, linkMbps: 1_000 },
+                    }))),
+                });
+            }
+            registry.start();
+            await pass(30_000);
+            expect(grantLease).toHaveBeenCalledTimes(1);
+            expect(grantLease.mock.calls[0]![0]).toBeGreaterThanOrEqual(10_000);
+            expect(renewLease.mock.calls.length).toBeLessThanOrEqual(10);
+        });
+
+        it("ends soon after its death once callers are sent to it", async () => {
+            registry.start();
+            await pass(6_000);
+            expect(grantLease.mock.calls.map(([lifetimeMs]) => lifetimeMs)).toEqual([10_000, 2_000]);
+            renewLease.mockClear();
+            await pass(6_000);
+            expect(renewLease.mock.calls.length).toBeGreaterThanOrEqual(9);
+        });
+    });
 });
--- a/packages/router/src/gateway/fleet-registry.ts
+++ b/packages/router/src/gateway/fleet-registry.ts
@@ -1,5 +1,5 @@
 import { brand, type FailureDomain, type Incarnation } from "@gooseberrybend/core";
-import { type FleetMember, servingRouters } from "@gooseberrybend/core/dispatch";
+import { type FleetMember, followersOf, servingRouters } from "@gooseberrybend/core/dispatch";
 import { z } from "zod";
 import type { GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoredItem } from "./metadata-store.js";
@@ -7,9 +7,14 @@
 /** Prefix of the keys of routers. */
 export const FLEET_PREFIX = "gooseberrybend/fleet/";
 
-/** Lifetime in ms of a registration: a few missed renewals take a router out of the answers. */
-const LEASE_MS = 2_000;
-const RENEWAL_MS = 600;
+/** Lifetime in ms of the registration of a router that callers are sent to: its death takes it out soon. */
+const SERVING_LEASE_MS = 2_000;
+const SERVING_RENEWAL_MS = 600;
+/** Lifetime in ms of other registrations: longer than most cuts from the store, so that they need not be made again. */
+const RESERVE_LEASE_MS = 10_000;
+const RESERVE_RENEWAL_MS = 3_000;
+/** Time in ms after a registration in which the fleet becomes known; until then every router seems to serve. */
+const GATHERING_MS = 3_000;
 
 const memberSchema = z.object({
     name: z.string(),
@@ -28,7 +33,12 @@
     private readonly peerAddresses = new Map<string, string>();
     /** The routers that callers are sent to, until the members change. */
     private chosen: readonly FleetMember[] | undefined;
+    private following: readonly FleetMember[] | undefined;
     private lease: number | undefined;
+    /** True once the lease is as short as those of routers that callers are sent to. */
+    private isLeaseShort = false;
+    private registeredAt = Infinity;
+    private renewedAt = -Infinity;
     private leaving = false;
     private timer: NodeJS.Timeout | undefined;
     private busy = false;
@@ -41,12 +51,13 @@
         /** Shortest lifetime in ms of a lease that the store grants. */
         private readonly shortestLeaseMs: number,
         private readonly logs: GatewayLogs,
+        private readonly clock: () => number,
     ) {}
 
     /** Registers, and keeps the registration alive. */
     start(): void {
         void this.renew();
-        this.timer = setInterval(() => void this.renew(), RENEWAL_MS);
+        this.timer = setInterval(() => void this.renew(), SERVING_RENEWAL_MS);
     }
 
     /** Takes this router out of the answers to callers. */
@@ -71,6 +82,17 @@
         return this.serving.some((member) => member.name === this.self.name);
     }
 
+    /** The routers that follow the store for the others. */
+    get followers(): readonly FleetMember[] {
+        this.following ??= followersOf(this.serving);
+        return this.following;
+    }
+
+    /** Whether this router follows the store for the others. */
+    get isFollower(): boolean {
+        return this.followers.some((member) => member.name === this.self.name);
+    }
+
     /**
      * Returns where a router takes calls of others, or undefined when it was never known. A router that
      * is cut off from the store loses its registration, but may still be reached.
@@ -143,20 +165,29 @@
     }
 
     private async renew(): Promise<void> {
-        if (this.busy || this.leaving) {
+        const now = this.clock();
+        if (this.busy || this.leaving || !this.isRenewalDue(now)) {
             return;
         }
         this.busy = true;
-        if (this.lease !== undefined) {
+        if (this.needsShortLease(now)) {
+            // The old lease lapses by itself; the registration no longer hangs on it.
+            this.lease = undefined;
+            this.isLeaseShort = true;
+        }
+        else if (this.lease !== undefined) {
             const renewed = await this.store.renewLease(this.lease);
+            this.renewedAt = renewed.kind === "done" ? now : this.renewedAt;
             if (renewed.kind === "lease-ended") {
                 this.lease = undefined;
             }
         }
         if (this.lease === undefined) {
-            const granted = await this.store.grantLease(Math.max(LEASE_MS, this.shortestLeaseMs));
+            const lifetimeMs = this.isLeaseShort ? SERVING_LEASE_MS : RESERVE_LEASE_MS;
+            const granted = await this.store.grantLease(Math.max(lifetimeMs, this.shortestLeaseMs));
             if (granted.kind === "done") {
                 this.lease = granted.value;
+                this.renewedAt = now;
                 this.outdated = true;
             }
         }
@@ -166,6 +197,16 @@
         this.busy = false;
     }
 
+    private isRenewalDue(now: number): boolean {
+        return this.lease === undefined || this.outdated || this.isLeaseShort || this.needsShortLease(now)
+            || now - this.renewedAt >= RESERVE_RENEWAL_MS;
+    }
+
+    // A router that served once keeps its short lease, as it may serve again soon.
+    private needsShortLease(now: number): boolean {
+        return !this.isLeaseShort && now - this.registeredAt > GATHERING_MS && this.isServing;
+    }
+
     private async register(lease: number): Promise<void> {
         const key = FLEET_PREFIX + this.self.name;
         const member = this.self;
@@ -173,6 +214,7 @@
         const written = await this.store.transact({ conditions: new Map(), puts: [put], deletes: [] });
         if (written.kind === "done") {
             this.outdated = this.self !== member;
+            this.registeredAt = Math.min(this.registeredAt, this.clock());
             this.setMember(key, member);
             this.logs.fleet.info("Registered.", { address: member.address, lease });
         }
@@ -182,10 +224,12 @@
         this.members.set(key, member);
         this.peerAddresses.set(member.name, member.peerAddress);
         this.chosen = undefined;
+        this.following = undefined;
     }
 
     private deleteMember(key: string): void {
         this.members.delete(key);
         this.chosen = undefined;
+        this.following = undefined;
     }
 }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -84,7 +84,7 @@
             capacity: capacityOf(settings),
             strained: false,
         };
-        this.registry = new FleetRegistry(store, self, settings.store.shortestLeaseMs, this.logs);
+        this.registry = new FleetRegistry(store, self, settings.store.shortestLeaseMs, this.logs, this.clock);
         this.suspects = new SuspectBoard(store, this.logs);
         const holder = { name: settings.name, incarnation, startedAt };
         this.prepaid = new PrepaidKeeper(
@@ -95,8 +95,8 @@
             this.peers,
             (router) => this.registry.peerAddressOf(router),
         );
-        const news = new PeerNews(this.peers, () => newsSources(this.registry.serving, self), this.clock);
-        // Records and marks are left out: they are most of what changes, and routers that do not serve do without.
+        const news = new PeerNews(this.peers, () => newsSources(this.registry.followers, self), this.clock);
+        // Records and marks are left out: they are most of what changes, and a conflict brings the newest record.
         const newsPrefixes = [dialect.configurationKey, dialect.endpointPrefix, FLEET_PREFIX, SUSPECT_PREFIX];
         const history = new NewsHistory(newsPrefixes, this.clock);
         this.peerServer = new JSONRPCServer({
@@ -113,7 +113,7 @@
             this.logs,
             this.clock,
             () => Math.min(this.settings.bounds.drainMs, this.settings.bounds.configurationMs),
-            () => this.registry.isServing ? undefined : news,
+            () => this.registry.isFollower && !this.follower.isFailing ? undefined : news,
             history,
             newsPrefixes,
         );
--- a/packages/router/src/gateway/load-gauge.ts
+++ b/packages/router/src/gateway/load-gauge.ts
@@ -1,4 +1,4 @@
-import { isStrained, nextShedShare } from "@gooseberrybend/core/dispatch";
+import { nextShedShare, nextStrain, type Strain } from "@gooseberrybend/core/dispatch";
 import { type EventLoopUtilization, performance } from "node:perf_hooks";
 import type { GatewayLogs } from "./log-sink.js";
 
@@ -9,17 +9,21 @@
 
 /** Measures how busy this router is, and decides what follows. */
 export class LoadGauge {
-    /** Whether most of the processor is in use. */
-    strained = false;
     /** Share of new requests that are refused because this router is overloaded. */
     shedShare = 0;
     /** Time in ms that what arrives lately waited before it was read. */
     lagMs = 0;
+    private strain: Strain = { strained: false, since: -Infinity };
     private use: EventLoopUtilization = performance.eventLoopUtilization();
     private measuredAt: number | undefined;
 
     constructor(private readonly logs: GatewayLogs) {}
 
+    /** Whether most of the processor is in use. */
+    get strained(): boolean {
+        return this.strain.strained;
+    }
+
     /** Takes the next measurement; to be called every `GAUGE_MS`. */
     measure(hasOthers: boolean, now: number): void {
         const use = performance.eventLoopUtilization();
@@ -27,7 +31,7 @@
         this.use = use;
         this.lagMs = Math.min(MOST_LAG_MS, Math.max(0, now - (this.measuredAt ?? now) - GAUGE_MS));
         this.measuredAt = now;
-        this.strained = isStrained(this.strained, utilization);
+        this.strain = nextStrain(this.strain, utilization, now);
         // Alone, a late answer is all that callers can get.
         this.setShedShare(hasOthers ? nextShedShare(this.shedShare, utilization) : 0, utilization);
     }
--- a/packages/router/src/gateway/prepaid-keeper.ts
+++ b/packages/router/src/gateway/prepaid-keeper.ts
@@ -46,13 +46,15 @@
 /** Time in ms between two looks at which allowances have to change. */
 const REVIEW_MS = 1_000;
 /** Time in ms between two marks: what a router may have used since its last one is lost with it. */
-const MARK_MS = 600;
+const MARK_MS = 1_500;
 /** Tries to return tokens on shutdown. */
 const CLOSING_TRIES = 8;
 /** Conflicting writes in a row before the waiting requests are judged. */
 const CONFLICT_TRIES = 6;
-/** Time in ms for which a failing store is not asked for tokens again; marks show its return sooner. */
+/** Time in ms for which a failing store is not asked for tokens again. */
 const BACKOFF_MS = 1_000;
+/** Time in ms for which nothing is written to a failing store that no request waits for. */
+const IDLE_BACKOFF_MS = 2_500;
 
 const markSchema = z.object({ sequence: z.number(), committed: z.number(), at: z.number() });
 const recordSchema = z.object({
@@ -121,7 +123,7 @@
 
     /** Starts the periodic work. */
     start(): void {
-        this.timers.push(setInterval(() => void this.flush(), REVIEW_MS));
+        this.timers.push(setInterval(() => this.review(), REVIEW_MS));
         this.timers.push(setInterval(() => void this.writeMarks(), MARK_MS));
     }
 
@@ -294,6 +296,12 @@
         }
     }
 
+    private review(): void {
+        if (this.clock().steady - this.failedAt >= IDLE_BACKOFF_MS) {
+            void this.flush();
+        }
+    }
+
     private async flush(): Promise<void> {
         if (this.flushing || this.storeRevision === undefined) {
             return;
@@ -396,7 +404,8 @@
         // Without tokens at hand there is nothing that a mark could bring back.
         const rows = [...this.rows.values()].filter((row) => row.granted > row.used + row.reserved);
         const reclaimed = [...this.rows.values()].every((row) => !hasPredecessor(row.record, this.holder));
-        if (this.marking || this.storeRevision === undefined || !reclaimed || rows.length === 0) {
+        const failed = this.clock().steady - this.failedAt < IDLE_BACKOFF_MS;
+        if (this.marking || failed || this.storeRevision === undefined || !reclaimed || rows.length === 0) {
             return;
         }
         this.marking = true;
@@ -433,8 +442,11 @@
                 this.dropSheet(sheet.value.sequence);
             }
         }
-        else if (result.kind !== "unanswered" && !again) {
-            this.dropSheet(sheet.value.sequence);
+        else {
+            if (result.kind !== "unanswered" && !again) {
+                this.dropSheet(sheet.value.sequence);
+            }
+            this.noteFailure(result.kind, "detail" in result ? result.detail : "");
         }
     }
 
--- a/packages/router/src/gateway/store-follower.ts
+++ b/packages/router/src/gateway/store-follower.ts
@@ -12,12 +12,12 @@
 
 /** Longest time in ms that a watch waits; it bounds how long a silent connection goes unnoticed. */
 const WATCH_MS = 800;
-/** Longest pause in ms between two watches: changes gather meanwhile, as each call has its price. */
-const LONGEST_PACE_MS = 500;
-/** Part of the shortest bound on news that the pause may take. */
+/** Part of the shortest bound on news that passes between two watches: changes gather, as each call has its price. */
 const PACE_SHARE = 0.25;
-/** Pause in ms after a failed call; a call without success has its price too. */
+/** Pause in ms after a failed call, which doubles with each one in a row; such a call has its price too. */
 const RETRY_MS = 500;
+/** Longest such pause in ms: with the time of a call, a router that is reached again knows the news within 3 s. */
+const LONGEST_RETRY_MS = 1_500;
 /** Pause in ms between two questions to another router. */
 const PEER_PACE_MS = 100;
 /** Parts of the shortest bound on news that a question to another router may wait, and that its news may be old. */
@@ -42,6 +42,8 @@
     private partial = false;
     /** Time of the first failure since the last success. */
     private failingSince: number | undefined;
+    /** Failed calls since the last success. */
+    private failures = 0;
     /** Time at which the store answered again after its last outage. */
     returnedAt = -Infinity;
 
@@ -71,6 +73,11 @@
         }
     }
 
+    /** Whether the last call to the store failed. */
+    get isFailing(): boolean {
+        return this.failures > 0;
+    }
+
     /** Ends the watch after the call on its way. */
     stop(): void {
         this.stopped = true;
@@ -88,7 +95,10 @@
         const worked = this.revision === undefined
             ? await this.readAll()
             : await this.readChanges(news !== undefined);
-        return worked ? Math.min(LONGEST_PACE_MS, PACE_SHARE * this.newsMs()) : RETRY_MS;
+        if (worked) {
+            return PACE_SHARE * this.newsMs();
+        }
+        return Math.min(LONGEST_RETRY_MS, RETRY_MS * 2 ** (this.failures - 1));
     }
 
     private async readFromPeer(news: PeerNews): Promise<boolean> {
@@ -148,9 +158,12 @@
     private async changesOf(prefixes: readonly string[]): Promise<StoreResult<StoreChanges>> {
         // Nothing is applied before the last watch has ended, so several wait less each.
         const waitMs = WATCH_MS / prefixes.length;
-        const results = await Promise.all(
-            prefixes.map((prefix) => this.store.changes(prefix, this.revision!, waitMs)),
-        );
+        const read = (prefix: string): Promise<StoreResult<StoreChanges>> =>
+            this.store.changes(prefix, this.revision!, waitMs);
+        // The first one shows whether the store can be reached at all.
+        const [probe, ...others] = prefixes;
+        const first = await read(probe!);
+        const results = first.kind === "done" ? [first, ...await Promise.all(others.map(read))] : [first];
         const changes: StoreChange[] = [];
         let revision = Infinity;
         for (const result of results) {
@@ -165,6 +178,7 @@
     }
 
     private noteFailure(failure: StoreFailure): void {
+        this.failures++;
         if (this.failingSince === undefined) {
             this.failingSince = this.clock();
             this.logs.store.warn("Lost.", { failure: failure.kind, detail: "detail" in failure ? failure.detail : "" });
@@ -172,6 +186,7 @@
     }
 
     private noteSuccess(): void {
+        this.failures = 0;
         if (this.failingSince !== undefined) {
             this.returnedAt = this.clock();
             this.logs.store.info("Regained.", { afterMs: Math.round(this.returnedAt - this.failingSince) });
