Watch for as long as other routers wait for news, and lend what a request lacks

Cause: with fewer writes, a follower's watch waited longer than news may be old, so that others asked the store in between. The wait follows the bound on news now. Shared keys have one prefix, so a router on its own needs three watches in place of four. A follower is remembered over a cut that ends all registrations. Found on the way: a watch of a part of a millisecond was never sent (AbortSignal takes whole ones only), which left routers without news for good; a lender kept half of what it had though the request that waited at the borrower needed a little more.

--- a/packages/core/src/dispatch/prepaid-loan.test.ts
+++ b/packages/core/src/dispatch/prepaid-loan.test.ts
@@ -60,6 +60,11 @@
             expect(lendPrepaid(lender, new Map(), { ...request, tokens: 50_000 }, CALM_MS)).toBe(4_000);
         });
 
+        it("gives more than half where the request that waits needs it", () => {
+            const lender = rowOf("router-1", record);
+            expect(lendPrepaid(lender, new Map(), { ...request, tokens: 12_000 }, CALM_MS)).toBe(6_000);
+        });
+
         it("makes a loan once that is asked for twice", () => {
             const lender = rowOf("router-1", record);
             const loans = new Map();
--- a/packages/core/src/dispatch/prepaid-loan.ts
+++ b/packages/core/src/dispatch/prepaid-loan.ts
@@ -12,7 +12,7 @@
     readonly tokens: number;
 };
 
-/** Part of what a router can spend that one loan takes at most. */
+/** Part of what a router can spend that one loan takes, unless the waiting request needs more. */
 const LENT_SHARE = 0.5;
 /** Size of a loan relative to what is missing; the next requests need tokens too. */
 const LOAN_FACTOR = 2;
@@ -47,7 +47,11 @@
     if (known !== undefined) {
         return known;
     }
-    const lent = Math.max(0, Math.min(request.tokens, Math.floor(spendableTokens(row, now) * LENT_SHARE)));
+    const spendable = Math.max(0, spendableTokens(row, now));
+    // A request that waits at the borrower and can be served goes before those that may come here.
+    const missing = Math.ceil(request.tokens / LOAN_FACTOR);
+    const least = missing <= spendable ? missing : 0;
+    const lent = Math.min(request.tokens, Math.max(least, Math.floor(spendable * LENT_SHARE)));
     row.used += lent;
     loans.set(request.id, lent);
     if (loans.size > REMEMBERED_LOANS) {
--- a/packages/router/src/gateway/fleet-registry.ts
+++ b/packages/router/src/gateway/fleet-registry.ts
@@ -3,9 +3,10 @@
 import { z } from "zod";
 import type { GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoredItem } from "./metadata-store.js";
+import { SHARED_PREFIX } from "./shared-prefix.js";
 
 /** Prefix of the keys of routers. */
-export const FLEET_PREFIX = "gooseberrybend/fleet/";
+export const FLEET_PREFIX = `${SHARED_PREFIX}fleet/`;
 
 /** Lifetime in ms of the registration of a router that callers are sent to: its death takes it out soon. */
 const SERVING_LEASE_MS = 2_000;
@@ -33,7 +34,9 @@
     private readonly peerAddresses = new Map<string, string>();
     /** The routers that callers are sent to, until the members change. */
     private chosen: readonly FleetMember[] | undefined;
-    private following: readonly FleetMember[] | undefined;
+    /** The routers that followed the store when routers were last known; a cut ends all registrations. */
+    private following: readonly FleetMember[] = [];
+    private isFollowingKnown = false;
     private lease: number | undefined;
     /** True once the lease is as short as those of routers that callers are sent to. */
     private isLeaseShort = false;
@@ -84,7 +87,10 @@
 
     /** The routers that follow the store for the others. */
     get followers(): readonly FleetMember[] {
-        this.following ??= followersOf(this.serving);
+        if (!this.isFollowingKnown && this.serving.length > 0) {
+            this.following = followersOf(this.serving);
+            this.isFollowingKnown = true;
+        }
         return this.following;
     }
 
@@ -224,12 +230,12 @@
         this.members.set(key, member);
         this.peerAddresses.set(member.name, member.peerAddress);
         this.chosen = undefined;
-        this.following = undefined;
+        this.isFollowingKnown = false;
     }
 
     private deleteMember(key: string): void {
         this.members.delete(key);
         this.chosen = undefined;
-        this.following = undefined;
+        this.isFollowingKnown = false;
     }
 }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -28,6 +28,7 @@
 import { PeerCalls } from "./peer-calls.js";
 import { NEWS_METHOD, NewsHistory, PeerNews } from "./peer-news.js";
 import { MARK_PREFIX, PREPAID_PREFIX, PrepaidKeeper } from "./prepaid-keeper.js";
+import { SHARED_PREFIX } from "./shared-prefix.js";
 import { StoreFollower } from "./store-follower.js";
 import { SUSPECT_PREFIX, SuspectBoard } from "./suspect-board.js";
 import { LEND_METHOD } from "./token-loans.js";
@@ -97,7 +98,7 @@
         );
         const news = new PeerNews(this.peers, () => newsSources(this.registry.followers, self), this.clock);
         // Records and marks are left out: they are most of what changes, and a conflict brings the newest record.
-        const newsPrefixes = [dialect.configurationKey, dialect.endpointPrefix, FLEET_PREFIX, SUSPECT_PREFIX];
+        const newsPrefixes = [dialect.configurationKey, dialect.endpointPrefix, SHARED_PREFIX];
         const history = new NewsHistory(newsPrefixes, this.clock);
         this.peerServer = new JSONRPCServer({
             errorListener: (detail) => this.logs.fleet.warn("Call of another router failed.", { detail }),
--- a/packages/router/src/gateway/peer-calls.ts
+++ b/packages/router/src/gateway/peer-calls.ts
@@ -24,7 +24,7 @@
                 method: "POST",
                 body: JSON.stringify(payload),
                 headers: { "content-type": "application/json" },
-                signal: AbortSignal.timeout(timeoutMs),
+                signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
                 dispatcher: this.agent,
             });
             client.receive(await response.body.json() as never);
--- a/packages/router/src/gateway/peer-news.ts
+++ b/packages/router/src/gateway/peer-news.ts
@@ -6,7 +6,7 @@
 export const NEWS_METHOD = "news";
 
 /** Time in ms that an answer may take beyond the time it was asked to wait; it may hold a whole configuration. */
-const ANSWER_MS = 800;
+const ANSWER_MS = 400;
 /** Time in ms for which a router that gave no news is not asked again. */
 const PAUSE_MS = 2_000;
 /** Longest time in ms that a router holds a question for changes. */
--- a/packages/router/src/gateway/store-follower.ts
+++ b/packages/router/src/gateway/store-follower.ts
@@ -10,10 +10,10 @@
 } from "./metadata-store.js";
 import type { NewsHistory, PeerNews } from "./peer-news.js";
 
-/** Longest time in ms that a watch waits; it bounds how long a silent connection goes unnoticed. */
-const WATCH_MS = 800;
+/** Part of the shortest bound on news that a watch waits; it bounds how long a silent connection goes unnoticed. */
+const WATCH_SHARE = 0.2;
 /** Part of the shortest bound on news that passes between two watches: changes gather, as each call has its price. */
-const PACE_SHARE = 0.25;
+const PACE_SHARE = 0.2;
 /** Pause in ms after a failed call, which doubles with each one in a row; such a call has its price too. */
 const RETRY_MS = 500;
 /** Longest such pause in ms: with the time of a call, a router that is reached again knows the news within 3 s. */
@@ -22,7 +22,7 @@
 const PEER_PACE_MS = 100;
 /** Parts of the shortest bound on news that a question to another router may wait, and that its news may be old. */
 const PEER_WAIT_SHARE = 0.2;
-const PEER_AGE_SHARE = 0.4;
+const PEER_AGE_SHARE = 0.45;
 
 /** The prefix of all keys. */
 const EVERYTHING = "";
@@ -157,7 +157,7 @@
     // Changes of several prefixes count as read up to the least of their revisions; what is newer comes again.
     private async changesOf(prefixes: readonly string[]): Promise<StoreResult<StoreChanges>> {
         // Nothing is applied before the last watch has ended, so several wait less each.
-        const waitMs = WATCH_MS / prefixes.length;
+        const waitMs = WATCH_SHARE * this.newsMs() / prefixes.length;
         const read = (prefix: string): Promise<StoreResult<StoreChanges>> =>
             this.store.changes(prefix, this.revision!, waitMs);
         // The first one shows whether the store can be reached at all.
--- a/packages/router/src/gateway/suspect-board.ts
+++ b/packages/router/src/gateway/suspect-board.ts
@@ -9,9 +9,10 @@
 } from "@gooseberrybend/core/dispatch";
 import type { GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoreTransaction } from "./metadata-store.js";
+import { SHARED_PREFIX } from "./shared-prefix.js";
 
 /** Prefix of the keys that tell of crashes: the request, then the start of the endpoint. */
-export const SUSPECT_PREFIX = "gooseberrybend/suspects/";
+export const SUSPECT_PREFIX = `${SHARED_PREFIX}suspects/`;
 
 /** Time in ms for which a crash is remembered; a request that crashes endpoints comes again within seconds. */
 const MEMORY_MS = 120_000;
