Shed by use and urgency, and wait for others after a cut before asking the store

Admission now follows the measured use, so a router is open again within 3 s; less urgent requests go first, none of a kind in full. After a cut each router asked the store for three prefixes again and again, as the routers that follow it had been cut off as well: 2,300 watches. One small call now shows that the store is back, and others are asked for some time before the store is. Routers in reserve register for 15 s.

--- a/packages/core/src/dispatch/routing.ts
+++ b/packages/core/src/dispatch/routing.ts
@@ -6,6 +6,8 @@
     /** Routes by host, the longest prefix first. */
     readonly routesByHost: ReadonlyMap<string, readonly Route[]>;
     readonly accountsByKey: ReadonlyMap<AccessKey, AccountDeclaration>;
+    /** Priority of the least urgent routes; 0 is the most urgent. */
+    readonly lowestPriority: number;
 };
 
 /** Builds the indexes of a configuration. */
@@ -25,7 +27,8 @@
             accountsByKey.set(key, account);
         }
     }
-    return { configuration, routesByHost, accountsByKey };
+    const lowestPriority = configuration.routes.reduce((lowest, route) => Math.max(lowest, route.priority), 0);
+    return { configuration, routesByHost, accountsByKey, lowestPriority };
 }
 
 /** Returns the route with the longest prefix of a path, without its query. */
--- a/packages/core/src/dispatch/shedding.test.ts
+++ b/packages/core/src/dispatch/shedding.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { nextShedShare } from "./shedding.js";
+import { nextShedShare, shedChance } from "./shedding.js";
 
 // Plays measurements of a router that is offered work, relative to what its processor can do.
 function play(offered: readonly number[]): number[] {
@@ -24,6 +24,19 @@
             expect(shares.at(-1)).toBe(0);
         });
 
+        it("is admitted in full within 3 s once its burst is over", () => {
+            const shares = play([...Array.from({ length: 20 }, () => 3), ...Array.from({ length: 6 }, () => 0.4)]);
+            expect(shares.at(-1)).toBe(0);
+        });
+
+        it("loses its less urgent requests first, and none of a kind in full", () => {
+            const [urgent, usual, patient] = [0, 1, 2].map((priority) => shedChance(0.8, priority, 2));
+            expect(urgent).toBeLessThan(usual!);
+            expect(usual).toBeLessThan(patient!);
+            expect(patient).toBeLessThan(1);
+            expect(shedChance(0.5, 3, 2)).toBe(0.5);
+        });
+
         it("never gets nothing at all", () => {
             expect(Math.max(...play(Array.from({ length: 60 }, () => 50)))).toBeLessThan(0.9);
         });
--- a/packages/router/src/gateway/fleet-registry.ts
+++ b/packages/router/src/gateway/fleet-registry.ts
@@ -12,8 +12,8 @@
 const SERVING_LEASE_MS = 2_000;
 const SERVING_RENEWAL_MS = 600;
 /** Lifetime in ms of other registrations: longer than most cuts from the store, so that they need not be made again. */
-const RESERVE_LEASE_MS = 10_000;
-const RESERVE_RENEWAL_MS = 3_000;
+const RESERVE_LEASE_MS = 15_000;
+const RESERVE_RENEWAL_MS = 4_500;
 /** Time in ms after a registration in which the fleet becomes known; until then every router seems to serve. */
 const GATHERING_MS = 3_000;
 
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -7,6 +7,7 @@
     type Route,
     type RoutingTable,
     type ServiceDeclaration,
+    shedChance,
     takesWhileDraining,
 } from "@gooseberrybend/core/dispatch";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
@@ -132,9 +133,10 @@
             return;
         }
         const { shedShare } = this.gateway.load;
-        if (context.chance() < shedShare) {
+        const priority = account?.priority ?? route.priority;
+        if (context.chance() < shedChance(shedShare, priority, table.lowestPriority)) {
             const waitMs = retryAfterMs(context.chance());
-            this.refuse(fields, response, "router-overloaded", waitMs, { route: route.name, shedShare });
+            this.refuse(fields, response, "router-overloaded", waitMs, { route: route.name, priority, shedShare });
             return;
         }
         const bodyDigest = digestBody(
--- a/packages/router/src/gateway/peer-calls.ts
+++ b/packages/router/src/gateway/peer-calls.ts
@@ -54,6 +54,11 @@
         this.until.set(peer, now + this.pauseMs);
     }
 
+    /** Ends all pauses. */
+    clear(): void {
+        this.until.clear();
+    }
+
     /** Returns whether a router is paused. */
     has(peer: string, now: number): boolean {
         return (this.until.get(peer) ?? -Infinity) > now;
--- a/packages/router/src/gateway/peer-news.ts
+++ b/packages/router/src/gateway/peer-news.ts
@@ -115,6 +115,11 @@
         private readonly now: () => number,
     ) {}
 
+    /** Asks all routers again, as this one has been cut off and is no more. */
+    resume(): void {
+        this.paused.clear();
+    }
+
     /** Returns the changes after a revision, or undefined when no router knows them freshly enough. */
     async changes(after: number, waitMs: number, oldestMs: number): Promise<PassedChanges | undefined> {
         const now = this.now();
--- a/packages/router/src/gateway/prepaid-keeper.ts
+++ b/packages/router/src/gateway/prepaid-keeper.ts
@@ -43,8 +43,8 @@
 
 /** Records written in one transaction; the store takes at most 32 entries, and each record is two. */
 const RECORDS_PER_WRITE = 16;
-/** Time in ms between two looks at which allowances have to change. */
-const REVIEW_MS = 1_000;
+/** Time in ms between two looks at which allowances have to change; several records go in one write then. */
+const REVIEW_MS = 2_000;
 /** Time in ms between two marks: what a router may have used since its last one is lost with it. */
 const MARK_MS = 1_500;
 /** Tries to return tokens on shutdown. */
--- a/packages/router/src/gateway/store-follower.ts
+++ b/packages/router/src/gateway/store-follower.ts
@@ -17,9 +17,11 @@
 /** Pause in ms after a failed call, which doubles with each one in a row; such a call has its price too. */
 const RETRY_MS = 500;
 /** Longest such pause in ms: with the time of a call, a router that is reached again knows the news within 3 s. */
-const LONGEST_RETRY_MS = 1_500;
+const LONGEST_RETRY_MS = 1_200;
 /** Pause in ms between two questions to another router. */
 const PEER_PACE_MS = 100;
+/** Part of the shortest bound on news for which a router that is reached again waits for others to be up to date. */
+const PATIENCE_SHARE = 0.3;
 /** Parts of the shortest bound on news that a question to another router may wait, and that its news may be old. */
 const PEER_WAIT_SHARE = 0.2;
 const PEER_AGE_SHARE = 0.45;
@@ -44,6 +46,8 @@
     private failingSince: number | undefined;
     /** Failed calls since the last success. */
     private failures = 0;
+    /** Time until which a router that was cut off asks other routers only. */
+    private patientUntil = -Infinity;
     /** Time at which the store answered again after its last outage. */
     returnedAt = -Infinity;
 
@@ -89,18 +93,39 @@
         if (news !== undefined && await this.readFromPeer(news)) {
             return PEER_PACE_MS;
         }
+        if (news !== undefined && this.isFailing && !await this.probe(news)) {
+            return this.retryMs();
+        }
+        if (news !== undefined && this.clock() < this.patientUntil) {
+            news.resume();
+            return PEER_PACE_MS;
+        }
         if (news === undefined && this.partial) {
             this.revision = undefined;
         }
         const worked = this.revision === undefined
             ? await this.readAll()
             : await this.readChanges(news !== undefined);
-        if (worked) {
-            return PACE_SHARE * this.newsMs();
-        }
+        return worked ? PACE_SHARE * this.newsMs() : this.retryMs();
+    }
+
+    private retryMs(): number {
         return Math.min(LONGEST_RETRY_MS, RETRY_MS * 2 ** (this.failures - 1));
     }
 
+    // One small call shows whether the store is back. Others are asked again then, who mostly were cut off as well.
+    private async probe(news: PeerNews): Promise<boolean> {
+        const result = await this.store.changes(this.newsPrefixes[0]!, this.revision!, 0);
+        if (result.kind !== "done" && result.kind !== "compacted") {
+            this.noteFailure(result);
+            return false;
+        }
+        this.noteSuccess();
+        news.resume();
+        this.patientUntil = this.clock() + PATIENCE_SHARE * this.newsMs();
+        return true;
+    }
+
     private async readFromPeer(news: PeerNews): Promise<boolean> {
         const waitMs = PEER_WAIT_SHARE * this.newsMs();
         const found = await news.changes(this.revision!, waitMs, PEER_AGE_SHARE * this.newsMs());
@@ -158,12 +183,12 @@
     private async changesOf(prefixes: readonly string[]): Promise<StoreResult<StoreChanges>> {
         // Nothing is applied before the last watch has ended, so several wait less each.
         const waitMs = WATCH_SHARE * this.newsMs() / prefixes.length;
-        const read = (prefix: string): Promise<StoreResult<StoreChanges>> =>
-            this.store.changes(prefix, this.revision!, waitMs);
-        // The first one shows whether the store can be reached at all.
-        const [probe, ...others] = prefixes;
-        const first = await read(probe!);
-        const results = first.kind === "done" ? [first, ...await Promise.all(others.map(read))] : [first];
+        const [first, ...others] = prefixes;
+        // Where there are others, the first one shows whether they are worth asking for.
+        const probe = await this.store.changes(first!, this.revision!, others.length === 0 ? waitMs : 0);
+        const results = probe.kind === "done"
+            ? [probe, ...await Promise.all(others.map((prefix) => this.store.changes(prefix, this.revision!, waitMs)))]
+            : [probe];
         const changes: StoreChange[] = [];
         let revision = Infinity;
         for (const result of results) {
