Ask for a loan before a write where nothing is free, and spread reviews over time

Cause: with no tokens free in the record, a request still wrote to the store before it borrowed, and other routers wrote at once what they returned. A loan brings the tokens sooner. Reviews of routers that start together fell on the same moments and met in the same records.

--- a/packages/core/src/dispatch/prepaid.ts
+++ b/packages/core/src/dispatch/prepaid.ts
@@ -169,9 +169,13 @@
 /** Returns whether a write can bring tokens, or has not yet told the others that they lack here. */
 export function canGainPrepaid(row: PrepaidRow, tokens: number, holder: PrepaidHolder, now: number): boolean {
     const own = ownHolding(row.record, holder);
-    const missing = tokens - Math.max(0, row.granted - row.used - row.reserved);
     const told = own !== undefined && own.lacking > 0 && now - row.toldAt < LACK_MS;
-    return !told || freeTokens(row.record, row.total) >= missing;
+    return !told || hasFreeTokens(row, tokens);
+}
+
+/** Returns whether the record, as far as it is known, has enough free tokens for a request. */
+export function hasFreeTokens(row: PrepaidRow, tokens: number): boolean {
+    return freeTokens(row.record, row.total) >= tokens - heldTokens(row);
 }
 
 /** Notes that a request could not be served for want of tokens at this router. */
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -95,6 +95,7 @@
             () => ({ steady: this.clock(), wall: Date.now() }),
             this.peers,
             (router) => this.registry.peerAddressOf(router),
+            Math.random,
         );
         const news = new PeerNews(this.peers, () => newsSources(this.registry.followers, self), this.clock);
         // Records and marks are left out: they are most of what changes, and a conflict brings the newest record.
--- a/packages/router/src/gateway/prepaid-keeper.ts
+++ b/packages/router/src/gateway/prepaid-keeper.ts
@@ -4,6 +4,7 @@
     createPrepaidRow,
     defaultPrepaidPolicy,
     emptyPrepaidRecord,
+    hasFreeTokens,
     hasPredecessor,
     type Instant,
     isAskedToReturn,
@@ -45,6 +46,8 @@
 const RECORDS_PER_WRITE = 16;
 /** Time in ms between two looks at which allowances have to change; several records go in one write then. */
 const REVIEW_MS = 2_000;
+/** Part of that time by which looks vary: routers that start together would write the same records at once. */
+const REVIEW_SPREAD = 0.5;
 /** Time in ms between two marks: what a router may have used since its last one is lost with it. */
 const MARK_MS = 1_500;
 /** Tries to return tokens on shutdown. */
@@ -100,6 +103,7 @@
     /** Rows of which other routers lack tokens. */
     private readonly returning = new Set<PrepaidRow>();
     private readonly timers: NodeJS.Timeout[] = [];
+    private reviewTimer: NodeJS.Timeout | undefined;
     private readonly loans: TokenLoans;
 
     constructor(
@@ -110,6 +114,8 @@
         peers: PeerCalls,
         /** Returns where a router takes calls, or undefined when it is not known. */
         addressOf: (router: string) => string | undefined,
+        /** Returns a random number in [0, 1). */
+        private readonly chance: () => number,
         private readonly policy: PrepaidPolicy = defaultPrepaidPolicy,
     ) {
         const host = { holder, rows: this.rows, addressOf, now: () => clock().steady };
@@ -123,13 +129,14 @@
 
     /** Starts the periodic work. */
     start(): void {
-        this.timers.push(setInterval(() => this.review(), REVIEW_MS));
+        this.scheduleReview();
         this.timers.push(setInterval(() => void this.writeMarks(), MARK_MS));
     }
 
     /** Ends the periodic work. */
     stop(): void {
         this.timers.forEach((timer) => clearInterval(timer));
+        clearTimeout(this.reviewTimer);
     }
 
     /** Puts the totals of a configuration in force. */
@@ -203,8 +210,8 @@
         }
         notePrepaidRecord(row, item.revision, record, this.holder);
         if (isAskedToReturn(row, this.holder)) {
+            // Loans serve what is urgent, so this goes with the next review.
             this.returning.add(row);
-            void this.flush();
         }
     }
 
@@ -230,16 +237,23 @@
         if (first !== "short") {
             return first;
         }
-        const asked = await this.askStore(row, tokens, waitMs);
-        if (asked !== "short") {
-            return asked;
+        // Where the record shows nothing free, a write would bring nothing that a loan does not bring sooner.
+        const sources = hasFreeTokens(row, tokens)
+            ? [() => this.askStore(row, tokens, waitMs), () => this.borrow(row, tokens)]
+            : [() => this.borrow(row, tokens), () => this.askStore(row, tokens, waitMs)];
+        for (const source of sources) {
+            const reservation = await source();
+            if (reservation !== "short") {
+                return reservation;
+            }
         }
+        notePrepaidShortage(row, tokens);
+        return "short";
+    }
+
+    private async borrow(row: PrepaidRow, tokens: number): Promise<Reservation> {
         await this.loans.borrow(row, tokens);
-        const lent = reservePrepaid(row, tokens, this.clock().steady);
-        if (lent === "short") {
-            notePrepaidShortage(row, tokens);
-        }
-        return lent;
+        return reservePrepaid(row, tokens, this.clock().steady);
     }
 
     private async askStore(row: PrepaidRow, tokens: number, waitMs: number): Promise<Reservation> {
@@ -296,6 +310,14 @@
         }
     }
 
+    private scheduleReview(): void {
+        const waitMs = REVIEW_MS * (1 + REVIEW_SPREAD * (this.chance() - 0.5));
+        this.reviewTimer = setTimeout(() => {
+            this.review();
+            this.scheduleReview();
+        }, waitMs);
+    }
+
     private review(): void {
         if (this.clock().steady - this.failedAt >= IDLE_BACKOFF_MS) {
             void this.flush();
@@ -328,11 +350,12 @@
         }
         const now = this.clock().steady;
         // Requests that wait are served by a small write; more records would meet more writes of others.
-        const urgent = new Set([...wanted.keys(), ...this.returning]);
-        this.returning.clear();
-        const due = urgent.size > 0
-            ? [...urgent]
-            : [...this.rows.values()].filter((row) => needsPrepaidWrite(row, this.policy, this.holder, now));
+        const due = wanted.size > 0
+            ? [...wanted.keys()]
+            : [...this.rows.values()].filter(
+                (row) => this.returning.has(row) || needsPrepaidWrite(row, this.policy, this.holder, now),
+            );
+        due.forEach((row) => this.returning.delete(row));
         return due.slice(0, RECORDS_PER_WRITE)
             .map((row) => this.planRow(row, wanted.get(row) ?? 0, this.policy))
             .filter((write) => write !== undefined);
