--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -6,6 +6,7 @@
 export * from "./fleet.js";
 export * from "./placement.js";
 export * from "./prepaid-loan.js";
+export * from "./prepaid-pace.js";
 export * from "./prepaid-record.js";
 export * from "./prepaid.js";
 export * from "./retry-quota.js";
--- a/packages/core/src/dispatch/prepaid.ts
+++ b/packages/core/src/dispatch/prepaid.ts
@@ -97,6 +97,8 @@
 const RETURN_FACTOR = 2;
 /** Time in ms that others take to return what they can spare. */
 export const LACK_MS = 700;
+/** Time in ms for which others know what is lacking here; telling it again for each request would flood the store. */
+const TELL_MS = 2_000;
 /** Change of an allowance, relative to its target, that is worth a write of its own. */
 const ALLOWANCE_TOLERANCE = 0.4;
 
@@ -169,7 +171,7 @@
 /** Returns whether a write can bring tokens, or has not yet told the others that they lack here. */
 export function canGainPrepaid(row: PrepaidRow, tokens: number, holder: PrepaidHolder, now: number): boolean {
     const own = ownHolding(row.record, holder);
-    const told = own !== undefined && own.lacking > 0 && now - row.toldAt < LACK_MS;
+    const told = own !== undefined && own.lacking > 0 && now - row.toldAt < TELL_MS;
     return !told || hasFreeTokens(row, tokens);
 }
 
@@ -272,7 +274,7 @@
         return true;
     }
     const told = ownHolding(row.record, holder)?.lacking ?? 0;
-    if (told > 0 && now - row.toldAt > 2 * LACK_MS) {
+    if (told > 0 && now - row.toldAt > TELL_MS) {
         return true;
     }
     const target = allowanceTarget(row, policy, holder);
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -95,6 +95,7 @@
             () => ({ steady: this.clock(), wall: Date.now() }),
             this.peers,
             (router) => this.registry.peerAddressOf(router),
+            () => this.registry.serving.length,
             Math.random,
         );
         const news = new PeerNews(this.peers, () => newsSources(this.registry.followers, self), this.clock);
--- /dev/null
+++ b/packages/router/src/gateway/prepaid-formats.ts
@@ -0,0 +1,25 @@
+import { z } from "zod";
+
+const markSchema = z.object({ sequence: z.number(), committed: z.number(), at: z.number() });
+/** Format of the stored record of an account. */
+export const recordSchema = z.object({
+    closed: z.number(),
+    holdings: z.record(
+        z.string(),
+        z.object({
+            incarnation: z.string(),
+            granted: z.number(),
+            used: z.number(),
+            lacking: z.number(),
+            rate: z.number(),
+            mark: markSchema,
+        }),
+    ),
+});
+/** Format of the stored marks of a router. */
+export const sheetSchema = z.object({
+    incarnation: z.string(),
+    sequence: z.number(),
+    at: z.number(),
+    committed: z.record(z.string(), z.number()),
+});
--- a/packages/router/src/gateway/prepaid-keeper.ts
+++ b/packages/router/src/gateway/prepaid-keeper.ts
@@ -1,6 +1,7 @@
 import type { AccountId } from "@gooseberrybend/core";
 import {
     canGainPrepaid,
+    conflictPauseMs,
     createPrepaidRow,
     defaultPrepaidPolicy,
     emptyPrepaidRecord,
@@ -9,6 +10,7 @@
     type Instant,
     isAskedToReturn,
     LACK_MS,
+    markIntervalMs,
     type MarkSheet,
     needsPrepaidWrite,
     noteMarkFailed,
@@ -28,12 +30,15 @@
     type PrepaidWrite,
     type Reservation,
     reservePrepaid,
+    reviewIntervalMs,
     settlePrepaid,
 } from "@gooseberrybend/core/dispatch";
-import { z } from "zod";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { z } from "zod";
 import type { GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoredItem, StoreResult } from "./metadata-store.js";
 import type { PeerCalls } from "./peer-calls.js";
+import { recordSchema, sheetSchema } from "./prepaid-formats.js";
 import { TokenLoans } from "./token-loans.js";
 
 /** Prefix of the keys of accounts' records. */
@@ -44,12 +49,8 @@
 
 /** Records written in one transaction; the store takes at most 32 entries, and each record is two. */
 const RECORDS_PER_WRITE = 16;
-/** Time in ms between two looks at which allowances have to change; several records go in one write then. */
-const REVIEW_MS = 2_000;
-/** Part of that time by which looks vary: routers that start together would write the same records at once. */
+/** Part of the time between two looks by which it varies: routers that start together would write the same records. */
 const REVIEW_SPREAD = 0.5;
-/** Time in ms between two marks: what a router may have used since its last one is lost with it. */
-const MARK_MS = 1_500;
 /** Tries to return tokens on shutdown. */
 const CLOSING_TRIES = 8;
 /** Conflicting writes in a row before the waiting requests are judged. */
@@ -59,28 +60,6 @@
 /** Time in ms for which nothing is written to a failing store that no request waits for. */
 const IDLE_BACKOFF_MS = 2_500;
 
-const markSchema = z.object({ sequence: z.number(), committed: z.number(), at: z.number() });
-const recordSchema = z.object({
-    closed: z.number(),
-    holdings: z.record(
-        z.string(),
-        z.object({
-            incarnation: z.string(),
-            granted: z.number(),
-            used: z.number(),
-            lacking: z.number(),
-            rate: z.number(),
-            mark: markSchema,
-        }),
-    ),
-});
-const sheetSchema = z.object({
-    incarnation: z.string(),
-    sequence: z.number(),
-    at: z.number(),
-    committed: z.record(z.string(), z.number()),
-});
-
 type Waiter = { readonly row: PrepaidRow; readonly tokens: number; readonly resolve: (value: Reservation) => void; };
 
 /** Holds this router's tokens, and writes what it used and needs into the store. */
@@ -102,8 +81,7 @@
     private marking = false;
     /** Rows of which other routers lack tokens. */
     private readonly returning = new Set<PrepaidRow>();
-    private readonly timers: NodeJS.Timeout[] = [];
-    private reviewTimer: NodeJS.Timeout | undefined;
+    private readonly timers = new Set<NodeJS.Timeout>();
     private readonly loans: TokenLoans;
 
     constructor(
@@ -114,6 +92,8 @@
         peers: PeerCalls,
         /** Returns where a router takes calls, or undefined when it is not known. */
         addressOf: (router: string) => string | undefined,
+        /** Returns the number of routers that callers are sent to, which hold most tokens. */
+        private readonly holders: () => number,
         /** Returns a random number in [0, 1). */
         private readonly chance: () => number,
         private readonly policy: PrepaidPolicy = defaultPrepaidPolicy,
@@ -129,14 +109,25 @@
 
     /** Starts the periodic work. */
     start(): void {
-        this.scheduleReview();
-        this.timers.push(setInterval(() => void this.writeMarks(), MARK_MS));
+        this.repeat(() => reviewIntervalMs(this.holders()) * (1 + REVIEW_SPREAD * (this.chance() - 0.5)), () => {
+            this.review();
+        });
+        this.repeat(() => markIntervalMs(this.holders()), () => void this.writeMarks());
+    }
+
+    // The time between two runs follows the size of the fleet.
+    private repeat(intervalMs: () => number, run: () => void): void {
+        const timer = setTimeout(() => {
+            this.timers.delete(timer);
+            run();
+            this.repeat(intervalMs, run);
+        }, intervalMs());
+        this.timers.add(timer);
     }
 
     /** Ends the periodic work. */
     stop(): void {
-        this.timers.forEach((timer) => clearInterval(timer));
-        clearTimeout(this.reviewTimer);
+        this.timers.forEach((timer) => clearTimeout(timer));
     }
 
     /** Puts the totals of a configuration in force. */
@@ -178,7 +169,8 @@
             }
         }
         if (first) {
-            void this.flush();
+            // Routers that start together, as after a loss of power, would all meet in the same records.
+            setTimeout(() => void this.flush(), this.chance() * reviewIntervalMs(this.holders())).unref();
         }
     }
 
@@ -210,8 +202,8 @@
         }
         notePrepaidRecord(row, item.revision, record, this.holder);
         if (isAskedToReturn(row, this.holder)) {
-            // Loans serve what is urgent, so this goes with the next review.
             this.returning.add(row);
+            void this.flush();
         }
     }
 
@@ -310,14 +302,6 @@
         }
     }
 
-    private scheduleReview(): void {
-        const waitMs = REVIEW_MS * (1 + REVIEW_SPREAD * (this.chance() - 0.5));
-        this.reviewTimer = setTimeout(() => {
-            this.review();
-            this.scheduleReview();
-        }, waitMs);
-    }
-
     private review(): void {
         if (this.clock().steady - this.failedAt >= IDLE_BACKOFF_MS) {
             void this.flush();
@@ -333,6 +317,9 @@
             const asked = [...this.waiters];
             const outcome = await this.write(this.plan());
             this.serveWaiters(outcome === "conflict" ? [] : asked);
+            if (outcome === "conflict") {
+                await sleep(conflictPauseMs(tries, this.chance()));
+            }
             if (outcome !== "conflict" && (outcome === "failed" || this.waiters.length === 0)) {
                 break;
             }
@@ -350,12 +337,11 @@
         }
         const now = this.clock().steady;
         // Requests that wait are served by a small write; more records would meet more writes of others.
-        const due = wanted.size > 0
-            ? [...wanted.keys()]
-            : [...this.rows.values()].filter(
-                (row) => this.returning.has(row) || needsPrepaidWrite(row, this.policy, this.holder, now),
-            );
-        due.forEach((row) => this.returning.delete(row));
+        const urgent = new Set([...wanted.keys(), ...this.returning]);
+        this.returning.clear();
+        const due = urgent.size > 0
+            ? [...urgent]
+            : [...this.rows.values()].filter((row) => needsPrepaidWrite(row, this.policy, this.holder, now));
         return due.slice(0, RECORDS_PER_WRITE)
             .map((row) => this.planRow(row, wanted.get(row) ?? 0, this.policy))
             .filter((write) => write !== undefined);
--- a/scripts/check-platform.mjs
+++ b/scripts/check-platform.mjs
@@ -25,7 +25,7 @@
 // Standard names of HTTP and the gateway's own failure kinds belong to nobody.
 const standard = [
     "content-length", "content-type", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection",
-    "transfer-encoding", "last-event-id", "application-json",
+    "transfer-encoding", "last-event-id", "application-json", "retry-after",
 ];
 standard.forEach((name) => names.delete(name));
 
