--- a/packages/core/src/dispatch/suspects.ts
+++ b/packages/core/src/dispatch/suspects.ts
@@ -56,14 +56,21 @@
     forgetOldest(table.crashes);
 }
 
-/** Notes that a request ran to its end, which clears it. */
-export function clearSuspect(table: SuspectTable, body: BodyDigest): void {
+/** Notes that a request ran to its end, which clears it. Returns the number of its crashes until then. */
+export function clearSuspect(table: SuspectTable, body: BodyDigest): number {
+    const crashes = crashCount(table, body);
     table.crashes.delete(body);
+    return crashes;
+}
+
+/** Returns how many starts of endpoints crashed while they ran a request. */
+export function crashCount(table: SuspectTable, body: BodyDigest): number {
+    return table.crashes.get(body)?.size ?? 0;
 }
 
 /** Returns whether a request has crashed too many endpoints to be run again. */
 export function isPoison(table: SuspectTable, body: BodyDigest): boolean {
-    return (table.crashes.get(body)?.size ?? 0) >= CRASH_LIMIT;
+    return crashCount(table, body) >= CRASH_LIMIT;
 }
 
 function forgetOldest(map: Map<string, unknown>): void {
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -2,7 +2,6 @@
 import {
     type AttemptState,
     chooseEndpoint,
-    clearSuspect,
     endpointFigures,
     type EndpointState,
     nextStep,
@@ -245,7 +244,7 @@
         if (this.done) {
             return;
         }
-        clearSuspect(this.context.suspects.table, this.admitted.bodyDigest);
+        this.context.suspects.noteAnswered(send.row.entry, this.admitted.bodyDigest, send.status);
         if (send.relaying) {
             this.write(this.admitted.route.resumable ? this.gate.rest() : undefined);
             this.finish("answered", send);
@@ -297,7 +296,12 @@
         }
         this.mayHaveRun = true;
         this.context.suspects.noteBroken(send.row.entry, this.admitted.bodyDigest, now);
-        this.context.logs.endpoints.warn("Connection broke.", { ...this.figures(send), code, heard: send.heard });
+        this.context.logs.endpoints.warn("Connection broke.", {
+            ...this.figures(send),
+            request: this.admitted.bodyDigest,
+            code,
+            heard: send.heard,
+        });
         this.afterFailure(send, "broken");
     }
 
@@ -470,6 +474,7 @@
             account: this.admitted.account?.id,
             attempt: this.sends + 1,
             configuration: this.context.configurationVersion(),
+            ...this.context.suspects.figures(this.admitted.bodyDigest),
             ...endpointFigures(row, now),
         });
     }
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -1,5 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { refusalStatus } from "./refusal.js";
+import { suspectEvents } from "./suspect-board.js";
 
 const FIRST_BYTE_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1, 2, 5];
 const WHOLE_BUCKETS = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 15];
@@ -16,9 +17,12 @@
     const gauge = (name: string, help: string): Gauge => new Gauge({ name: `gooseberrybend_${name}`, help, registers });
     const refusals = counter("refusals_total", "Refused requests by cause.", ["cause"]);
     Object.keys(refusalStatus).forEach((cause) => refusals.inc({ cause }, 0));
+    const suspects = counter("suspect_events_total", "What happened to requests that may crash endpoints.", ["event"]);
+    suspectEvents.forEach((event) => suspects.inc({ event }, 0));
     return {
         registry,
         refusals,
+        suspects,
         failedSends: counter("failed_sends_total", "Failed sends by failure and what followed.", ["failure", "next"]),
         cuts: counter("cut_answers_total", "Answers that ended before they were whole.", []),
         ends: counter("requests_total", "Ended requests by outcome.", ["outcome"]),
--- a/packages/router/src/gateway/suspect-board.ts
+++ b/packages/router/src/gateway/suspect-board.ts
@@ -1,6 +1,8 @@
 import { type BodyDigest, brand } from "@gooseberrybend/core";
 import {
     addCrash,
+    clearSuspect,
+    crashCount,
     createSuspectTable,
     type EndpointEntry,
     noteBrokenSend,
@@ -8,7 +10,7 @@
     startName,
 } from "@gooseberrybend/core/dispatch";
 import type { GatewayLogs } from "./log-sink.js";
-import type { MetadataStore, StoreTransaction } from "./metadata-store.js";
+import type { MetadataStore, StoreFailure, StoreTransaction } from "./metadata-store.js";
 import { SHARED_PREFIX } from "./shared-prefix.js";
 
 /** Prefix of the keys that tell of crashes: the request, then the start of the endpoint. */
@@ -18,15 +20,28 @@
 const MEMORY_MS = 120_000;
 /** Entries of one transaction. */
 const MOST_ENTRIES = 30;
+/** Requests that one line of the log names. */
+const MOST_NAMED = 8;
+
+/** What happens to suspects, as counted in the metrics. */
+export const suspectEvents = ["broken", "crashed", "heard", "shared", "not-shared", "cleared"] as const;
+
+/** One of the things that happen to suspects. */
+export type SuspectEvent = typeof suspectEvents[number];
 
 /** Shares among the routers which requests were running when endpoints crashed. */
 export class SuspectBoard {
     readonly table = createSuspectTable();
 
-    constructor(private readonly store: MetadataStore, private readonly logs: GatewayLogs) {}
+    constructor(
+        private readonly store: MetadataStore,
+        private readonly logs: GatewayLogs,
+        private readonly count: (event: SuspectEvent) => void,
+    ) {}
 
     /** Notes that a send broke before it was answered. */
     noteBroken(entry: EndpointEntry, body: BodyDigest, now: number): void {
+        this.count("broken");
         noteBrokenSend(this.table, { endpoint: entry.id, startedAt: entry.startedAt }, body, now);
     }
 
@@ -35,7 +50,13 @@
         const start = { endpoint: entry.id, startedAt: entry.startedAt };
         const bodies = noteCrash(this.table, start, now);
         if (bodies.length > 0) {
-            this.logs.endpoints.warn("Crashed.", { endpoint: entry.id, suspects: bodies.length });
+            this.count("crashed");
+            this.logs.endpoints.warn("Crashed.", {
+                endpoint: entry.id,
+                startedAt: entry.startedAt,
+                suspects: bodies.length,
+                requests: bodies.slice(0, MOST_NAMED).map((body) => this.figures(body)),
+            });
             void this.publish(bodies, startName(start));
         }
     }
@@ -44,14 +65,30 @@
     noteKey(key: string): void {
         const [body, start] = key.slice(SUSPECT_PREFIX.length).split("/");
         if (body !== undefined && start !== undefined) {
+            this.count("heard");
             addCrash(this.table, brand<BodyDigest>(body), start);
+            this.logs.endpoints.info("Crash heard.", { start, ...this.figures(brand<BodyDigest>(body)) });
+        }
+    }
+
+    /** Notes that an endpoint answered a request with a status, which clears it. */
+    noteAnswered(entry: EndpointEntry, body: BodyDigest, status: number): void {
+        const crashes = clearSuspect(this.table, body);
+        if (crashes > 0) {
+            this.count("cleared");
+            this.logs.endpoints.info("Suspect cleared.", { request: body, crashes, endpoint: entry.id, status });
         }
     }
 
+    /** Returns what is known of a request. */
+    figures(body: BodyDigest): { readonly request: BodyDigest; readonly crashes: number; } {
+        return { request: body, crashes: crashCount(this.table, body) };
+    }
+
     private async publish(bodies: readonly BodyDigest[], start: string): Promise<void> {
         const lease = await this.store.grantLease(MEMORY_MS);
         if (lease.kind !== "done") {
-            this.logs.endpoints.warn("Crash not shared.", { reason: lease.kind });
+            this.noteNotShared(start, lease);
             return;
         }
         const puts = [...new Set(bodies)].slice(0, MOST_ENTRIES)
@@ -59,7 +96,15 @@
         const transaction: StoreTransaction = { conditions: new Map(), puts, deletes: [] };
         const result = await this.store.transact(transaction);
         if (result.kind !== "done") {
-            this.logs.endpoints.warn("Crash not shared.", { reason: result.kind });
+            this.noteNotShared(start, result);
+            return;
         }
+        this.count("shared");
+        this.logs.endpoints.info("Crash shared.", { start, revision: result.value, suspects: puts.length });
+    }
+
+    private noteNotShared(start: string, failure: StoreFailure): void {
+        this.count("not-shared");
+        this.logs.endpoints.warn("Crash not shared.", { start, reason: failure.kind });
     }
 }
