Check an endpoint as soon as a send to it breaks

Callers of other requests saw endpoint after endpoint end: a request that crashes endpoints was not recognized. A crash was noted only if the same router happened to be refused a connection to the endpoint within 2 s, and placement avoids an endpoint whose sends just broke. The evidence now comes from a connection of its own, made at once, one at a time for each start of an endpoint.

--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -21,6 +21,7 @@
 import type { Dispatcher } from "undici";
 import type { AdmittedRequest } from "./admitted-request.js";
 import { noteAnswerHead } from "./answer-head.js";
+import { REFUSED_CODE } from "./connection-check.js";
 import { createSend, type Send } from "./endpoint-send.js";
 import { EventGate } from "./event-gate.js";
 import type { GatewayContext } from "./gateway-context.js";
@@ -33,8 +34,6 @@
 const FAILURE_STATUS = 500;
 /** Time in ms after which a request that waits for a connection goes elsewhere; connecting takes a few ms. */
 const CONNECT_MS = 200;
-/** Code of the error of a connection to a port on which nothing listens. */
-const REFUSED_CODE = "ECONNREFUSED";
 
 /** Carries one request from its caller to an endpoint and the answer back. */
 export class Exchange {
@@ -295,7 +294,7 @@
             return;
         }
         this.mayHaveRun = true;
-        this.context.suspects.noteBroken(send.row.entry, this.admitted.bodyDigest, now);
+        void this.context.suspects.noteBroken(send.row.entry, this.admitted.bodyDigest, now);
         this.context.logs.endpoints.warn("Connection broke.", {
             ...this.figures(send),
             request: this.admitted.bodyDigest,
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -86,7 +86,12 @@
             strained: false,
         };
         this.registry = new FleetRegistry(store, self, settings.store.shortestLeaseMs, this.logs, this.clock);
-        this.suspects = new SuspectBoard(store, this.logs, (event) => this.metrics.suspects.inc({ event }));
+        this.suspects = new SuspectBoard(
+            store,
+            this.logs,
+            (event) => this.metrics.suspects.inc({ event }),
+            this.clock,
+        );
         const holder = { name: settings.name, incarnation, startedAt };
         this.prepaid = new PrepaidKeeper(
             store,
--- a/packages/router/src/gateway/suspect-board.ts
+++ b/packages/router/src/gateway/suspect-board.ts
@@ -9,6 +9,7 @@
     noteCrash,
     startName,
 } from "@gooseberrybend/core/dispatch";
+import { checkConnection } from "./connection-check.js";
 import type { GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoreFailure, StoreTransaction } from "./metadata-store.js";
 import { SHARED_PREFIX } from "./shared-prefix.js";
@@ -32,17 +33,41 @@
 /** Shares among the routers which requests were running when endpoints crashed. */
 export class SuspectBoard {
     readonly table = createSuspectTable();
+    /** Checks on their way, by the start of the endpoint. */
+    private readonly checks = new Map<string, Promise<void>>();
 
     constructor(
         private readonly store: MetadataStore,
         private readonly logs: GatewayLogs,
         private readonly count: (event: SuspectEvent) => void,
+        /** Steady time in ms. */
+        private readonly clock: () => number,
     ) {}
 
-    /** Notes that a send broke before it was answered. */
-    noteBroken(entry: EndpointEntry, body: BodyDigest, now: number): void {
+    /**
+     * Notes that a send broke before it was answered, and checks whether the endpoint still accepts
+     * connections: other requests may not go there soon. Resolves once the check has ended.
+     */
+    noteBroken(entry: EndpointEntry, body: BodyDigest, now: number): Promise<void> {
         this.count("broken");
-        noteBrokenSend(this.table, { endpoint: entry.id, startedAt: entry.startedAt }, body, now);
+        const start = { endpoint: entry.id, startedAt: entry.startedAt };
+        noteBrokenSend(this.table, start, body, now);
+        const name = startName(start);
+        const running = this.checks.get(name);
+        if (running !== undefined) {
+            return running;
+        }
+        const check = this.check(entry).finally(() => this.checks.delete(name));
+        this.checks.set(name, check);
+        return check;
+    }
+
+    private async check(entry: EndpointEntry): Promise<void> {
+        const outcome = await checkConnection(entry.address);
+        this.logs.endpoints.info("Checked.", { endpoint: entry.id, startedAt: entry.startedAt, outcome });
+        if (outcome === "refused") {
+            this.noteUnreachable(entry, this.clock());
+        }
     }
 
     /** Notes that an endpoint can't be reached; requests that broke there just before are suspects. */
