Clear a request of crashes only once it ran to a good end

Callers saw more endpoints end: the crashes of a request were forgotten as soon as any endpoint answered it, also to say that it was full and had not run it, or that it failed. Only an answer that proves that the endpoint ran the request, and was no failure, clears it now.

--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -243,7 +243,9 @@
         if (this.done) {
             return;
         }
-        this.context.suspects.noteAnswered(send.row.entry, this.admitted.bodyDigest, send.status);
+        if (send.fields!.sealed && !send.fields!.notRun && !failed) {
+            this.context.suspects.noteServed(send.row.entry, this.admitted.bodyDigest, send.status);
+        }
         if (send.relaying) {
             this.write(this.admitted.route.resumable ? this.gate.rest() : undefined);
             this.finish("answered", send);
--- a/packages/router/src/gateway/suspect-board.ts
+++ b/packages/router/src/gateway/suspect-board.ts
@@ -96,8 +96,8 @@
         }
     }
 
-    /** Notes that an endpoint answered a request with a status, which clears it. */
-    noteAnswered(entry: EndpointEntry, body: BodyDigest, status: number): void {
+    /** Notes that an endpoint ran a request to a good end, which clears it. */
+    noteServed(entry: EndpointEntry, body: BodyDigest, status: number): void {
         const crashes = clearSuspect(this.table, body);
         if (crashes > 0) {
             this.count("cleared");
