Tell crashes of endpoints that fall silent or start again

Callers of other requests saw endpoints fall silent one after the other under one request. Only a connection that was refused counted as evidence of a crash: a silent endpoint refuses none, a request that ran into a time limit there was no broken send, and an endpoint that was back before the next connect looked as if it had never ended.

A router now follows each send to a start of an endpoint until it is answered. Those that are open or went unanswered when the endpoint ends are suspects, whether a refused connection, a newer start under the same id or the lapse of a silent endpoint's registration shows the end. A request is held back also while three endpoints are silent since it went unanswered there, which needs no evidence from elsewhere and ends with the next byte from them. Crashes count for a time, and requests that were running at one crash only are forgotten first.

Not blamed: what was answered, what went unanswered before the endpoint was heard again, and what ran at endpoints that leave as planned or drop their registration and serve on.

--- a/packages/core/src/dispatch/suspects.test.ts
+++ b/packages/core/src/dispatch/suspects.test.ts
@@ -1,63 +1,145 @@
-import { describe, expect, it } from "vitest";
+import { beforeEach, describe, expect, it } from "vitest";
 import { type BodyDigest, brand, type EndpointId } from "../types/ids.js";
 import {
     addCrash,
     clearSuspect,
+    crashCount,
     createSuspectTable,
+    type EndpointStart,
+    endTrackedSend,
+    forgetStart,
     isPoison,
-    noteBrokenSend,
-    noteCrash,
+    noteEnd,
+    noteLapse,
+    noteLifeSign,
+    noteRebirth,
+    startName,
     type SuspectTable,
+    type TrackedSend,
+    trackSend,
 } from "./suspects.js";
 
 const poison = brand<BodyDigest>("poison");
 const innocent = brand<BodyDigest>("innocent");
+const MEMORY_MS = 600_000;
 
-function crash(table: SuspectTable, name: string, now: number): void {
-    const start = { endpoint: brand<EndpointId>(name), startedAt: 1 };
-    noteBrokenSend(table, start, poison, now);
-    noteCrash(table, start, now + 100);
+function startOf(name: string): EndpointStart {
+    return { endpoint: brand<EndpointId>(name), startedAt: 1 };
 }
 
 describe("suspects", () => {
+    let table: SuspectTable;
+
+    beforeEach(() => {
+        table = createSuspectTable();
+    });
+
+    const send = (name: string, body = poison): TrackedSend => trackSend(table, startOf(name), body);
+    const breakSend = (name: string, now: number, body = poison): void =>
+        endTrackedSend(table, send(name, body), false, now);
+    const crash = (name: string, now: number): void => {
+        breakSend(name, now);
+        noteEnd(table, startOf(name), now + 100);
+    };
+
     describe("a request that crashes endpoints", () => {
         it("is refused after three crashes and not before", () => {
-            const table = createSuspectTable();
-            crash(table, "engine-1", 0);
-            crash(table, "engine-2", 1_000);
-            expect(isPoison(table, poison)).toBe(false);
-            crash(table, "engine-3", 2_000);
-            expect(isPoison(table, poison)).toBe(true);
+            crash("engine-1", 0);
+            crash("engine-2", 1_000);
+            expect(isPoison(table, poison, 1_200)).toBe(false);
+            crash("engine-3", 2_000);
+            expect(isPoison(table, poison, 2_200)).toBe(true);
         });
 
         it("counts one crash of an endpoint once, whoever saw it", () => {
-            const table = createSuspectTable();
-            ["a", "b", "c"].forEach(() => addCrash(table, poison, "engine-1@1"));
-            expect(isPoison(table, poison)).toBe(false);
+            ["a", "b", "c"].forEach(() => addCrash(table, poison, "engine-1@1", 0));
+            expect(isPoison(table, poison, 1)).toBe(false);
         });
 
         it("counts crashes that other routers saw", () => {
-            const table = createSuspectTable();
-            crash(table, "engine-1", 0);
-            addCrash(table, poison, "engine-2@1");
-            addCrash(table, poison, "engine-3@1");
-            expect(isPoison(table, poison)).toBe(true);
+            crash("engine-1", 0);
+            addCrash(table, poison, "engine-2@1", 0);
+            addCrash(table, poison, "engine-3@1", 0);
+            expect(isPoison(table, poison, 200)).toBe(true);
+        });
+
+        it("is known to have been running where the endpoint ended without breaking its connection", () => {
+            send("engine-1");
+            expect(noteEnd(table, startOf("engine-1"), 9_000)).toEqual([poison]);
+        });
+
+        it("is known from the endpoint's next start, also when the new process has answered already", () => {
+            breakSend("engine-1", 0);
+            noteLifeSign(send("engine-1", innocent), 1_500);
+            expect(noteRebirth(table, startOf("engine-1"), 2_000)).toContain(poison);
+        });
+
+        it("is known from the lapse of a silent endpoint, long after its caller left", () => {
+            breakSend("engine-1", 500);
+            expect(noteLapse(table, startOf("engine-1"), 4_500)).toEqual([poison]);
+        });
+
+        it("is held back where three endpoints are silent since it went unanswered there", () => {
+            ["engine-1", "engine-2", "engine-3"].forEach((name) => breakSend(name, 0));
+            expect(isPoison(table, poison, 1_000)).toBe(true);
+            noteLifeSign(send("engine-2", innocent), 1_500);
+            expect(isPoison(table, poison, 1_500)).toBe(false);
+        });
+
+        it("counts an endpoint once that is silent and known to have crashed", () => {
+            breakSend("engine-1", 0);
+            addCrash(table, poison, startName(startOf("engine-1")), 0);
+            breakSend("engine-2", 0);
+            expect(isPoison(table, poison, 100)).toBe(false);
+        });
+
+        it("is remembered among many innocent requests, and for a time only", () => {
+            crash("engine-1", 0);
+            crash("engine-2", 0);
+            crash("engine-3", 0);
+            for (let index = 0; index < 6_000; index++) {
+                addCrash(table, brand<BodyDigest>(`innocent-${index}`), "engine-1@1", 0);
+            }
+            expect(isPoison(table, poison, 1_000)).toBe(true);
+            expect(isPoison(table, poison, MEMORY_MS + 1_000)).toBe(false);
         });
     });
 
     describe("an innocent request", () => {
         it("is cleared once it runs to its end", () => {
-            const table = createSuspectTable();
-            ["engine-1@1", "engine-2@1", "engine-3@1"].forEach((start) => addCrash(table, innocent, start));
-            clearSuspect(table, innocent);
-            expect(isPoison(table, innocent)).toBe(false);
+            ["engine-1@1", "engine-2@1", "engine-3@1"].forEach((start) => addCrash(table, innocent, start, 0));
+            expect(clearSuspect(table, innocent, 0)).toBe(3);
+            expect(isPoison(table, innocent, 0)).toBe(false);
+        });
+
+        it("is not blamed when its answer was lost and the endpoint was heard later", () => {
+            breakSend("engine-1", 0, innocent);
+            noteLifeSign(send("engine-1", poison), 1_000);
+            expect(noteEnd(table, startOf("engine-1"), 5_000)).toEqual([poison]);
+        });
+
+        it("is not blamed when it was answered", () => {
+            endTrackedSend(table, send("engine-1", innocent), true, 0);
+            expect(noteEnd(table, startOf("engine-1"), 10)).toEqual([]);
+        });
+
+        it("is not blamed when its answer was lost long before", () => {
+            breakSend("engine-1", 0, innocent);
+            expect(noteEnd(table, startOf("engine-1"), 11_000)).toEqual([]);
+        });
+
+        it("is not blamed for an endpoint that drops its registration and serves on", () => {
+            noteLifeSign(send("engine-1", innocent), 4_000);
+            expect(noteLapse(table, startOf("engine-1"), 4_500)).toEqual([]);
+            expect(table.lives.size).toBe(0);
         });
 
-        it("is not blamed when its answer was lost and the endpoint lives", () => {
-            const table = createSuspectTable();
-            const start = { endpoint: brand<EndpointId>("engine-1"), startedAt: 1 };
-            noteBrokenSend(table, start, innocent, 0);
-            expect(noteCrash(table, start, 10_000)).toEqual([]);
+        it("is not blamed for an endpoint that left as planned", () => {
+            breakSend("engine-1", 0, innocent);
+            forgetStart(table, startOf("engine-1"));
+            expect(noteEnd(table, startOf("engine-1"), 100)).toEqual([]);
+            expect(crashCount(table, innocent, 100)).toBe(0);
+            expect(table.unresolved.size).toBe(0);
         });
     });
 });
--- a/packages/router/src/gateway/answer-head.ts
+++ b/packages/router/src/gateway/answer-head.ts
@@ -14,7 +14,7 @@
 /** Takes in what the head of an answer tells of its endpoint: its pace, its load, and what it wishes. */
 export function noteAnswerHead(context: GatewayContext, query: PlacementQuery, send: Send, now: number): void {
     const { row, fields } = send;
-    noteHeard(row);
+    noteBytes(context, send, now);
     send.heard = true;
     noteFirstByte(row, query);
     noteDuration(paceOf(context.endpoints, query.service), row, now - send.sentAt, send.units);
@@ -24,6 +24,12 @@
     noteWishes(context, send, now);
 }
 
+/** Takes in that bytes came from an endpoint. */
+export function noteBytes({ suspects }: GatewayContext, { row, tracked }: Send, now: number): void {
+    noteHeard(row);
+    suspects.noteHeard(tracked, now);
+}
+
 function noteWishes({ endpoints, logs }: GatewayContext, { row, fields }: Send, now: number): void {
     const endpoint = row.entry.id;
     if (fields?.leaving && !row.saidLeaving) {
--- a/packages/router/src/gateway/endpoint-send.ts
+++ b/packages/router/src/gateway/endpoint-send.ts
@@ -1,4 +1,4 @@
-import type { EndpointState } from "@gooseberrybend/core/dispatch";
+import type { EndpointState, TrackedSend } from "@gooseberrybend/core/dispatch";
 import type { Dispatcher } from "undici";
 import type { EndpointFields } from "./dialect.js";
 
@@ -19,6 +19,8 @@
     /** Body of an answer that is passed on whole. */
     chunks: Buffer[];
     relaying: boolean;
+    /** Set once bytes may have left. */
+    tracked: TrackedSend | undefined;
 };
 
 /** Creates a send that has not begun. */
@@ -36,5 +38,6 @@
         headers: [],
         chunks: [],
         relaying: false,
+        tracked: undefined,
     };
 }
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -8,7 +8,6 @@
     noteConnectFailure,
     noteFirstByte,
     noteFirstSend,
-    noteHeard,
     noteOutcome,
     noteSend,
     paceOf,
@@ -20,7 +19,7 @@
 } from "@gooseberrybend/core/dispatch";
 import type { Dispatcher } from "undici";
 import type { AdmittedRequest } from "./admitted-request.js";
-import { noteAnswerHead } from "./answer-head.js";
+import { noteAnswerHead, noteBytes } from "./answer-head.js";
 import { REFUSED_CODE } from "./connection-check.js";
 import { createSend, type Send } from "./endpoint-send.js";
 import { EventGate } from "./event-gate.js";
@@ -156,6 +155,7 @@
                     return;
                 }
                 send.started = true;
+                send.tracked = this.context.suspects.track(send.row.entry, this.admitted.bodyDigest);
                 this.sends++;
                 this.tried.add(send.row.entry.id);
             },
@@ -208,7 +208,7 @@
     }
 
     private receiveData(send: Send, chunk: Buffer): void {
-        noteHeard(send.row);
+        noteBytes(this.context, send, this.context.clock());
         if (this.done || send.ended) {
             return;
         }
@@ -286,7 +286,7 @@
             return;
         }
         const now = this.context.clock();
-        this.endSend(send, true);
+        this.endSend(send, true, false);
         if (this.done) {
             return;
         }
@@ -296,7 +296,7 @@
             return;
         }
         this.mayHaveRun = true;
-        void this.context.suspects.noteBroken(send.row.entry, this.admitted.bodyDigest, now);
+        void this.context.suspects.noteBroken(send.row.entry);
         this.context.logs.endpoints.warn("Connection broke.", {
             ...this.figures(send),
             request: this.admitted.bodyDigest,
@@ -413,8 +413,9 @@
         send.controller?.abort(new Error("no longer wanted"));
     }
 
-    private endSend(send: Send, failed: boolean): void {
+    private endSend(send: Send, failed: boolean, answered = send.heard): void {
         send.ended = true;
+        this.context.suspects.noteSendEnd(send.tracked, answered, this.context.clock());
         send.row.open--;
         if (!send.heard) {
             noteFirstByte(send.row, this.query);
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -325,6 +325,7 @@
         const replaced = putEndpoint(this.endpoints, entry);
         if (replaced !== undefined) {
             this.connections.release(replaced.entry);
+            this.suspects.noteReplaced(replaced.entry, entry);
         }
         if (news) {
             this.logs.endpoints.info(entry.leaving ? "Leaving." : "Registered.", { ...entry, revision: item.revision });
@@ -368,6 +369,7 @@
         const row = removeEndpoint(this.endpoints, id);
         if (row !== undefined) {
             this.connections.release(row.entry);
+            this.suspects.noteGone(row);
             this.logs.endpoints.info("Gone.", { endpoint: id, reason });
             this.metrics.endpoints.set(this.endpoints.rows.size);
         }
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -2,7 +2,6 @@
 import {
     type Drain,
     findRoute,
-    isPoison,
     pickService,
     type Route,
     type RoutingTable,
@@ -143,7 +142,7 @@
             account?.id ?? NO_ACCOUNT,
             `${request.method} ${request.url}\n${body.toString("latin1")}`,
         );
-        if (isPoison(context.suspects.table, bodyDigest)) {
+        if (context.suspects.isPoison(bodyDigest)) {
             this.refuse(fields, response, "poison-request", POISON_RETRY_AFTER_MS, { route: route.name, bodyDigest });
             return;
         }
--- a/packages/router/src/gateway/suspect-board.ts
+++ b/packages/router/src/gateway/suspect-board.ts
@@ -5,9 +5,18 @@
     crashCount,
     createSuspectTable,
     type EndpointEntry,
-    noteBrokenSend,
-    noteCrash,
+    type EndpointStart,
+    type EndpointState,
+    endTrackedSend,
+    forgetStart,
+    isPoison,
+    noteEnd,
+    noteLapse,
+    noteLifeSign,
+    noteRebirth,
     startName,
+    type TrackedSend,
+    trackSend,
 } from "@gooseberrybend/core/dispatch";
 import { checkConnection } from "./connection-check.js";
 import type { GatewayLogs } from "./log-sink.js";
@@ -30,9 +39,12 @@
 /** One of the things that happen to suspects. */
 export type SuspectEvent = typeof suspectEvents[number];
 
+/** What showed that an endpoint crashed. */
+type CrashEvidence = "refuses-connections" | "started-again" | "lapsed";
+
 /** Shares among the routers which requests were running when endpoints crashed. */
 export class SuspectBoard {
-    readonly table = createSuspectTable();
+    private readonly table = createSuspectTable();
     /** Checks on their way, by the start of the endpoint. */
     private readonly checks = new Map<string, Promise<void>>();
 
@@ -44,15 +56,32 @@
         private readonly clock: () => number,
     ) {}
 
+    /** Notes that a request is sent to an endpoint. */
+    track(entry: EndpointEntry, body: BodyDigest): TrackedSend {
+        return trackSend(this.table, startOf(entry), body);
+    }
+
+    /** Notes a byte of an answer. */
+    noteHeard(send: TrackedSend | undefined, now: number): void {
+        if (send !== undefined) {
+            noteLifeSign(send, now);
+        }
+    }
+
+    /** Notes the end of a send, with or without an answer. */
+    noteSendEnd(send: TrackedSend | undefined, answered: boolean, now: number): void {
+        if (send !== undefined) {
+            endTrackedSend(this.table, send, answered, now);
+        }
+    }
+
     /**
-     * Notes that a send broke before it was answered, and checks whether the endpoint still accepts
-     * connections: other requests may not go there soon. Resolves once the check has ended.
+     * Checks whether an endpoint to which a send broke still accepts connections: other requests may not go
+     * there soon. Resolves once the check has ended.
      */
-    noteBroken(entry: EndpointEntry, body: BodyDigest, now: number): Promise<void> {
+    noteBroken(entry: EndpointEntry): Promise<void> {
         this.count("broken");
-        const start = { endpoint: entry.id, startedAt: entry.startedAt };
-        noteBrokenSend(this.table, start, body, now);
-        const name = startName(start);
+        const name = startName(startOf(entry));
         const running = this.checks.get(name);
         if (running !== undefined) {
             return running;
@@ -62,27 +91,28 @@
         return check;
     }
 
-    private async check(entry: EndpointEntry): Promise<void> {
-        const outcome = await checkConnection(entry.address);
-        this.logs.endpoints.info("Checked.", { endpoint: entry.id, startedAt: entry.startedAt, outcome });
-        if (outcome === "refused") {
-            this.noteUnreachable(entry, this.clock());
+    /** Notes that an endpoint refuses connections. */
+    noteUnreachable(entry: EndpointEntry, now: number): void {
+        this.noteCrash(entry, "refuses-connections", noteEnd(this.table, startOf(entry), now));
+    }
+
+    /** Notes that an endpoint has another registration under the same id. */
+    noteReplaced(before: EndpointEntry, after: EndpointEntry): void {
+        if (after.startedAt > before.startedAt) {
+            this.noteCrash(before, "started-again", noteRebirth(this.table, startOf(before), this.clock()));
+        }
+        else {
+            forgetStart(this.table, startOf(before));
         }
     }
 
-    /** Notes that an endpoint can't be reached; requests that broke there just before are suspects. */
-    noteUnreachable(entry: EndpointEntry, now: number): void {
-        const start = { endpoint: entry.id, startedAt: entry.startedAt };
-        const bodies = noteCrash(this.table, start, now);
-        if (bodies.length > 0) {
-            this.count("crashed");
-            this.logs.endpoints.warn("Crashed.", {
-                endpoint: entry.id,
-                startedAt: entry.startedAt,
-                suspects: bodies.length,
-                requests: bodies.slice(0, MOST_NAMED).map((body) => this.figures(body)),
-            });
-            void this.publish(bodies, startName(start));
+    /** Notes that the registration of an endpoint is gone. */
+    noteGone({ entry, saidLeaving }: EndpointState): void {
+        if (entry.leaving || saidLeaving) {
+            forgetStart(this.table, startOf(entry));
+        }
+        else {
+            this.noteCrash(entry, "lapsed", noteLapse(this.table, startOf(entry), this.clock()));
         }
     }
 
@@ -91,23 +121,51 @@
         const [body, start] = key.slice(SUSPECT_PREFIX.length).split("/");
         if (body !== undefined && start !== undefined) {
             this.count("heard");
-            addCrash(this.table, brand<BodyDigest>(body), start);
+            addCrash(this.table, brand<BodyDigest>(body), start, this.clock());
             this.logs.endpoints.info("Crash heard.", { start, ...this.figures(brand<BodyDigest>(body)) });
         }
     }
 
     /** Notes that an endpoint ran a request to a good end, which clears it. */
     noteServed(entry: EndpointEntry, body: BodyDigest, status: number): void {
-        const crashes = clearSuspect(this.table, body);
+        const crashes = clearSuspect(this.table, body, this.clock());
         if (crashes > 0) {
             this.count("cleared");
             this.logs.endpoints.info("Suspect cleared.", { request: body, crashes, endpoint: entry.id, status });
         }
     }
 
+    /** Returns whether a request has crashed too many endpoints to be run again. */
+    isPoison(body: BodyDigest): boolean {
+        return isPoison(this.table, body, this.clock());
+    }
+
     /** Returns what is known of a request. */
     figures(body: BodyDigest): { readonly request: BodyDigest; readonly crashes: number; } {
-        return { request: body, crashes: crashCount(this.table, body) };
+        return { request: body, crashes: crashCount(this.table, body, this.clock()) };
+    }
+
+    private async check(entry: EndpointEntry): Promise<void> {
+        const outcome = await checkConnection(entry.address);
+        this.logs.endpoints.info("Checked.", { endpoint: entry.id, startedAt: entry.startedAt, outcome });
+        if (outcome === "refused") {
+            this.noteUnreachable(entry, this.clock());
+        }
+    }
+
+    private noteCrash(entry: EndpointEntry, evidence: CrashEvidence, bodies: readonly BodyDigest[]): void {
+        if (bodies.length === 0) {
+            return;
+        }
+        this.count("crashed");
+        this.logs.endpoints.warn("Crashed.", {
+            endpoint: entry.id,
+            startedAt: entry.startedAt,
+            evidence,
+            suspects: bodies.length,
+            requests: bodies.slice(0, MOST_NAMED).map((body) => this.figures(body)),
+        });
+        void this.publish(bodies, startName(startOf(entry)));
     }
 
     private async publish(bodies: readonly BodyDigest[], start: string): Promise<void> {
@@ -116,7 +174,7 @@
             this.noteNotShared(start, lease);
             return;
         }
-        const puts = [...new Set(bodies)].slice(0, MOST_ENTRIES)
+        const puts = bodies.slice(0, MOST_ENTRIES)
             .map((body) => ({ key: `${SUSPECT_PREFIX}${body}/${start}`, value: "", lease: lease.value }));
         const transaction: StoreTransaction = { conditions: new Map(), puts, deletes: [] };
         const result = await this.store.transact(transaction);
@@ -133,3 +191,7 @@
         this.logs.endpoints.warn("Crash not shared.", { start, reason: failure.kind });
     }
 }
+
+function startOf(entry: EndpointEntry): EndpointStart {
+    return { endpoint: entry.id, startedAt: entry.startedAt };
+}
