Ask before each send whether a request crashes endpoints

A request that may be repeated was sent on by its router after the third crash: the question was asked at admission only, so requests that waited for tokens or were being repeated never heard of it. Nothing has to wait for evidence, as endpoints that broke and were not heard since count at once at the same router.

--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -25,7 +25,7 @@
 import { EventGate } from "./event-gate.js";
 import type { GatewayContext } from "./gateway-context.js";
 import { withoutLength } from "./raw-headers.js";
-import { type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
+import { POISON_RETRY_AFTER_MS, type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
 import { TokenClaim } from "./token-claim.js";
 
 /** Statuses of endpoints that promise that a request has not run; passed on only if they say so themselves. */
@@ -102,9 +102,12 @@
             // The caller has left, though a busy router may not have read that yet.
             return this.timeOut();
         }
+        if (this.context.suspects.isPoison(this.admitted.bodyDigest)) {
+            return this.endWithout("poison-request", POISON_RETRY_AFTER_MS);
+        }
         const placement = chooseEndpoint(this.context.endpoints, this.query, this.context.chance, now);
         if (placement === undefined) {
-            return this.endWithout("no-endpoint");
+            return this.endWithout("no-endpoint", this.waitMs(now));
         }
         const { row, units } = placement;
         const send = createSend(row, units, now);
@@ -363,16 +366,13 @@
         return takeRepeat(this.context.retries, this.query.service, bounds, this.context.partOfFleet(), now);
     }
 
-    // No endpoint is left to send to.
-    private endWithout(cause: RefusalCause): void {
+    // There is no endpoint to send to.
+    private endWithout(cause: RefusalCause, waitMs: number): void {
         if (this.answering) {
             this.cut(cause);
             return;
         }
-        this.refuse(
-            this.mayHaveRun ? "may-have-run" : cause,
-            this.mayHaveRun ? undefined : this.waitMs(this.context.clock()),
-        );
+        this.refuse(this.mayHaveRun ? "may-have-run" : cause, this.mayHaveRun ? undefined : waitMs);
     }
 
     // Time in ms after which an endpoint may take the request.
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -14,7 +14,7 @@
 import { Exchange } from "./exchange.js";
 import type { GatewayContext } from "./gateway-context.js";
 import type { LoadGauge } from "./load-gauge.js";
-import { type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
+import { POISON_RETRY_AFTER_MS, type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
 
 /** Time in ms between two looks for connections that are too slow. */
 const CONNECTION_CHECK_MS = 250;
@@ -24,8 +24,6 @@
 const FIRST_IDLE_TIMEOUT_MS = 15_000;
 /** Wait in ms that callers of a router without configuration are asked for. */
 const STARTING_RETRY_AFTER_MS = 400;
-/** Wait in ms that the caller of a request which crashes endpoints is asked for. */
-const POISON_RETRY_AFTER_MS = 5_000;
 /** Stands for the account of requests without one. */
 const NO_ACCOUNT = brand<AccountId>("");
 
--- a/packages/router/src/gateway/refusal.ts
+++ b/packages/router/src/gateway/refusal.ts
@@ -33,6 +33,9 @@
     response.end(body);
 }
 
+/** Wait in ms that the caller of a request which crashes endpoints is asked for. */
+export const POISON_RETRY_AFTER_MS = 5_000;
+
 /** Range in ms of the wait that callers are asked for, so that they do not come back together. */
 const RETRY_AFTER_MS = [150, 450] as const;
 
