--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -9,6 +9,7 @@
 export * from "./prepaid-pace.js";
 export * from "./prepaid-record.js";
 export * from "./prepaid.js";
+export * from "./request-digest.js";
 export * from "./retry-quota.js";
 export * from "./routing.js";
 export * from "./shedding.js";
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -1,5 +1,6 @@
-import { type AccountId, brand, digestBody } from "@gooseberrybend/core";
+import { type AccountId, brand } from "@gooseberrybend/core";
 import {
+    digestRequest,
     type Drain,
     findRoute,
     pickService,
@@ -136,10 +137,8 @@
             this.refuse(fields, response, "router-overloaded", waitMs, { route: route.name, priority, shedShare });
             return;
         }
-        const bodyDigest = digestBody(
-            account?.id ?? NO_ACCOUNT,
-            `${request.method} ${request.url}\n${body.toString("latin1")}`,
-        );
+        const content = { method: request.method!, target: request.url!, body: body.toString("latin1") };
+        const bodyDigest = digestRequest(account?.id ?? NO_ACCOUNT, content);
         if (context.suspects.isPoison(bodyDigest)) {
             this.refuse(fields, response, "poison-request", POISON_RETRY_AFTER_MS, { route: route.name, bodyDigest });
             return;
