Write crashes to the store until it has them

A request that crashed endpoints was sent on by routers that had not seen the crashes: a crash was written once, under a lease of its own; while the store was down, slow or lost the answer it was never told, requests beyond the first 30 were left out, and a lease that lapsed in an outage took the crash from routers that started later.

Reports are now repeated every 0.5 s until the store has them, without a lease, each under a key that is written once, so that a write done late replaces nothing. A router that clears a request of two or more crashes tells that as well. Reports count for 10 minutes and are removed by routers that follow the store.

--- a/packages/core/src/dispatch/suspects.ts
+++ b/packages/core/src/dispatch/suspects.ts
@@ -29,7 +29,7 @@
 /** Crashes after which a request is refused; a single one hits many innocent requests. */
 const CRASH_LIMIT = 3;
 /** Time in ms for which a crash counts; the caller of a request that crashes endpoints may go on for minutes. */
-const MEMORY_MS = 600_000;
+export const CRASH_MEMORY_MS = 600_000;
 /** Time in ms for which an unanswered send counts against a silent endpoint: longer than registrations take to lapse. */
 const EVIDENCE_MS = 10_000;
 /** Time in ms by which bytes that an endpoint sent before it crashed may be read after its connections broke. */
@@ -137,7 +137,7 @@
 /** Adds a crash that this or another router saw at a time in ms. */
 export function addCrash(table: SuspectTable, body: BodyDigest, start: string, at: number): void {
     const starts = table.crashes.get(body) ?? new Map<string, number>();
-    starts.set(start, Math.max(starts.get(start) ?? 0, at + MEMORY_MS));
+    starts.set(start, Math.max(starts.get(start) ?? 0, at + CRASH_MEMORY_MS));
     table.crashes.set(body, starts);
     if (table.crashes.size > REMEMBERED) {
         forgetOldest(table.crashes);
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -15,6 +15,7 @@
 import { randomBytes } from "node:crypto";
 import { performance } from "node:perf_hooks";
 import { CountedStore } from "./counted-store.js";
+import { CrashReports, SUSPECT_PREFIX } from "./crash-reports.js";
 import type { Dialect } from "./dialect.js";
 import { EndpointConnections } from "./endpoint-connections.js";
 import { FLEET_PREFIX, FleetRegistry } from "./fleet-registry.js";
@@ -30,7 +31,7 @@
 import { MARK_PREFIX, PREPAID_PREFIX, PrepaidKeeper } from "./prepaid-keeper.js";
 import { SHARED_PREFIX } from "./shared-prefix.js";
 import { StoreFollower } from "./store-follower.js";
-import { SUSPECT_PREFIX, SuspectBoard } from "./suspect-board.js";
+import { SuspectBoard, type SuspectEvent } from "./suspect-board.js";
 import { LEND_METHOD } from "./token-loans.js";
 
 /** Lifetime in ms of an answer with addresses; a short one lets routers leave soon. */
@@ -38,6 +39,8 @@
 /** Time in ms after an outage of the store within which lapsed registrations come back. */
 const LAPSE_GRACE_MS = 2_000;
 
+/** Time in ms between two looks for crashes that no longer count; they count for minutes. */
+const SWEEP_MS = 60_000;
 /** Time in ms between two lines that sum up the calls to the store. */
 const SUMMARY_MS = 10_000;
 
@@ -59,6 +62,7 @@
     private readonly registry: FleetRegistry;
     private readonly prepaid: PrepaidKeeper;
     private readonly follower: StoreFollower;
+    private readonly reports: CrashReports;
     private readonly suspects: SuspectBoard;
     private readonly storeCalls = new Map<string, number>();
     private readonly timers: NodeJS.Timeout[] = [];
@@ -86,12 +90,10 @@
             strained: false,
         };
         this.registry = new FleetRegistry(store, self, settings.store.shortestLeaseMs, this.logs, this.clock);
-        this.suspects = new SuspectBoard(
-            store,
-            this.logs,
-            (event) => this.metrics.suspects.inc({ event }),
-            this.clock,
-        );
+        const countSuspect = (event: SuspectEvent): void => this.metrics.suspects.inc({ event });
+        const reportClock = { steady: this.clock, wall: () => Date.now() };
+        this.reports = new CrashReports(store, incarnation, this.logs, countSuspect, reportClock);
+        this.suspects = new SuspectBoard(this.reports, this.logs, countSuspect, this.clock);
         const holder = { name: settings.name, incarnation, startedAt };
         this.prepaid = new PrepaidKeeper(
             store,
@@ -141,6 +143,7 @@
         this.prepaid.start();
         this.timers.push(setInterval(() => this.summarize(), SUMMARY_MS));
         this.timers.push(setInterval(() => this.measureLoad(), GAUGE_MS));
+        this.timers.push(setInterval(() => this.sweepReports(), SWEEP_MS));
     }
 
     /** Takes this router out of the answers to callers; it goes on serving those that still come. */
@@ -153,6 +156,7 @@
     async stop(): Promise<void> {
         this.follower.stop();
         this.timers.forEach((timer) => clearInterval(timer));
+        this.reports.close();
         await this.prepaid.close();
         await this.connections.close();
         await this.peers.close();
@@ -196,6 +200,13 @@
         this.registry.tellStrain(this.load.strained);
     }
 
+    // One router of the fleet would do; several of those that follow the store only repeat each other.
+    private sweepReports(): void {
+        if (this.registry.isFollower) {
+            void this.reports.sweep();
+        }
+    }
+
     private createContext(domain: FailureDomain): GatewayContext {
         return {
             dialect: this.dialect,
@@ -240,7 +251,7 @@
         if (configuration !== undefined) {
             this.putConfiguration(configuration);
         }
-        withPrefix(SUSPECT_PREFIX).forEach((item) => this.suspects.noteKey(item.key));
+        this.suspects.noteItems(withPrefix(SUSPECT_PREFIX));
         withPrefix(MARK_PREFIX).forEach((item) => this.prepaid.noteSheet(item));
         this.prepaid.replaceRecords(withPrefix(PREPAID_PREFIX), revision);
     }
@@ -268,8 +279,13 @@
                 this.registry.put(item);
             }
         }
-        else if (key.startsWith(SUSPECT_PREFIX) && item !== undefined) {
-            this.suspects.noteKey(key);
+        else if (key.startsWith(SUSPECT_PREFIX)) {
+            if (item === undefined) {
+                this.reports.forget(key);
+            }
+            else {
+                this.suspects.noteItems([item]);
+            }
         }
         else if (key.startsWith(MARK_PREFIX) && item !== undefined) {
             this.prepaid.noteSheet(item);
--- /dev/null
+++ b/packages/router/src/gateway/mocks/fake-metadata-store.ts
@@ -0,0 +1,47 @@
+import type { StoredItem, StoreResult, StoreTransaction } from "../metadata-store.js";
+
+/** How the store treats a write: does it, refuses it, does it without an answer, or does it when told to. */
+export type WriteMood = "well" | "unavailable" | "unanswered" | "late";
+
+/** A store in memory that takes transactions. */
+export class FakeMetadataStore {
+    mood: WriteMood = "well";
+    readonly items = new Map<string, StoredItem>();
+    private readonly late: StoreTransaction[] = [];
+    private revision = 0;
+
+    /** Changes keys under conditions. */
+    readonly transact = async (transaction: StoreTransaction): Promise<StoreResult<number>> => {
+        switch (this.mood) {
+            case "unavailable":
+                return { kind: "unavailable", detail: "status 503" };
+            case "late":
+                this.late.push(transaction);
+                return { kind: "unanswered", detail: "no answer" };
+            case "unanswered":
+                this.apply(transaction);
+                return { kind: "unanswered", detail: "no answer" };
+            case "well":
+                return this.apply(transaction);
+        }
+    };
+
+    /** Does the writes that are late. */
+    catchUp(): void {
+        this.late.splice(0).forEach((transaction) => this.apply(transaction));
+    }
+
+    private apply({ conditions, puts, deletes }: StoreTransaction): StoreResult<number> {
+        const holds = [...conditions].every(([key, revision]) => (this.items.get(key)?.revision ?? 0) === revision);
+        if (!holds) {
+            const known = [...conditions.keys()].flatMap((key) => this.items.get(key) ?? []);
+            return { kind: "conflict", items: new Map(known.map((item) => [item.key, item])) };
+        }
+        this.revision++;
+        puts.forEach(({ key, value }) =>
+            this.items.set(key, { key, value: Buffer.from(value), revision: this.revision })
+        );
+        deletes.forEach((key) => this.items.delete(key));
+        return { kind: "done", value: this.revision };
+    }
+}
--- a/packages/router/src/gateway/suspect-board.ts
+++ b/packages/router/src/gateway/suspect-board.ts
@@ -1,4 +1,4 @@
-import { type BodyDigest, brand } from "@gooseberrybend/core";
+import type { BodyDigest } from "@gooseberrybend/core";
 import {
     addCrash,
     clearSuspect,
@@ -19,17 +19,10 @@
     trackSend,
 } from "@gooseberrybend/core/dispatch";
 import { checkConnection } from "./connection-check.js";
+import type { CrashReport, CrashReports } from "./crash-reports.js";
 import type { GatewayLogs } from "./log-sink.js";
-import type { MetadataStore, StoreFailure, StoreTransaction } from "./metadata-store.js";
-import { SHARED_PREFIX } from "./shared-prefix.js";
+import type { StoredItem } from "./metadata-store.js";
 
-/** Prefix of the keys that tell of crashes: the request, then the start of the endpoint. */
-export const SUSPECT_PREFIX = `${SHARED_PREFIX}suspects/`;
-
-/** Time in ms for which a crash is remembered; a request that crashes endpoints comes again within seconds. */
-const MEMORY_MS = 120_000;
-/** Entries of one transaction. */
-const MOST_ENTRIES = 30;
 /** Requests that one line of the log names. */
 const MOST_NAMED = 8;
 
@@ -49,7 +42,7 @@
     private readonly checks = new Map<string, Promise<void>>();
 
     constructor(
-        private readonly store: MetadataStore,
+        private readonly reports: CrashReports,
         private readonly logs: GatewayLogs,
         private readonly count: (event: SuspectEvent) => void,
         /** Steady time in ms. */
@@ -116,22 +109,45 @@
         }
     }
 
-    /** Takes in a crash that another router saw. */
-    noteKey(key: string): void {
-        const [body, start] = key.slice(SUSPECT_PREFIX.length).split("/");
-        if (body !== undefined && start !== undefined) {
-            this.count("heard");
-            addCrash(this.table, brand<BodyDigest>(body), start, this.clock());
-            this.logs.endpoints.info("Crash heard.", { start, ...this.figures(brand<BodyDigest>(body)) });
+    /** Takes in what routers told of crashes, in the order in which they did. */
+    noteItems(items: readonly StoredItem[]): void {
+        for (const item of [...items].sort((one, other) => one.revision - other.revision)) {
+            const report = this.reports.read(item);
+            if (report === undefined) {
+                continue;
+            }
+            if ("kind" in report) {
+                this.logs.endpoints.warn("Crash can't be read.", { key: report.key });
+                continue;
+            }
+            this.noteReport(report);
         }
     }
 
+    private noteReport({ start, requests, at }: CrashReport): void {
+        if (start === undefined) {
+            requests.forEach((body) => clearSuspect(this.table, body, this.clock()));
+            return;
+        }
+        this.count("heard");
+        requests.forEach((body) => addCrash(this.table, body, start, at));
+        this.logs.endpoints.info("Crash heard.", {
+            start,
+            ageMs: Math.round(this.clock() - at),
+            requests: requests.slice(0, MOST_NAMED).map((body) => this.figures(body)),
+        });
+    }
+
     /** Notes that an endpoint ran a request to a good end, which clears it. */
     noteServed(entry: EndpointEntry, body: BodyDigest, status: number): void {
         const crashes = clearSuspect(this.table, body, this.clock());
         if (crashes > 0) {
             this.count("cleared");
             this.logs.endpoints.info("Suspect cleared.", { request: body, crashes, endpoint: entry.id, status });
+            if (crashes > 1) {
+                // Others would refuse it after one more crash.
+                this.reports.addCleared(body);
+            }
         }
     }
 
@@ -165,30 +181,7 @@
             suspects: bodies.length,
             requests: bodies.slice(0, MOST_NAMED).map((body) => this.figures(body)),
         });
-        void this.publish(bodies, startName(startOf(entry)));
-    }
-
-    private async publish(bodies: readonly BodyDigest[], start: string): Promise<void> {
-        const lease = await this.store.grantLease(MEMORY_MS);
-        if (lease.kind !== "done") {
-            this.noteNotShared(start, lease);
-            return;
-        }
-        const puts = bodies.slice(0, MOST_ENTRIES)
-            .map((body) => ({ key: `${SUSPECT_PREFIX}${body}/${start}`, value: "", lease: lease.value }));
-        const transaction: StoreTransaction = { conditions: new Map(), puts, deletes: [] };
-        const result = await this.store.transact(transaction);
-        if (result.kind !== "done") {
-            this.noteNotShared(start, result);
-            return;
-        }
-        this.count("shared");
-        this.logs.endpoints.info("Crash shared.", { start, revision: result.value, suspects: puts.length });
-    }
-
-    private noteNotShared(start: string, failure: StoreFailure): void {
-        this.count("not-shared");
-        this.logs.endpoints.warn("Crash not shared.", { start, reason: failure.kind });
+        this.reports.addCrash(startName(startOf(entry)), bodies);
     }
 }
 
