Tell other routers of a crash that the store does not take

Routers in touch sent a request on that had crashed three endpoints, as the routers that saw the crashes were cut off from the store and had no other way to tell.

--- a/packages/router/src/gateway/crash-reports.test.ts
+++ b/packages/router/src/gateway/crash-reports.test.ts
@@ -14,6 +14,7 @@
     let store: FakeMetadataStore;
     let now = 0;
     let reports: CrashReports;
+    let told: string[] = [];
     const logs = createGatewayLogs({ level: "error" });
 
     const createReports = (incarnation: string): CrashReports =>
@@ -23,6 +24,7 @@
             logs,
             () => undefined,
             { steady: () => now, wall: () => 1_000_000 + now },
+            (start) => told.push(start),
         );
     const createReader = (): SuspectBoard => {
         const board = new SuspectBoard(createReports("reader"), logs, () => undefined, () => now);
@@ -39,6 +41,7 @@
     beforeEach(() => {
         vi.useFakeTimers();
         now = 0;
+        told = [];
         store = new FakeMetadataStore();
         reports = createReports("writer");
     });
@@ -89,6 +92,22 @@
         });
     });
 
+    describe("that the store does not take", () => {
+        it("are told to other routers once", async () => {
+            store.mood = "unavailable";
+            reports.addCrash("engine-1@1", [poison]);
+            reports.keepCrash("engine-2@1", [poison]);
+            await pass(5_000);
+            expect(told).toEqual(["engine-1@1"]);
+        });
+
+        it("are not told where the store takes them", async () => {
+            reports.addCrash("engine-1@1", [poison]);
+            await pass(5_000);
+            expect(told).toEqual([]);
+        });
+    });
+
     describe("of a request that was cleared", () => {
         it("do not count, in whatever order they are listed", async () => {
             crashThree([poison, innocent]);
--- a/packages/router/src/gateway/crash-reports.ts
+++ b/packages/router/src/gateway/crash-reports.ts
@@ -39,7 +39,15 @@
 export type ReportFault = { readonly kind: "unreadable-report"; readonly key: string; };
 
 /** A report that the store does not have yet, as far as is known. */
-type OpenReport = { readonly at: number; readonly requests: Set<BodyDigest>; };
+type OpenReport = {
+    /** Name of the start of the endpoint that crashed; undefined for a request that is cleared. */
+    readonly start: string | undefined;
+    /** Time of day in ms. */
+    readonly at: number;
+    readonly requests: Set<BodyDigest>;
+    /** False while other routers have to hear of it without the store. */
+    isTold: boolean;
+};
 
 /** The times that reports go by, in ms: of the steady clock and of the day. */
 export type ReportClock = { readonly steady: () => number; readonly wall: () => number; };
@@ -64,17 +72,24 @@
         private readonly logs: GatewayLogs,
         private readonly countEvent: (event: "shared" | "not-shared") => void,
         private readonly clock: ReportClock,
+        /** Tells other routers of a crash directly. */
+        private readonly tell: (start: string, requests: readonly BodyDigest[]) => void,
     ) {}
 
     /** Tells of requests that were running when a start of an endpoint crashed. */
     addCrash(start: string, requests: readonly BodyDigest[]): void {
-        this.add(`${CRASH_PREFIX}${encodeURIComponent(start)}`, requests);
+        this.add(`${CRASH_PREFIX}${encodeURIComponent(start)}`, { start, requests, isTold: false });
+    }
+
+    /** Keeps a crash in the store for a router that can't. */
+    keepCrash(start: string, requests: readonly BodyDigest[]): void {
+        this.add(`${CRASH_PREFIX}${encodeURIComponent(start)}`, { start, requests, isTold: true });
     }
 
     /** Tells that a request is cleared of the crashes that are known of it. */
     addCleared(request: BodyDigest): void {
         this.open.forEach((report) => report.requests.delete(request));
-        this.add(CLEARED_PREFIX + request, [request]);
+        this.add(CLEARED_PREFIX + request, { start: undefined, requests: [request], isTold: true });
     }
 
     /** Reads a report in the store. Returns undefined for one that no longer counts. */
@@ -118,9 +133,12 @@
         this.open.clear();
     }
 
-    private add(prefix: string, requests: readonly BodyDigest[]): void {
+    private add(
+        prefix: string,
+        { start, requests, isTold }: Pick<OpenReport, "start" | "isTold"> & Pick<CrashReport, "requests">,
+    ): void {
         const key = `${prefix}/${this.incarnation}/${++this.count}`;
-        this.open.set(key, { at: this.clock.wall(), requests: new Set(requests) });
+        this.open.set(key, { start, at: this.clock.wall(), requests: new Set(requests), isTold });
         if (this.open.size > MOST_OPEN) {
             const [oldest] = this.open.keys();
             this.open.delete(oldest!);
@@ -166,12 +184,20 @@
         if (written.length === 0) {
             this.countEvent("not-shared");
             this.logs.endpoints.warn("Crash not shared.", { keys, reason: result.kind });
+            due.forEach(([, report]) => this.tellOthers(report));
             return false;
         }
         this.countEvent("shared");
         this.logs.endpoints.info("Crash shared.", { keys, result: result.kind });
         return true;
     }
+
+    private tellOthers(report: OpenReport): void {
+        if (!report.isTold && report.start !== undefined) {
+            report.isTold = true;
+            this.tell(report.start, [...report.requests]);
+        }
+    }
 }
 
 function startOfKey(key: string): string | undefined {
--- a/packages/router/src/gateway/fleet-registry.test.ts
+++ b/packages/router/src/gateway/fleet-registry.test.ts
@@ -51,6 +51,7 @@
 
         it("still tells where the router takes calls of others", () => {
             registry.remove(FLEET_PREFIX + "router-2", 0);
+            expect(registry.otherAddresses).toEqual(["router-2:2"]);
             expect(registry.peerAddressOf("router-2")).toBe("router-2:2");
             expect(registry.peerAddressOf("router-3")).toBeUndefined();
         });
--- a/packages/router/src/gateway/fleet-registry.ts
+++ b/packages/router/src/gateway/fleet-registry.ts
@@ -107,6 +107,17 @@
         return this.peerAddresses.get(name);
     }
 
+    /**
+     * Where other routers take calls, distinct: first those that follow the store, then those that callers are
+     * sent to, then all that were ever known.
+     */
+    get otherAddresses(): readonly string[] {
+        const known = [...this.followers, ...this.serving].map((member) => member.peerAddress);
+        const addresses = new Set([...known, ...this.peerAddresses.values()]);
+        addresses.delete(this.self.peerAddress);
+        return [...addresses];
+    }
+
     /** Tells the others whether this router is strained. */
     tellStrain(strained: boolean): void {
         if (this.self.strained !== strained) {
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -15,6 +15,7 @@
 import { randomBytes } from "node:crypto";
 import { performance } from "node:perf_hooks";
 import { CountedStore } from "./counted-store.js";
+import { CRASH_METHOD, CrashCalls, readToldCrash } from "./crash-calls.js";
 import { CrashReports, SUSPECT_PREFIX } from "./crash-reports.js";
 import type { Dialect } from "./dialect.js";
 import { EndpointConnections } from "./endpoint-connections.js";
@@ -92,7 +93,15 @@
         this.registry = new FleetRegistry(store, self, settings.store.shortestLeaseMs, this.logs, this.clock);
         const countSuspect = (event: SuspectEvent): void => this.metrics.suspects.inc({ event });
         const reportClock = { steady: this.clock, wall: () => Date.now() };
-        this.reports = new CrashReports(store, incarnation, this.logs, countSuspect, reportClock);
+        const calls = new CrashCalls(this.peers, () => this.registry.otherAddresses, this.logs);
+        this.reports = new CrashReports(
+            store,
+            incarnation,
+            this.logs,
+            countSuspect,
+            reportClock,
+            (start, requests) => void calls.tell(start, requests),
+        );
         this.suspects = new SuspectBoard(this.reports, this.logs, countSuspect, this.clock);
         const holder = { name: settings.name, incarnation, startedAt };
         this.prepaid = new PrepaidKeeper(
@@ -113,6 +122,10 @@
             errorListener: (detail) => this.logs.fleet.warn("Call of another router failed.", { detail }),
         });
         this.peerServer.addMethod(LEND_METHOD, (parameters) => this.prepaid.lend(parameters));
+        this.peerServer.addMethod(CRASH_METHOD, (parameters) => {
+            this.suspects.noteTold(readToldCrash(parameters), this.registry.isFollower);
+            return {};
+        });
         this.peerServer.addMethod(NEWS_METHOD, (parameters) => history.answer(parameters));
         this.follower = new StoreFollower(
             store,
--- a/packages/router/src/gateway/suspect-board.ts
+++ b/packages/router/src/gateway/suspect-board.ts
@@ -19,6 +19,7 @@
     trackSend,
 } from "@gooseberrybend/core/dispatch";
 import { checkConnection } from "./connection-check.js";
+import type { ToldCrash } from "./crash-calls.js";
 import type { CrashReport, CrashReports } from "./crash-reports.js";
 import type { GatewayLogs } from "./log-sink.js";
 import type { StoredItem } from "./metadata-store.js";
@@ -124,6 +125,14 @@
         }
     }
 
+    /** Takes in a crash that another router tells of as it can't reach the store. */
+    noteTold({ start, requests }: ToldCrash, keeps: boolean): void {
+        this.noteReport({ start, requests, at: this.clock() });
+        if (keeps) {
+            this.reports.keepCrash(start, requests);
+        }
+    }
+
     private noteReport({ start, requests, at }: CrashReport): void {
         if (start === undefined) {
             requests.forEach((body) => clearSuspect(this.table, body, this.clock()));
