Count crashes of an endpoint whose next start is not registered yet

While the store is away, a request that crashed an endpoint, came back once the endpoint was up again and crashed it again had one crash to its name instead of two: a crash is known by the endpoint's registered start, and the next start was not registered yet.

A start that is known to have crashed now has a generation, and what is sent there later belongs to the next one. Routers have to know of a crash before they send there again, so they tell each other at once, and ask to keep it only if the store does not take it.

--- a/packages/core/src/dispatch/suspects.test.ts
+++ b/packages/core/src/dispatch/suspects.test.ts
@@ -56,6 +56,23 @@
             expect(isPoison(table, poison, 1)).toBe(false);
         });
 
+        it("counts each crash of an endpoint whose next process is not registered yet", () => {
+            crash("engine-1", 0);
+            crash("engine-1", 2_000);
+            addCrash(table, poison, "engine-1@1", 2_000);
+            expect(isPoison(table, poison, 3_000)).toBe(false);
+            breakSend("engine-1", 4_000);
+            expect(noteEnd(table, startOf("engine-1"), 4_000)?.start).toBe("engine-1@1#2");
+            expect(isPoison(table, poison, 5_000)).toBe(true);
+        });
+
+        it("counts a crash after one of the same endpoint that another router saw", () => {
+            endTrackedSend(table, send("engine-1", innocent), true, 0);
+            addCrash(table, poison, "engine-1@1", 0);
+            crash("engine-1", 2_000);
+            expect(crashCount(table, poison, 3_000)).toBe(2);
+        });
+
         it("counts crashes that other routers saw", () => {
             crash("engine-1", 0);
             addCrash(table, poison, "engine-2@1", 0);
@@ -65,18 +82,18 @@
 
         it("is known to have been running where the endpoint ended without breaking its connection", () => {
             send("engine-1");
-            expect(noteEnd(table, startOf("engine-1"), 9_000)).toEqual([poison]);
+            expect(noteEnd(table, startOf("engine-1"), 9_000)).toEqual({ start: "engine-1@1", requests: [poison] });
         });
 
         it("is known from the endpoint's next start, also when the new process has answered already", () => {
             breakSend("engine-1", 0);
             noteLifeSign(send("engine-1", innocent), 1_500);
-            expect(noteRebirth(table, startOf("engine-1"), 2_000)).toContain(poison);
+            expect(noteRebirth(table, startOf("engine-1"), 2_000)?.requests).toContain(poison);
         });
 
         it("is known from the lapse of a silent endpoint, long after its caller left", () => {
             breakSend("engine-1", 500);
-            expect(noteLapse(table, startOf("engine-1"), 4_500)).toEqual([poison]);
+            expect(noteLapse(table, startOf("engine-1"), 4_500)?.requests).toEqual([poison]);
         });
 
         it("is held back where three endpoints are silent since it went unanswered there", () => {
@@ -115,29 +132,29 @@
         it("is not blamed when its answer was lost and the endpoint was heard later", () => {
             breakSend("engine-1", 0, innocent);
             noteLifeSign(send("engine-1", poison), 1_000);
-            expect(noteEnd(table, startOf("engine-1"), 5_000)).toEqual([poison]);
+            expect(noteEnd(table, startOf("engine-1"), 5_000)?.requests).toEqual([poison]);
         });
 
         it("is not blamed when it was answered", () => {
             endTrackedSend(table, send("engine-1", innocent), true, 0);
-            expect(noteEnd(table, startOf("engine-1"), 10)).toEqual([]);
+            expect(noteEnd(table, startOf("engine-1"), 10)).toBeUndefined();
         });
 
         it("is not blamed when its answer was lost long before", () => {
             breakSend("engine-1", 0, innocent);
-            expect(noteEnd(table, startOf("engine-1"), 11_000)).toEqual([]);
+            expect(noteEnd(table, startOf("engine-1"), 11_000)).toBeUndefined();
         });
 
         it("is not blamed for an endpoint that drops its registration and serves on", () => {
             noteLifeSign(send("engine-1", innocent), 4_000);
-            expect(noteLapse(table, startOf("engine-1"), 4_500)).toEqual([]);
+            expect(noteLapse(table, startOf("engine-1"), 4_500)).toBeUndefined();
             expect(table.lives.size).toBe(0);
         });
 
         it("is not blamed for an endpoint that left as planned", () => {
             breakSend("engine-1", 0, innocent);
             forgetStart(table, startOf("engine-1"));
-            expect(noteEnd(table, startOf("engine-1"), 100)).toEqual([]);
+            expect(noteEnd(table, startOf("engine-1"), 100)).toBeUndefined();
             expect(crashCount(table, innocent, 100)).toBe(0);
             expect(table.unresolved.size).toBe(0);
         });
--- a/packages/core/src/dispatch/suspects.ts
+++ b/packages/core/src/dispatch/suspects.ts
@@ -5,7 +5,10 @@
 
 /** What this router's sends tell of one start of an endpoint. */
 type EndpointLife = {
-    readonly name: string;
+    /** The start as it is registered. */
+    readonly key: string;
+    /** Crashes of that start that were known before: its next process may run long before it is registered. */
+    readonly generation: number;
     /** Sends that have not ended. */
     readonly open: Set<TrackedSend>;
     /** Requests whose sends ended without an answer lately, and when. */
@@ -16,6 +19,9 @@
 /** A send of a request that may crash the endpoint that runs it. */
 export type TrackedSend = { readonly body: BodyDigest; readonly life: EndpointLife; };
 
+/** The end of a start of an endpoint, and the requests that may have caused it. */
+export type Crash = { readonly start: string; readonly requests: readonly BodyDigest[]; };
+
 /** Requests that may crash the endpoints that run them. Times in ms. */
 export type SuspectTable = {
     /** Starts of endpoints that crashed while they ran a request, and until when that counts, by request. */
@@ -24,6 +30,8 @@
     readonly lives: Map<string, EndpointLife>;
     /** Starts at which a request went unanswered lately, by request. */
     readonly unresolved: Map<BodyDigest, Set<EndpointLife>>;
+    /** How often each start is known to have crashed. */
+    readonly generations: Map<string, number>;
 };
 
 /** Crashes after which a request is refused; a single one hits many innocent requests. */
@@ -36,12 +44,14 @@
 const READING_MS = 250;
 /** Silence in ms that shows that a lapsed endpoint ended: some drop their registration and serve on for a while. */
 const SILENCE_MS = 1_000;
-/** Requests remembered; beyond, the oldest go. */
+/** Requests and starts remembered; beyond, the oldest go. */
 const REMEMBERED = 5_000;
+/** Stands between the name of a start and its generation. */
+const GENERATION_MARK = "#";
 
 /** Creates an empty table. */
 export function createSuspectTable(): SuspectTable {
-    return { crashes: new Map(), lives: new Map(), unresolved: new Map() };
+    return { crashes: new Map(), lives: new Map(), unresolved: new Map(), generations: new Map() };
 }
 
 /** Returns the name of a start of an endpoint. */
@@ -51,15 +61,29 @@
 
 /** Notes that a request is sent to an endpoint. */
 export function trackSend(table: SuspectTable, start: EndpointStart, body: BodyDigest): TrackedSend {
-    const name = startName(start);
-    const life = table.lives.get(name)
-        ?? { name, open: new Set(), unanswered: new Map(), heardAt: -Infinity };
-    table.lives.set(name, life);
+    const life = lifeOf(table, start);
     const send = { body, life };
     life.open.add(send);
     return send;
 }
 
+function lifeOf(table: SuspectTable, start: EndpointStart): EndpointLife {
+    const key = startName(start);
+    const generation = table.generations.get(key) ?? 0;
+    const known = table.lives.get(key);
+    if (known !== undefined && (known.generation >= generation || known.open.size > 0)) {
+        return known;
+    }
+    forgetStart(table, start);
+    const life = { key, generation, open: new Set<TrackedSend>(), unanswered: new Map(), heardAt: -Infinity };
+    table.lives.set(key, life);
+    return life;
+}
+
+function lifeName({ key, generation }: EndpointLife): string {
+    return generation === 0 ? key : key + GENERATION_MARK + generation;
+}
+
 /** Notes a byte from an endpoint, which has outlived what went unanswered there before. */
 export function noteLifeSign({ life }: TrackedSend, now: number): void {
     life.heardAt = now;
@@ -69,7 +93,7 @@
 export function endTrackedSend(table: SuspectTable, send: TrackedSend, answered: boolean, now: number): void {
     const { body, life } = send;
     life.open.delete(send);
-    if (answered || table.lives.get(life.name) !== life) {
+    if (answered || table.lives.get(life.key) !== life) {
         return;
     }
     [...life.unanswered].filter(([, at]) => now - at >= EVIDENCE_MS).forEach(([old]) =>
@@ -82,15 +106,15 @@
 }
 
 /**
- * Notes that an endpoint's process has ended. Returns the requests that may have crashed it: those that were
- * running, and those that went unanswered and after which nothing was heard of it.
+ * Notes that an endpoint's process has ended. Returns the crash if any request may have caused it: those that
+ * were running, and those that went unanswered and after which nothing was heard of it.
  */
-export function noteEnd(table: SuspectTable, start: EndpointStart, now: number): BodyDigest[] {
+export function noteEnd(table: SuspectTable, start: EndpointStart, now: number): Crash | undefined {
     return blame(table, start, (life, at) => isSilentSince(life, at, now), now);
 }
 
 /** Notes that an endpoint has started again; what was heard of it lately may have been the new process already. */
-export function noteRebirth(table: SuspectTable, start: EndpointStart, now: number): BodyDigest[] {
+export function noteRebirth(table: SuspectTable, start: EndpointStart, now: number): Crash | undefined {
     return blame(table, start, (unusedLife, at) => now - at < EVIDENCE_MS, now);
 }
 
@@ -99,43 +123,44 @@
     start: EndpointStart,
     counts: (life: EndpointLife, unansweredAt: number) => boolean,
     now: number,
-): BodyDigest[] {
-    const name = startName(start);
-    const life = table.lives.get(name);
+): Crash | undefined {
+    const life = table.lives.get(startName(start));
     if (life === undefined) {
-        return [];
+        return undefined;
     }
     const unanswered = [...life.unanswered].filter(([, at]) => counts(life, at)).map(([body]) => body);
-    const bodies = [...new Set([...[...life.open].map((send) => send.body), ...unanswered])];
+    const requests = [...new Set([...[...life.open].map((send) => send.body), ...unanswered])];
     forgetStart(table, start);
-    bodies.forEach((body) => addCrash(table, body, name, now));
-    return bodies;
+    requests.forEach((body) => addCrash(table, body, lifeName(life), now));
+    return requests.length === 0 ? undefined : { start: lifeName(life), requests };
 }
 
 /**
- * Notes that the registration of an endpoint that did not say that it leaves is gone. Returns the requests
- * that may have crashed it, none if it was heard lately.
+ * Notes that the registration of an endpoint that did not say that it leaves is gone. Returns the crash if any
+ * request may have caused it, and undefined for an endpoint that was heard lately.
  */
-export function noteLapse(table: SuspectTable, start: EndpointStart, now: number): BodyDigest[] {
+export function noteLapse(table: SuspectTable, start: EndpointStart, now: number): Crash | undefined {
     const life = table.lives.get(startName(start));
     if (life !== undefined && now - life.heardAt >= SILENCE_MS) {
         return noteEnd(table, start, now);
     }
     forgetStart(table, start);
-    return [];
+    return undefined;
 }
 
 /** Forgets what was sent to an endpoint that ended as planned. */
 export function forgetStart(table: SuspectTable, start: EndpointStart): void {
     const life = table.lives.get(startName(start));
     if (life !== undefined) {
-        table.lives.delete(life.name);
+        table.lives.delete(life.key);
         [...life.unanswered.keys()].forEach((body) => forgetUnanswered(table, body, life));
     }
 }
 
 /** Adds a crash that this or another router saw at a time in ms. */
 export function addCrash(table: SuspectTable, body: BodyDigest, start: string, at: number): void {
+    const [key, generation] = start.split(GENERATION_MARK);
+    noteGeneration(table.generations, key!, Number(generation ?? 0) + 1);
     const starts = table.crashes.get(body) ?? new Map<string, number>();
     starts.set(start, Math.max(starts.get(start) ?? 0, at + CRASH_MEMORY_MS));
     table.crashes.set(body, starts);
@@ -165,10 +190,17 @@
 export function isPoison(table: SuspectTable, body: BodyDigest, now: number): boolean {
     const crashed = table.crashes.get(body);
     const silenced = [...table.unresolved.get(body) ?? []]
-        .filter((life) => !crashed?.has(life.name) && isSilentSince(life, life.unanswered.get(body)!, now));
+        .filter((life) => !crashed?.has(lifeName(life)) && isSilentSince(life, life.unanswered.get(body)!, now));
     return crashCount(table, body, now) + silenced.length >= CRASH_LIMIT;
 }
 
+function noteGeneration(generations: SuspectTable["generations"], key: string, generation: number): void {
+    generations.set(key, Math.max(generations.get(key) ?? 0, generation));
+    if (generations.size > REMEMBERED) {
+        generations.delete(generations.keys().next().value!);
+    }
+}
+
 function isSilentSince(life: EndpointLife, at: number, now: number): boolean {
     return now - at < EVIDENCE_MS && life.heardAt - READING_MS <= at;
 }
--- a/packages/router/src/gateway/crash-calls.ts
+++ b/packages/router/src/gateway/crash-calls.ts
@@ -1,4 +1,5 @@
 import { type BodyDigest, brand } from "@gooseberrybend/core";
+import type { Crash } from "@gooseberrybend/core/dispatch";
 import { z } from "zod";
 import type { GatewayLogs } from "./log-sink.js";
 import type { PeerCalls } from "./peer-calls.js";
@@ -11,18 +12,23 @@
 /** Routers that are told; those that follow the store pass it on through there. */
 const MOST_TOLD = 8;
 
-const crashSchema = z.object({ start: z.string(), requests: z.array(z.string()) });
+const messageSchema = z.object({
+    start: z.string(),
+    requests: z.array(z.string()),
+    /** True if the sender can't write it to the store. */
+    keep: z.boolean(),
+});
 
-/** A crash that another router saw. */
-export type ToldCrash = { readonly start: string; readonly requests: readonly BodyDigest[]; };
+/** What a router tells another one of a crash. */
+export type CrashMessage = { readonly crash: Crash; readonly keep: boolean; };
 
 /** Reads what another router tells. Throws if it can't be read, which the caller of the method is told. */
-export function readToldCrash(parameters: unknown): ToldCrash {
-    const { start, requests } = crashSchema.parse(parameters);
-    return { start, requests: requests.map((request) => brand<BodyDigest>(request)) };
+export function readCrashMessage(parameters: unknown): CrashMessage {
+    const { start, requests, keep } = messageSchema.parse(parameters);
+    return { crash: { start, requests: requests.map((request) => brand<BodyDigest>(request)) }, keep };
 }
 
-/** Tells other routers of crashes while the store does not. */
+/** Tells other routers of crashes, faster than the store does and also while it is away. */
 export class CrashCalls {
     constructor(
         private readonly peers: PeerCalls,
@@ -31,13 +37,13 @@
         private readonly logs: GatewayLogs,
     ) {}
 
-    /** Tells of the requests that were running when a start of an endpoint crashed. */
-    async tell(start: string, requests: readonly BodyDigest[]): Promise<void> {
+    /** Tells of a crash. */
+    async tell({ start, requests }: Crash, keep: boolean): Promise<void> {
         const addresses = this.addresses().slice(0, MOST_TOLD);
         const answers = await Promise.all(
-            addresses.map((address) => this.peers.call(address, CRASH_METHOD, { start, requests }, CALL_MS)),
+            addresses.map((address) => this.peers.call(address, CRASH_METHOD, { start, requests, keep }, CALL_MS)),
         );
         const told = answers.filter((answer) => answer.isOk()).length;
-        this.logs.endpoints.info("Crash told.", { start, requests: requests.length, told, of: addresses.length });
+        this.logs.endpoints.info("Crash told.", { start, keep, requests: requests.length, told, of: addresses.length });
     }
 }
--- a/packages/router/src/gateway/crash-reports.test.ts
+++ b/packages/router/src/gateway/crash-reports.test.ts
@@ -24,7 +24,7 @@
             logs,
             () => undefined,
             { steady: () => now, wall: () => 1_000_000 + now },
-            (start) => told.push(start),
+            ({ start }, keep) => told.push(`${start} ${keep ? "to keep" : ""}`.trim()),
         );
     const createReader = (): SuspectBoard => {
         const board = new SuspectBoard(createReports("reader"), logs, () => undefined, () => now);
@@ -36,7 +36,7 @@
         await vi.advanceTimersByTimeAsync(timeMs);
     };
     const crashThree = (requests: BodyDigest[]): void =>
-        ["engine-1@1", "engine-2@1", "engine/3@1"].forEach((start) => reports.addCrash(start, requests));
+        ["engine-1@1", "engine-2@1", "engine/3@1"].forEach((start) => reports.addCrash({ start, requests }));
 
     beforeEach(() => {
         vi.useFakeTimers();
@@ -77,34 +77,37 @@
 
         it("are all written when there are more than one transaction takes", async () => {
             for (let index = 0; index < 40; index++) {
-                reports.addCrash(`engine-${index}@1`, [poison]);
+                reports.addCrash({ start: `engine-${index}@1`, requests: [poison] });
             }
             await pass(0);
             expect(store.items.size).toBe(40);
         });
 
         it("are told also when requests of many callers were running", async () => {
-            reports.addCrash("engine-1@1", Array.from({ length: 200 }, (unused, n) => brand<BodyDigest>(`other-${n}`)));
-            reports.addCrash("engine-1@1", [poison]);
-            ["engine-2@1", "engine-3@1"].forEach((start) => reports.addCrash(start, [poison]));
+            reports.addCrash({
+                start: "engine-1@1",
+                requests: Array.from({ length: 200 }, (unused, n) => brand<BodyDigest>(`other-${n}`)),
+            });
+            reports.addCrash({ start: "engine-1@1", requests: [poison] });
+            ["engine-2@1", "engine-3@1"].forEach((start) => reports.addCrash({ start, requests: [poison] }));
             await pass(0);
             expect(createReader().isPoison(poison)).toBe(true);
         });
     });
 
     describe("that the store does not take", () => {
-        it("are told to other routers once", async () => {
+        it("are told to other routers at once, and once more for them to keep", async () => {
             store.mood = "unavailable";
-            reports.addCrash("engine-1@1", [poison]);
-            reports.keepCrash("engine-2@1", [poison]);
+            reports.addCrash({ start: "engine-1@1", requests: [poison] });
+            reports.keepCrash({ start: "engine-2@1", requests: [poison] });
             await pass(5_000);
-            expect(told).toEqual(["engine-1@1"]);
+            expect(told).toEqual(["engine-1@1", "engine-1@1 to keep"]);
         });
 
-        it("are not told where the store takes them", async () => {
-            reports.addCrash("engine-1@1", [poison]);
+        it("need not be kept by others where the store takes them", async () => {
+            reports.addCrash({ start: "engine-1@1", requests: [poison] });
             await pass(5_000);
-            expect(told).toEqual([]);
+            expect(told).toEqual(["engine-1@1"]);
         });
     });
 
--- a/packages/router/src/gateway/crash-reports.ts
+++ b/packages/router/src/gateway/crash-reports.ts
@@ -1,5 +1,5 @@
 import { type BodyDigest, brand, type Incarnation } from "@gooseberrybend/core";
-import { CRASH_MEMORY_MS } from "@gooseberrybend/core/dispatch";
+import { type Crash, CRASH_MEMORY_MS } from "@gooseberrybend/core/dispatch";
 import { z } from "zod";
 import type { GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoredItem } from "./metadata-store.js";
@@ -45,8 +45,8 @@
     /** Time of day in ms. */
     readonly at: number;
     readonly requests: Set<BodyDigest>;
-    /** False while other routers have to hear of it without the store. */
-    isTold: boolean;
+    /** True once other routers were asked to keep it, or where they need not. */
+    isKept: boolean;
 };
 
 /** The times that reports go by, in ms: of the steady clock and of the day. */
@@ -72,24 +72,25 @@
         private readonly logs: GatewayLogs,
         private readonly countEvent: (event: "shared" | "not-shared") => void,
         private readonly clock: ReportClock,
-        /** Tells other routers of a crash directly. */
-        private readonly tell: (start: string, requests: readonly BodyDigest[]) => void,
+        /** Tells other routers of a crash directly, which they are asked to keep if this router can't. */
+        private readonly tell: (crash: Crash, keep: boolean) => void,
     ) {}
 
     /** Tells of requests that were running when a start of an endpoint crashed. */
-    addCrash(start: string, requests: readonly BodyDigest[]): void {
-        this.add(`${CRASH_PREFIX}${encodeURIComponent(start)}`, { start, requests, isTold: false });
+    addCrash(crash: Crash): void {
+        this.tell(crash, false);
+        this.add(`${CRASH_PREFIX}${encodeURIComponent(crash.start)}`, { ...crash, isKept: false });
     }
 
     /** Keeps a crash in the store for a router that can't. */
-    keepCrash(start: string, requests: readonly BodyDigest[]): void {
-        this.add(`${CRASH_PREFIX}${encodeURIComponent(start)}`, { start, requests, isTold: true });
+    keepCrash({ start, requests }: Crash): void {
+        this.add(`${CRASH_PREFIX}${encodeURIComponent(start)}`, { start, requests, isKept: true });
     }
 
     /** Tells that a request is cleared of the crashes that are known of it. */
     addCleared(request: BodyDigest): void {
         this.open.forEach((report) => report.requests.delete(request));
-        this.add(CLEARED_PREFIX + request, { start: undefined, requests: [request], isTold: true });
+        this.add(CLEARED_PREFIX + request, { start: undefined, requests: [request], isKept: true });
     }
 
     /** Reads a report in the store. Returns undefined for one that no longer counts. */
@@ -135,10 +136,10 @@
 
     private add(
         prefix: string,
-        { start, requests, isTold }: Pick<OpenReport, "start" | "isTold"> & Pick<CrashReport, "requests">,
+        { start, requests, isKept }: Pick<OpenReport, "start" | "isKept"> & Pick<CrashReport, "requests">,
     ): void {
         const key = `${prefix}/${this.incarnation}/${++this.count}`;
-        this.open.set(key, { start, at: this.clock.wall(), requests: new Set(requests), isTold });
+        this.open.set(key, { start, at: this.clock.wall(), requests: new Set(requests), isKept });
         if (this.open.size > MOST_OPEN) {
             const [oldest] = this.open.keys();
             this.open.delete(oldest!);
@@ -184,7 +185,7 @@
         if (written.length === 0) {
             this.countEvent("not-shared");
             this.logs.endpoints.warn("Crash not shared.", { keys, reason: result.kind });
-            due.forEach(([, report]) => this.tellOthers(report));
+            due.forEach(([, report]) => this.askToKeep(report));
             return false;
         }
         this.countEvent("shared");
@@ -192,10 +193,10 @@
         return true;
     }
 
-    private tellOthers(report: OpenReport): void {
-        if (!report.isTold && report.start !== undefined) {
-            report.isTold = true;
-            this.tell(report.start, [...report.requests]);
+    private askToKeep(report: OpenReport): void {
+        if (!report.isKept && report.start !== undefined) {
+            report.isKept = true;
+            this.tell({ start: report.start, requests: [...report.requests] }, true);
         }
     }
 }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -15,7 +15,7 @@
 import { randomBytes } from "node:crypto";
 import { performance } from "node:perf_hooks";
 import { CountedStore } from "./counted-store.js";
-import { CRASH_METHOD, CrashCalls, readToldCrash } from "./crash-calls.js";
+import { CRASH_METHOD, CrashCalls, readCrashMessage } from "./crash-calls.js";
 import { CrashReports, SUSPECT_PREFIX } from "./crash-reports.js";
 import type { Dialect } from "./dialect.js";
 import { EndpointConnections } from "./endpoint-connections.js";
@@ -100,7 +100,7 @@
             this.logs,
             countSuspect,
             reportClock,
-            (start, requests) => void calls.tell(start, requests),
+            (crash, keep) => void calls.tell(crash, keep),
         );
         this.suspects = new SuspectBoard(this.reports, this.logs, countSuspect, this.clock);
         const holder = { name: settings.name, incarnation, startedAt };
@@ -123,7 +123,8 @@
         });
         this.peerServer.addMethod(LEND_METHOD, (parameters) => this.prepaid.lend(parameters));
         this.peerServer.addMethod(CRASH_METHOD, (parameters) => {
-            this.suspects.noteTold(readToldCrash(parameters), this.registry.isFollower);
+            const { crash, keep } = readCrashMessage(parameters);
+            this.suspects.noteTold(crash, keep && this.registry.isFollower);
             return {};
         });
         this.peerServer.addMethod(NEWS_METHOD, (parameters) => history.answer(parameters));
--- a/packages/router/src/gateway/suspect-board.ts
+++ b/packages/router/src/gateway/suspect-board.ts
@@ -2,6 +2,7 @@
 import {
     addCrash,
     clearSuspect,
+    type Crash,
     crashCount,
     createSuspectTable,
     type EndpointEntry,
@@ -19,7 +20,6 @@
     trackSend,
 } from "@gooseberrybend/core/dispatch";
 import { checkConnection } from "./connection-check.js";
-import type { ToldCrash } from "./crash-calls.js";
 import type { CrashReport, CrashReports } from "./crash-reports.js";
 import type { GatewayLogs } from "./log-sink.js";
 import type { StoredItem } from "./metadata-store.js";
@@ -125,11 +125,11 @@
         }
     }
 
-    /** Takes in a crash that another router tells of as it can't reach the store. */
-    noteTold({ start, requests }: ToldCrash, keeps: boolean): void {
-        this.noteReport({ start, requests, at: this.clock() });
-        if (keeps) {
-            this.reports.keepCrash(start, requests);
+    /** Takes in a crash that another router tells of, and keeps it in the store for one that can't. */
+    noteTold(crash: Crash, keep: boolean): void {
+        this.noteReport({ ...crash, at: this.clock() });
+        if (keep) {
+            this.reports.keepCrash(crash);
         }
     }
 
@@ -178,19 +178,19 @@
         }
     }
 
-    private noteCrash(entry: EndpointEntry, evidence: CrashEvidence, bodies: readonly BodyDigest[]): void {
-        if (bodies.length === 0) {
+    private noteCrash(entry: EndpointEntry, evidence: CrashEvidence, crash: Crash | undefined): void {
+        if (crash === undefined) {
             return;
         }
         this.count("crashed");
         this.logs.endpoints.warn("Crashed.", {
             endpoint: entry.id,
-            startedAt: entry.startedAt,
+            start: crash.start,
             evidence,
-            suspects: bodies.length,
-            requests: bodies.slice(0, MOST_NAMED).map((body) => this.figures(body)),
+            suspects: crash.requests.length,
+            requests: crash.requests.slice(0, MOST_NAMED).map((body) => this.figures(body)),
         });
-        this.reports.addCrash(startName(startOf(entry)), bodies);
+        this.reports.addCrash(crash);
     }
 }
 
