Bound what a router holds of answers that never end

Endpoints in trouble may send bytes without end, in a head or a body. A router held all of it until the time limit of the request: at 50 MB/s, one request to a plain service took 70 MB, and one stream without the end of an event up to 410 MB, more than any instance has. After a caller had left, what may not be repeated was read for ever.

A plain answer is held up to 256 KB, so that another endpoint can be asked, and passed on as it comes beyond, with the caller's pace; a failure or an event that is longer counts as no answer. Once the caller has left, a request that may not be repeated is given up at the time limit. Heads were bounded already.

The answer to a caller and the headers to an endpoint have modules of their own, to keep the exchange readable.

--- /dev/null
+++ b/packages/router/src/gateway/caller-answer.test.ts
@@ -0,0 +1,23 @@
+import type { ServerResponse } from "node:http";
+import type { Dispatcher } from "undici";
+import { describe, expect, it, vi } from "vitest";
+import { CallerAnswer } from "./caller-answer.js";
+
+describe("the answer to a caller", () => {
+    describe("that does not read", () => {
+        it("pauses the endpoint that sends it until the caller reads on", () => {
+            const listeners = new Map<string, () => void>();
+            const response = {
+                on: (event: string, listener: () => void) => listeners.set(event, listener),
+                write: vi.fn(() => false),
+            } as unknown as ServerResponse;
+            const source = { pause: vi.fn(), resume: vi.fn() };
+            const answer = new CallerAnswer(response);
+            answer.write(Buffer.from("a"), source as unknown as Dispatcher.DispatchController);
+            expect(source.pause).toHaveBeenCalledOnce();
+            expect(source.resume).not.toHaveBeenCalled();
+            listeners.get("drain")!();
+            expect(source.resume).toHaveBeenCalledOnce();
+        });
+    });
+});
--- a/packages/router/src/gateway/endpoint-send.ts
+++ b/packages/router/src/gateway/endpoint-send.ts
@@ -16,8 +16,10 @@
     status: number;
     fields: EndpointFields | undefined;
     headers: string[];
-    /** Body of an answer that is passed on whole. */
+    /** Body of an answer that is held until it is whole. */
     chunks: Buffer[];
+    /** Size in bytes of what is held. */
+    heldBytes: number;
     relaying: boolean;
     /** Set once bytes may have left. */
     tracked: TrackedSend | undefined;
@@ -37,6 +39,7 @@
         fields: undefined,
         headers: [],
         chunks: [],
+        heldBytes: 0,
         relaying: false,
         tracked: undefined,
     };
--- a/packages/router/src/gateway/event-gate.ts
+++ b/packages/router/src/gateway/event-gate.ts
@@ -1,5 +1,8 @@
 const EVENT_END = "\n\n";
 
+/** Longest event in bytes; those of model engines take some 100. */
+const LONGEST_EVENT = 256 * 1024;
+
 /** Splits a stream into whole events, and keeps count of them. */
 export class EventGate {
     /** Events passed so far. */
@@ -13,6 +16,11 @@
         return this.partial !== "";
     }
 
+    /** Whether the stream has gone on for too long without the end of an event. */
+    get isEndless(): boolean {
+        return this.partial.length > LONGEST_EVENT;
+    }
+
     /** Takes bytes in and returns those that complete events. */
     take(bytes: Buffer): Buffer | undefined {
         // Latin 1 keeps each byte as one character, so cuts never split a character.
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -10,27 +10,29 @@
     noteFirstSend,
     noteOutcome,
     noteSend,
-    paceOf,
     type PlacementQuery,
     quietMs,
-    rankAtEngine,
     type SendFailure,
     takeRepeat,
 } from "@gooseberrybend/core/dispatch";
 import type { Dispatcher } from "undici";
 import type { AdmittedRequest } from "./admitted-request.js";
 import { noteAnswerHead, noteBytes } from "./answer-head.js";
+import { CallerAnswer } from "./caller-answer.js";
 import { REFUSED_CODE } from "./connection-check.js";
 import { createSend, type Send } from "./endpoint-send.js";
 import { EventGate } from "./event-gate.js";
 import type { GatewayContext } from "./gateway-context.js";
 import { withoutLength } from "./raw-headers.js";
 import { POISON_RETRY_AFTER_MS, type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
+import { sendOptions } from "./send-options.js";
 import { TokenClaim } from "./token-claim.js";
 
 /** Statuses of endpoints that promise that a request has not run; passed on only if they say so themselves. */
 const promisingStatuses = new Set([408, 421, 429, 503]);
 const FAILURE_STATUS = 500;
+/** Bytes of an answer that are held until it is whole; answers of plain services take a few KB. */
+const MOST_HELD_BYTES = 256 * 1024;
 /** Time in ms after which a request that waits for a connection goes elsewhere; connecting takes a few ms. */
 const CONNECT_MS = 200;
 
@@ -42,18 +44,18 @@
     private readonly query: PlacementQuery;
     private sends = 0;
     private mayHaveRun = false;
-    private answering = false;
+    private readonly answer: CallerAnswer;
     private done = false;
     private readonly claim: TokenClaim;
     private send: Send | undefined;
     private timer: NodeJS.Timeout | undefined;
-    private paused = false;
     private firstMs: number | undefined;
 
     constructor(private readonly context: GatewayContext, private readonly admitted: AdmittedRequest) {
         const { route, fields, arrivedAt, service } = admitted;
         this.deadline = arrivedAt + Math.min(fields.patienceMs ?? Infinity, route.timeoutMs);
         this.claim = new TokenClaim(context, admitted);
+        this.answer = new CallerAnswer(admitted.response);
         this.query = {
             service: service.name,
             engine: service.engine,
@@ -69,7 +71,6 @@
     async run(): Promise<void> {
         const { response } = this.admitted;
         response.on("close", () => this.callerGone());
-        response.on("drain", () => this.resumeReading());
         this.timer = setTimeout(() => this.timeOut(), Math.max(0, this.deadline - this.context.clock()));
         if (await this.reserve()) {
             const { retryWindowMs } = this.context.settings().bounds;
@@ -111,13 +112,14 @@
         }
         const { row, units } = placement;
         const send = createSend(row, units, now);
+        const options = sendOptions(this.context, this.admitted, row, this.deadline - now, this.gate.lastId);
         this.send = send;
         this.logPlacement(row, now);
         setTimeout(() => this.giveUpConnecting(send), CONNECT_MS);
         noteSend(row, this.query, now);
         try {
             this.context.connectionsOf(row.entry, this.admitted.service)
-                .dispatch(this.optionsOf(row, now), this.handlerOf(send));
+                .dispatch(options, this.handlerOf(send));
         }
         catch (error) {
             // The HTTP client checks names and values before it sends anything.
@@ -126,29 +128,6 @@
         }
     }
 
-    private optionsOf(row: EndpointState, now: number): Dispatcher.DispatchOptions {
-        const { request, body, fields, account, route } = this.admitted;
-        const priority = account?.priority ?? route.priority;
-        const headers = this.context.dialect.forwardHeaders(request.rawHeaders, {
-            endpoint: row.entry.id,
-            account: account?.id,
-            timeLeftMs: this.deadline - now,
-            priority: this.admitted.service.engine === undefined ? undefined : this.rank(priority),
-            resumeAfter: this.gate.lastId ?? fields.resumeAfter,
-        });
-        return {
-            method: request.method as Dispatcher.HttpMethod,
-            path: request.url!,
-            headers,
-            body: body.length === 0 ? undefined : body,
-        };
-    }
-
-    private rank(priority: number): number {
-        const pace = paceOf(this.context.endpoints, this.query.service);
-        return rankAtEngine(priority, this.query.promptTokens * pace.msPerUnit, this.admitted.route.targetMs);
-    }
-
     private handlerOf(send: Send): Dispatcher.DispatchHandler {
         return {
             onRequestStart: (controller) => {
@@ -179,11 +158,9 @@
         noteAnswerHead(this.context, this.query, send, now);
         this.firstMs ??= Math.round(now - this.admitted.arrivedAt);
         if (this.isForeign(send)) {
-            this.context.logs.requests.warn("Answer of another request.", this.figures(send));
-            this.endSend(send, true);
-            this.abort(send);
+            // It tells nothing of this request, also if it says that it has not run.
             this.mayHaveRun = true;
-            this.afterFailure(send, "garbled");
+            this.rejectAnswer(send, "Answer of another request.");
             return;
         }
         if (this.admitted.route.kind === "stream" && status < 300 && status >= 200) {
@@ -200,14 +177,12 @@
     private startRelay(send: Send): void {
         send.relaying = true;
         this.mayHaveRun = true;
-        if (this.answering) {
+        if (this.answer.isBegun) {
             return;
         }
-        this.answering = true;
         this.context.observeFirst(this.admitted, this.context.clock());
         const headers = this.context.dialect.answerHeaders(send.headers);
-        this.admitted.response.writeHead(send.status, this.admitted.route.resumable ? withoutLength(headers) : headers);
-        this.admitted.response.flushHeaders();
+        this.answer.begin(send.status, this.admitted.route.resumable ? withoutLength(headers) : headers);
     }
 
     private receiveData(send: Send, chunk: Buffer): void {
@@ -216,25 +191,42 @@
             return;
         }
         if (!send.relaying) {
-            send.chunks.push(chunk);
+            this.hold(send, chunk);
+            return;
+        }
+        if (this.admitted.route.kind !== "stream") {
+            this.answer.write(chunk, send.controller);
             return;
         }
         const whole = this.gate.take(chunk);
-        this.write(this.admitted.route.resumable ? whole : chunk);
+        this.answer.write(this.admitted.route.resumable ? whole : chunk, send.controller);
+        if (this.gate.isEndless) {
+            this.rejectAnswer(send, "Event without end.");
+        }
     }
 
-    private write(bytes: Buffer | undefined): void {
-        if (bytes !== undefined && !this.admitted.response.write(bytes)) {
-            this.paused = true;
-            this.send?.controller?.pause();
+    // An answer that is held can still be had from another endpoint.
+    private hold(send: Send, chunk: Buffer): void {
+        send.chunks.push(chunk);
+        send.heldBytes += chunk.length;
+        if (send.heldBytes <= MOST_HELD_BYTES) {
+            return;
         }
+        const { sealed, notRun } = send.fields!;
+        if (!sealed || notRun || send.status >= FAILURE_STATUS) {
+            this.rejectAnswer(send, "Failure without end.");
+            return;
+        }
+        this.startRelay(send);
+        send.chunks.splice(0).forEach((held) => this.answer.write(held, send.controller));
     }
 
-    private resumeReading(): void {
-        if (this.paused) {
-            this.paused = false;
-            this.send?.controller?.resume();
-        }
+    private rejectAnswer(send: Send, reason: string): void {
+        this.context.logs.requests.warn(reason, this.figures(send));
+        this.mayHaveRun ||= send.fields?.notRun !== true;
+        this.endSend(send, true);
+        this.abort(send);
+        this.afterFailure(send, "garbled");
     }
 
     private receiveEnd(send: Send): void {
@@ -250,9 +242,9 @@
             this.context.suspects.noteServed(send.row.entry, this.admitted.bodyDigest, send.status);
         }
         if (send.relaying) {
-            this.write(this.admitted.route.resumable ? this.gate.rest() : undefined);
+            this.answer.write(this.admitted.route.resumable ? this.gate.rest() : undefined, undefined);
             this.finish("answered", send);
-            this.admitted.response.end();
+            this.answer.end();
             return;
         }
         if (send.fields!.notRun) {
@@ -273,15 +265,8 @@
             return this.refuse("may-have-run", undefined, this.figures(send));
         }
         const headers = withoutLength(this.context.dialect.answerHeaders(send.headers));
-        const body = Buffer.concat(send.chunks);
         this.finish("answered", send);
-        if (this.admitted.request.method === "HEAD" || send.status === 204 || send.status === 304) {
-            this.admitted.response.writeHead(send.status, headers);
-        }
-        else {
-            this.admitted.response.writeHead(send.status, [...headers, "Content-Length", String(body.length)]);
-        }
-        this.admitted.response.end(body);
+        this.answer.sendWhole(this.admitted.request.method, send.status, headers, Buffer.concat(send.chunks));
     }
 
     private receiveError(send: Send, error: Error): void {
@@ -336,7 +321,7 @@
         const state: AttemptState = {
             sends: this.sends,
             mayHaveRun: this.mayHaveRun,
-            answering: this.answering,
+            answering: this.answer.isBegun,
             resumable: route.resumable && (this.gate.lastId !== undefined || this.gate.events === 0),
             deadline: this.deadline,
         };
@@ -368,7 +353,7 @@
 
     // There is no endpoint to send to.
     private endWithout(cause: RefusalCause, waitMs: number): void {
-        if (this.answering) {
+        if (this.answer.isBegun) {
             this.cut(cause);
             return;
         }
@@ -390,7 +375,7 @@
             this.endSend(send, !send.heard);
             this.abort(send);
         }
-        if (this.answering) {
+        if (this.answer.isBegun) {
             this.cut("timed-out");
             return;
         }
@@ -402,13 +387,22 @@
             return;
         }
         const send = this.send;
-        if (send !== undefined && !send.ended && this.admitted.route.kind !== "unsafe") {
-            this.endSend(send, false);
-            this.abort(send);
+        if (send !== undefined && !send.ended) {
+            this.abandon(send);
         }
         this.finish("caller-gone", send);
     }
 
+    private abandon(send: Send): void {
+        if (this.admitted.route.kind === "unsafe" && this.context.clock() < this.deadline) {
+            // What may not be repeated goes on at the endpoint for as long as it would with its caller.
+            setTimeout(() => send.ended || this.abandon(send), this.deadline - this.context.clock());
+            return;
+        }
+        this.endSend(send, false);
+        this.abort(send);
+    }
+
     private abort(send: Send): void {
         send.controller?.abort(new Error("no longer wanted"));
     }
@@ -438,7 +432,7 @@
         this.context.countCut();
         this.context.logs.requests.warn("Cut off.", { ...this.figures(this.send), cause, events: this.gate.events });
         this.finish(cause, this.send);
-        this.admitted.response.destroy();
+        this.answer.cut();
     }
 
     private finish(outcome: string, send: Send | undefined): void {
--- /dev/null
+++ b/packages/router/src/gateway/send-options.ts
@@ -0,0 +1,29 @@
+import { type EndpointState, paceOf, rankAtEngine } from "@gooseberrybend/core/dispatch";
+import type { Dispatcher } from "undici";
+import type { AdmittedRequest } from "./admitted-request.js";
+import type { GatewayContext } from "./gateway-context.js";
+
+/** Returns what an endpoint is sent of a request, with a time left in ms and the event to go on after. */
+export function sendOptions(
+    context: GatewayContext,
+    { request, body, fields, account, route, service }: AdmittedRequest,
+    row: EndpointState,
+    timeLeftMs: number,
+    resumeAfter: string | undefined,
+): Dispatcher.DispatchOptions {
+    const readingMs = (fields.tokens?.prompt ?? 0) * paceOf(context.endpoints, service.name).msPerUnit;
+    const rank = rankAtEngine(account?.priority ?? route.priority, readingMs, route.targetMs);
+    const headers = context.dialect.forwardHeaders(request.rawHeaders, {
+        endpoint: row.entry.id,
+        account: account?.id,
+        timeLeftMs,
+        priority: service.engine === undefined ? undefined : rank,
+        resumeAfter: resumeAfter ?? fields.resumeAfter,
+    });
+    return {
+        method: request.method as Dispatcher.HttpMethod,
+        path: request.url!,
+        headers,
+        body: body.length === 0 ? undefined : body,
+    };
+}
