Pass on no success that no endpoint vouches for

Bytes of an endpoint in trouble may look like a success without being one. A router passed on every answer with a status of 2xx that bore no id; it now takes one without the endpoint's proof for no answer, as it does with the answer of another request, and tries elsewhere where it may. Found while testing bytes without end.

--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -157,13 +157,14 @@
         send.fields = this.context.dialect.readEndpointHeaders(status, headers);
         noteAnswerHead(this.context, this.query, send, now);
         this.firstMs ??= Math.round(now - this.admitted.arrivedAt);
-        if (this.isForeign(send)) {
+        const isSuccess = status >= 200 && status < 300;
+        if (this.isForeign(send) || (isSuccess && !send.fields.sealed)) {
             // It tells nothing of this request, also if it says that it has not run.
             this.mayHaveRun = true;
-            this.rejectAnswer(send, "Answer of another request.");
+            this.rejectAnswer(send, "Answer of another request, or of no endpoint.");
             return;
         }
-        if (this.admitted.route.kind === "stream" && status < 300 && status >= 200) {
+        if (this.admitted.route.kind === "stream" && isSuccess) {
             this.startRelay(send);
         }
     }
