Pass over keys of crashes that can't be read

A key with a malformed start would have thrown while a router takes in what the store tells, and ended its process. A long answer with a status that promises that the request has not run is not passed on either.

--- a/packages/router/src/gateway/crash-reports.ts
+++ b/packages/router/src/gateway/crash-reports.ts
@@ -20,6 +20,9 @@
 /** Reports that wait for the store at most; beyond, the oldest go. */
 const MOST_OPEN = 1_000;
 
+/** Stands for the start in a key that can't be read. */
+const UNREADABLE = Symbol("unreadable");
+
 const valueSchema = z.object({
     /** Time of day in ms. */
     at: z.number(),
@@ -96,7 +99,8 @@
     /** Reads a report in the store. Returns undefined for one that no longer counts. */
     read({ key, value }: StoredItem): CrashReport | ReportFault | undefined {
         const parsed = valueSchema.safeParse(parseJson(value.toString("utf8")));
-        if (!parsed.success) {
+        const start = startOfKey(key);
+        if (!parsed.success || start === UNREADABLE) {
             return { kind: "unreadable-report", key };
         }
         const ageMs = Math.max(0, this.clock.wall() - parsed.data.at);
@@ -106,7 +110,7 @@
             return undefined;
         }
         const requests = parsed.data.requests.map((request) => brand<BodyDigest>(request));
-        return { start: startOfKey(key), requests, at };
+        return { start, requests, at };
     }
 
     /** Notes that a key is gone from the store. */
@@ -201,9 +205,18 @@
     }
 }
 
-function startOfKey(key: string): string | undefined {
-    const [start] = key.startsWith(CRASH_PREFIX) ? key.slice(CRASH_PREFIX.length).split("/") : [];
-    return start === undefined ? undefined : decodeURIComponent(start);
+// Undefined for a key of another kind.
+function startOfKey(key: string): string | typeof UNREADABLE | undefined {
+    if (!key.startsWith(CRASH_PREFIX)) {
+        return undefined;
+    }
+    const [start] = key.slice(CRASH_PREFIX.length).split("/");
+    try {
+        return decodeURIComponent(start!);
+    }
+    catch {
+        return UNREADABLE;
+    }
 }
 
 function parseJson(text: string): unknown {
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -214,7 +214,7 @@
             return;
         }
         const { sealed, notRun } = send.fields!;
-        if (!sealed || notRun || send.status >= FAILURE_STATUS) {
+        if (!sealed || notRun || send.status >= FAILURE_STATUS || promisingStatuses.has(send.status)) {
             this.rejectAnswer(send, "Failure without end.");
             return;
         }
