--- a/packages/router/src/gateway/crash-reports.test.ts
+++ b/packages/router/src/gateway/crash-reports.test.ts
@@ -136,7 +136,7 @@
         it("are passed over when they can't be read", async () => {
             crashThree([poison]);
             await pass(0);
-            const value = Buffer.from(JSON.stringify({ at: 0, requests: [innocent] }));
+            const value = Buffer.from(JSON.stringify({ at: 1_000_000, requests: [innocent] }));
             store.items.set("a", { key: `${SUSPECT_PREFIX}crashes/x`, value: Buffer.from("{"), revision: 1 });
             store.items.set("b", { key: `${SUSPECT_PREFIX}crashes/%E0`, value, revision: 2 });
             expect(createReader().isPoison(poison)).toBe(true);
