Log and count the request limits that endpoints state

The adapter now decodes the header, the router logs each change with the age of the response, counts changes, and names limit and age in each choice of an endpoint. Values that can't be read are logged and change nothing. Responses overtake each other, so one to a request sent before the newest report arrived never loosens a limit. No decision changes.

--- a/packages/core/src/dispatch/endpoint-table.ts
+++ b/packages/core/src/dispatch/endpoint-table.ts
@@ -1,4 +1,5 @@
 import type { EndpointId } from "../types/ids.js";
+import { createEndpointLimits, type EndpointLimits } from "./endpoint-limits.js";
 import type { EndpointEntry, PromptPartId, ServiceName } from "./types.js";
 
 /** Last load report of an endpoint. */
@@ -44,11 +45,18 @@
     readonly paces: Map<ServiceName, ServicePace>;
     /** Start times of endpoints that announced that they leave; kept while their registrations are missing. */
     readonly leavingStarts: Map<EndpointId, number>;
+    readonly limits: EndpointLimits;
 };
 
 /** Creates an empty table. */
 export function createEndpointTable(): EndpointTable {
-    return { rows: new Map(), byService: new Map(), paces: new Map(), leavingStarts: new Map() };
+    return {
+        rows: new Map(),
+        byService: new Map(),
+        paces: new Map(),
+        leavingStarts: new Map(),
+        limits: createEndpointLimits(),
+    };
 }
 
 /** Applies a registration. Returns the row that it replaces if the endpoint restarted or changed address or service. */
--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -2,6 +2,7 @@
 export * from "./drain.js";
 export * from "./endpoint-availability.js";
 export * from "./endpoint-health.js";
+export * from "./endpoint-limits.js";
 export * from "./endpoint-table.js";
 export * from "./fleet.js";
 export * from "./placement.js";
--- a/packages/router/src/gateway/dialect.ts
+++ b/packages/router/src/gateway/dialect.ts
@@ -34,6 +34,12 @@
     readonly resumeAfter: string | undefined;
 };
 
+/** Request limit in an endpoint's response. */
+export type StatedLimit =
+    /** Requests per second that the endpoint accepts from all routers together. */
+    | { readonly kind: "named"; readonly perSecond: number; }
+    | { readonly kind: "unreadable"; readonly text: string; };
+
 /** Fields read from an endpoint's response headers. */
 export type EndpointFields = {
     /** Id of the request that the response belongs to. */
@@ -47,6 +53,8 @@
     readonly leaving: boolean;
     /** Time in ms for which the endpoint asks this router to send no requests. */
     readonly backoffMs: number | undefined;
+    /** Undefined if the response states no limit. */
+    readonly requestLimit: StatedLimit | undefined;
 };
 
 /** Raw headers: alternating names and values. */
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -4,6 +4,7 @@
     chooseEndpoint,
     endpointFigures,
     type EndpointState,
+    limitFigures,
     nextStep,
     type PlacementQuery,
     recordConnectFailure,
@@ -24,7 +25,7 @@
 import type { GatewayContext } from "./gateway-context.js";
 import { withoutContentLength } from "./raw-headers.js";
 import { POISON_RETRY_AFTER_MS, type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
-import { recordBytesReceived, recordResponseHead } from "./response-head.js";
+import { isForOtherRequest, recordBytesReceived, recordRequestLimit, recordResponseHead } from "./response-head.js";
 import { sendOptions } from "./send-options.js";
 import { TokenClaim } from "./token-claim.js";
 
@@ -158,23 +159,18 @@
         recordResponseHead(this.context, this.query, send, now);
         this.firstMs ??= Math.round(now - this.admitted.arrivedAt);
         const isSuccess = status >= 200 && status < 300;
-        if (this.isForOtherRequest(send) || (isSuccess && !send.fields.sealed)) {
+        if (isForOtherRequest(send.fields, this.admitted.fields.requestId) || (isSuccess && !send.fields.sealed)) {
             // Says nothing about this request, even if it states that it did not run.
             this.mayHaveRun = true;
             this.rejectAnswer(send, "Response belongs to another request or does not come from an endpoint; rejected.");
             return;
         }
+        recordRequestLimit(this.context, send, now);
         if (this.admitted.route.kind === "stream" && isSuccess) {
             this.startStreaming(send);
         }
     }
 
-    private isForOtherRequest(send: Send): boolean {
-        const echoed = send.fields!.requestId;
-        const { requestId } = this.admitted.fields;
-        return echoed !== undefined ? echoed !== requestId : send.fields!.sealed;
-    }
-
     private startStreaming(send: Send): void {
         send.isStreaming = true;
         this.mayHaveRun = true;
@@ -481,6 +477,7 @@
             configuration: this.context.configurationVersion(),
             ...this.context.suspects.figures(this.admitted.bodyDigest),
             ...endpointFigures(row, now),
+            ...limitFigures(this.context.endpoints.limits, row.entry, now),
         });
     }
 
--- a/packages/router/src/gateway/gateway-context.ts
+++ b/packages/router/src/gateway/gateway-context.ts
@@ -9,6 +9,7 @@
 import type { Dispatcher } from "undici";
 import type { AdmittedRequest } from "./admitted-request.js";
 import type { Dialect } from "./dialect.js";
+import type { LimitEvent } from "./gateway-metrics.js";
 import type { GatewaySettings } from "./gateway-settings.js";
 import type { GatewayLogs } from "./log-sink.js";
 import type { PoisonRequestTracker } from "./poison-request-tracker.js";
@@ -36,6 +37,7 @@
     readonly countRefusal: (cause: RefusalCause) => void;
     readonly countFailedSend: (step: string, failure: SendFailure) => void;
     readonly countCutAnswer: () => void;
+    readonly countLimitEvent: (event: LimitEvent) => void;
     readonly observeFirstByte: (request: AdmittedRequest, now: number) => void;
     readonly observeRequestEnd: (outcome: string, tookMs: number) => void;
 };
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -251,6 +251,7 @@
             countRefusal: (cause) => this.metrics.refusals.inc({ cause }),
             countFailedSend: (next, failure) => this.metrics.failedSends.inc({ next, failure }),
             countCutAnswer: () => this.metrics.cutAnswers.inc(),
+            countLimitEvent: (event) => this.metrics.limits.inc({ event }),
             observeFirstByte: (request, now) =>
                 this.metrics.firstByteSeconds.observe((now - request.arrivedAt) / 1_000),
             observeRequestEnd: (outcome, tookMs) => {
--- a/packages/router/src/gateway/response-head.ts
+++ b/packages/router/src/gateway/response-head.ts
@@ -7,7 +7,9 @@
     recordLeaving,
     recordLoadReport,
     recordResponseBytes,
+    recordStatedLimit,
 } from "@gooseberrybend/core/dispatch";
+import type { EndpointFields } from "./dialect.js";
 import type { Send } from "./endpoint-send.js";
 import type { GatewayContext } from "./gateway-context.js";
 
@@ -24,6 +26,11 @@
     recordAvailability(context, send, now);
 }
 
+/** Returns whether a response belongs to another request than the one with this id. */
+export function isForOtherRequest(fields: EndpointFields, requestId: string | undefined): boolean {
+    return fields.requestId !== undefined ? fields.requestId !== requestId : fields.sealed;
+}
+
 /** Records that an endpoint sent bytes. */
 export function recordBytesReceived(
     { suspects }: GatewayContext,
@@ -48,3 +55,30 @@
         });
     }
 }
+
+/** Records what a response of the request's own endpoint states about its request limit. */
+export function recordRequestLimit(context: GatewayContext, { row, fields, sentAt }: Send, now: number): void {
+    const { endpoints, logs } = context;
+    const endpoint = row.entry.id;
+    const stated = fields!.requestLimit;
+    if (stated?.kind === "unreadable") {
+        context.countLimitEvent("unreadable");
+        logs.endpoints.warn("Endpoint stated an unreadable request limit; ignored.", { endpoint, text: stated.text });
+        return;
+    }
+    if (stated === undefined && !fields!.sealed) {
+        // Responses that an endpoint's front end sends without running the request need not state the limit.
+        return;
+    }
+    const change = recordStatedLimit(endpoints.limits, row.entry, stated?.perSecond, sentAt, now);
+    if (change !== undefined) {
+        context.countLimitEvent(change.after === undefined ? "ended" : "stated");
+        logs.endpoints.info("Request limit of the endpoint changed.", {
+            endpoint,
+            startedAt: row.entry.startedAt,
+            perSecond: change.after,
+            before: change.before,
+            ageMs: Math.round(now - sentAt),
+        });
+    }
+}
