Keep what all routers send to an endpoint within the request limit that it states

A few routers use a limited endpoint: two and one more for each request per second, chosen by rendezvous hashing among those that callers are sent to, now or in the last 10 s. Each paces its sends at an equal part of 0.8 of the limit; the others leave the endpoint out. Equal shares for all routers, as for repeats and connections, do not work here: the first request of each of 195 routers exceeds any low limit. The memory of 10 s means that nobody takes over the share of a router that is only cut off from the store; a new router takes none until it knows the fleet. Limits, and their ends, are shared through the store, as a router that leaves an endpoint to others hears nothing from it. Where nothing is heard, a single request is sent now and then, every 10 s for the whole fleet, also at a limit of 0. Repeats take only what first sends leave; urgent requests are preferred. Where all endpoints are limited, requests are refused at once, and callers are asked to return at the rate at which there is room.

Failed on the way: trials at random times between half and one and a half of the mean came together, or not for minutes, in fleets of 73 and 195; they are exponential now. A trial only allowed a send; the endpoint, whose last load report is high, was not chosen. It is chosen now.

--- a/packages/core/src/dispatch/endpoint-availability.test.ts
+++ b/packages/core/src/dispatch/endpoint-availability.test.ts
@@ -27,6 +27,8 @@
         promptTokens: 0,
         domain,
         tried: new Set(),
+        isRepeat: false,
+        priority: 0,
         cacheMs: 0,
     };
     return chooseEndpoint(table, query, () => 0.5, now)?.row.entry.id;
--- a/packages/core/src/dispatch/endpoint-availability.ts
+++ b/packages/core/src/dispatch/endpoint-availability.ts
@@ -1,3 +1,4 @@
+import { limitOf, takeReturnSlot } from "./endpoint-limits.js";
 import type { EndpointState, EndpointTable } from "./endpoint-table.js";
 import type { ServiceName } from "./types.js";
 
@@ -25,6 +26,28 @@
 
 /** Returns the time in ms until an endpoint of a service accepts requests; 0 unless all that stay are in back-off. */
 export function remainingBackoffMs(table: EndpointTable, service: ServiceName, now: number): number {
-    const remaining = (table.byService.get(service) ?? []).filter((row) => !row.entry.leaving && !row.announcedLeaving);
+    const remaining = stayingEndpoints(table, service);
     return remaining.length === 0 ? 0 : Math.max(0, Math.min(...remaining.map((row) => row.backoffUntil)) - now);
 }
+
+/** Returns whether all endpoints of a service that stay state request limits. */
+export function isServiceLimited(table: EndpointTable, service: ServiceName): boolean {
+    const remaining = stayingEndpoints(table, service);
+    return remaining.length > 0
+        && remaining.every((row) => limitOf(table.limits, row.entry)?.perSecond !== undefined);
+}
+
+/** Returns the time in ms after which a caller should return whose request no endpoint accepts. */
+export function returnDelayMs(table: EndpointTable, service: ServiceName, now: number): number {
+    const backoffMs = remainingBackoffMs(table, service, now);
+    if (!isServiceLimited(table, service)) {
+        return backoffMs;
+    }
+    const perSecond = stayingEndpoints(table, service)
+        .reduce((sum, row) => sum + limitOf(table.limits, row.entry)!.perSecond!, 0);
+    return Math.max(backoffMs, takeReturnSlot(table.limits, service, perSecond, now));
+}
+
+function stayingEndpoints(table: EndpointTable, service: ServiceName): EndpointState[] {
+    return (table.byService.get(service) ?? []).filter((row) => !row.entry.leaving && !row.announcedLeaving);
+}
--- a/packages/core/src/dispatch/endpoint-health.ts
+++ b/packages/core/src/dispatch/endpoint-health.ts
@@ -1,4 +1,5 @@
-import type { EndpointState, ServicePace } from "./endpoint-table.js";
+import { limitFigures } from "./endpoint-limits.js";
+import type { EndpointState, EndpointTable, ServicePace } from "./endpoint-table.js";
 
 /** Half-life in ms of an outcome's weight, so that the last few seconds of traffic dominate. */
 const OUTCOME_HALF_LIFE_MS = 3_000;
@@ -64,11 +65,16 @@
 }
 
 /** Returns the values on which the choice of an endpoint was based. */
-export function endpointFigures(row: EndpointState, now: number): Readonly<Record<string, unknown>> {
+export function endpointFigures(
+    table: EndpointTable,
+    row: EndpointState,
+    now: number,
+): Readonly<Record<string, unknown>> {
     return {
         endpoint: row.entry.id,
         open: row.open,
         loadAgeMs: row.load === undefined ? undefined : Math.round(now - row.load.at),
         failureRate: Number(failureRate(row, now).toFixed(2)),
+        ...limitFigures(table.limits, row.entry, now),
     };
 }
--- a/packages/core/src/dispatch/placement.test.ts
+++ b/packages/core/src/dispatch/placement.test.ts
@@ -31,7 +31,17 @@
         { id: brand<PromptPartId>(session), tokens: 5_000 },
         { id: brand<PromptPartId>(`${session}-${request}`), tokens: 1_000 },
     ];
-    return { service, engine, parts, promptTokens: 6_500, domain, tried: new Set(), cacheMs: 10_000 };
+    return {
+        service,
+        engine,
+        parts,
+        promptTokens: 6_500,
+        domain,
+        tried: new Set(),
+        isRepeat: false,
+        priority: 0,
+        cacheMs: 10_000,
+    };
 }
 
 const plainQuery: PlacementQuery = {
@@ -41,6 +51,8 @@
     promptTokens: 0,
     domain,
     tried: new Set(),
+    isRepeat: false,
+    priority: 0,
     cacheMs: 0,
 };
 
@@ -73,7 +85,7 @@
             for (let request = 1; request <= 60; request++) {
                 const row = choose(table, sessionQuery("hot", request));
                 onPreferred.push(row === preferred);
-                recordSend(row, sessionQuery("hot", request), 0);
+                recordSend(table, row, sessionQuery("hot", request), () => 0.5, 0);
             }
             expect(onPreferred.slice(0, 5)).not.toContain(false);
             expect(onPreferred).toContain(false);
@@ -92,7 +104,7 @@
         it("fill endpoints evenly", () => {
             const table = tableOf(4);
             for (let request = 0; request < 24; request++) {
-                recordSend(choose(table, plainQuery), plainQuery, 0);
+                recordSend(table, choose(table, plainQuery), plainQuery, () => 0.5, 0);
             }
             expect([...table.rows.values()].map((row) => row.open)).toEqual([6, 6, 6, 6]);
         });
@@ -142,7 +154,7 @@
         it("start with fresh state when they restart under the same id", () => {
             const table = tableOf(1);
             const before = [...table.rows.values()][0]!;
-            recordSend(before, plainQuery, 0);
+            recordSend(table, before, plainQuery, () => 0.5, 0);
             expect(putEndpoint(table, { ...before.entry, startedAt: 2 })).toBe(before);
             expect([...table.rows.values()][0]!.open).toBe(0);
         });
--- a/packages/core/src/dispatch/placement.ts
+++ b/packages/core/src/dispatch/placement.ts
@@ -2,6 +2,7 @@
 import type { EndpointId, FailureDomain } from "../types/ids.js";
 import { acceptsRequests } from "./endpoint-availability.js";
 import { failureRate, isSilent } from "./endpoint-health.js";
+import { allowsSend, isTrialDue, recordLimitedSend } from "./endpoint-limits.js";
 import type { EndpointState, EndpointTable, ServicePace } from "./endpoint-table.js";
 import type { EngineDeclaration, PromptPart, PromptPartId, ServiceName } from "./types.js";
 
@@ -15,6 +16,10 @@
     readonly domain: FailureDomain;
     /** Endpoints that the request was sent to before. */
     readonly tried: ReadonlySet<EndpointId>;
+    /** True if the request was sent before and its caller has received nothing yet. */
+    readonly isRepeat: boolean;
+    /** 0 is the most urgent. */
+    readonly priority: number;
     /** Time in ms for which engines are expected to cache a part. */
     readonly cacheMs: number;
 };
@@ -36,9 +41,18 @@
 export type Placement = { readonly row: EndpointState; readonly units: number; };
 
 // The reachable endpoints of a service without the silent ones, or with them if all are silent.
-function usableEndpoints(table: EndpointTable, query: PlacementQuery, now: number): EndpointState[] {
+function usableEndpoints(
+    table: EndpointTable,
+    query: PlacementQuery,
+    random: () => number,
+    now: number,
+): EndpointState[] {
     const rows = table.byService.get(query.service) ?? [];
-    const accepting = rows.filter((row) => acceptsRequests(row, now) && !query.tried.has(row.entry.id));
+    const draw = random();
+    const accepting = rows.filter((row) =>
+        acceptsRequests(row, now) && !query.tried.has(row.entry.id)
+        && allowsSend(table.limits, row.entry, query, draw, now)
+    );
     const reachable = accepting.filter((row) => row.unreachableUntil <= now);
     const responsive = reachable.filter((row) => !isSilent(row, now));
     return responsive.length > 0 ? responsive : reachable;
@@ -51,10 +65,10 @@
     random: () => number,
     now: number,
 ): Placement | undefined {
-    const rows = usableEndpoints(table, query, now);
+    const rows = usableEndpoints(table, query, random, now);
     const preferred = query.engine === undefined ? undefined : preferredEngine(rows, query.parts);
-    let best: EndpointState | undefined;
-    let lowest = Infinity;
+    let best = rows.find((row) => isTrialDue(table.limits, row.entry, now));
+    let lowest = best === undefined ? Infinity : -Infinity;
     for (const row of rows) {
         const cost = costOf(row, query, preferred, now) * (1 + 0.02 * random());
         if (cost < lowest) {
@@ -139,7 +153,14 @@
 }
 
 /** Records that a request was sent to an endpoint. */
-export function recordSend(row: EndpointState, query: PlacementQuery, now: number): void {
+export function recordSend(
+    table: EndpointTable,
+    row: EndpointState,
+    query: PlacementQuery,
+    random: () => number,
+    now: number,
+): void {
+    recordLimitedSend(table.limits, row.entry, random, now);
     row.open++;
     row.unansweredSince ??= now;
     if (query.engine === undefined) {
--- a/packages/router/src/gateway/crash-reports.ts
+++ b/packages/router/src/gateway/crash-reports.ts
@@ -3,6 +3,7 @@
 import { z } from "zod";
 import type { GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoredItem } from "./metadata-store.js";
+import { parseJson } from "./parse-json.js";
 import { SHARED_PREFIX } from "./shared-prefix.js";
 
 /** Prefix of the keys through which routers share suspect requests, which may crash endpoints. */
@@ -230,12 +231,3 @@
         return UNREADABLE_KEY;
     }
 }
-
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        return undefined;
-    }
-}
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -4,7 +4,6 @@
     chooseEndpoint,
     endpointFigures,
     type EndpointState,
-    limitFigures,
     nextStep,
     type PlacementQuery,
     recordConnectFailure,
@@ -12,7 +11,7 @@
     recordFirstSend,
     recordOutcome,
     recordSend,
-    remainingBackoffMs,
+    returnDelayMs,
     type SendFailure,
     takeRepeat,
 } from "@gooseberrybend/core/dispatch";
@@ -24,7 +23,7 @@
 import { EventSplitter } from "./event-splitter.js";
 import type { GatewayContext } from "./gateway-context.js";
 import { withoutContentLength } from "./raw-headers.js";
-import { POISON_RETRY_AFTER_MS, type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
+import { noEndpointCause, POISON_RETRY_AFTER_MS, type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
 import { isForOtherRequest, recordBytesReceived, recordRequestLimit, recordResponseHead } from "./response-head.js";
 import { sendOptions } from "./send-options.js";
 import { TokenClaim } from "./token-claim.js";
@@ -64,6 +63,8 @@
             promptTokens: fields.tokens?.prompt ?? 0,
             domain: context.domain,
             tried: this.tried,
+            isRepeat: false,
+            priority: admitted.account?.priority ?? route.priority,
             cacheMs: context.settings().bounds.promptCacheMs,
         };
     }
@@ -107,9 +108,10 @@
         if (this.context.suspects.isPoison(this.admitted.bodyDigest)) {
             return this.refuseOrAbort("poison-request", POISON_RETRY_AFTER_MS);
         }
-        const placement = chooseEndpoint(this.context.endpoints, this.query, this.context.random, now);
+        const query = { ...this.query, isRepeat: this.sends > 0 && !this.answer.isHeadSent };
+        const placement = chooseEndpoint(this.context.endpoints, query, this.context.random, now);
         if (placement === undefined) {
-            return this.refuseOrAbort("no-endpoint", this.waitMs(now));
+            return this.refuseOrAbort(noEndpointCause(this.context.endpoints, this.query.service), this.waitMs(now));
         }
         const { row, units } = placement;
         const send = createSend(row, units, now);
@@ -117,7 +119,7 @@
         this.send = send;
         this.logPlacement(row, now);
         setTimeout(() => this.handleConnectTimeout(send), CONNECT_TIMEOUT_MS);
-        recordSend(row, this.query, now);
+        recordSend(this.context.endpoints, row, this.query, this.context.random, now);
         try {
             this.context.connectionsOf(row.entry, this.admitted.service)
                 .dispatch(options, this.handlerOf(send));
@@ -359,8 +361,7 @@
 
     // Time in ms after which an endpoint may accept the request.
     private waitMs(now: number): number {
-        return remainingBackoffMs(this.context.endpoints, this.query.service, now)
-            + retryAfterMs(this.context.random());
+        return returnDelayMs(this.context.endpoints, this.query.service, now) + retryAfterMs(this.context.random());
     }
 
     private handleDeadline(): void {
@@ -476,8 +477,7 @@
             attempt: this.sends + 1,
             configuration: this.context.configurationVersion(),
             ...this.context.suspects.figures(this.admitted.bodyDigest),
-            ...endpointFigures(row, now),
-            ...limitFigures(this.context.endpoints.limits, row.entry, now),
+            ...endpointFigures(this.context.endpoints, row, now),
         });
     }
 
--- a/packages/router/src/gateway/gateway-context.ts
+++ b/packages/router/src/gateway/gateway-context.ts
@@ -11,6 +11,7 @@
 import type { Dialect } from "./dialect.js";
 import type { LimitEvent } from "./gateway-metrics.js";
 import type { GatewaySettings } from "./gateway-settings.js";
+import type { LimitReports } from "./limit-reports.js";
 import type { GatewayLogs } from "./log-sink.js";
 import type { PoisonRequestTracker } from "./poison-request-tracker.js";
 import type { PrepaidAccounts } from "./prepaid-accounts.js";
@@ -24,6 +25,7 @@
     readonly retries: RetryQuota;
     readonly prepaid: PrepaidAccounts;
     readonly suspects: PoisonRequestTracker;
+    readonly limitReports: LimitReports;
     readonly logs: GatewayLogs;
     /** Monotonic time in ms. */
     readonly clock: () => number;
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -6,7 +6,7 @@
 const REQUEST_BUCKETS_SECONDS = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 15];
 
 /** Events of the request limits of endpoints, as counted in the metrics. */
-export const limitEvents = ["stated", "ended", "unreadable"] as const;
+export const limitEvents = ["stated", "ended", "unreadable", "heard", "shared", "not-shared"] as const;
 
 /** Event of the request limit of an endpoint. */
 export type LimitEvent = typeof limitEvents[number];
@@ -25,7 +25,9 @@
     Object.keys(refusalStatus).forEach((cause) => refusals.inc({ cause }, 0));
     const suspects = counter("suspect_events_total", "What happened to requests that may crash endpoints.", ["event"]);
     suspectEvents.forEach((event) => suspects.inc({ event }, 0));
-    const limits = counter("endpoint_limit_events_total", "Changes of the request limits of endpoints.", ["event"]);
+    const limits = counter("endpoint_limit_events_total", "What happened to the request limits of endpoints.", [
+        "event",
+    ]);
     limitEvents.forEach((event) => limits.inc({ event }, 0));
     return {
         registry,
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -10,6 +10,7 @@
     putEndpoint,
     removeEndpoint,
     type RoutingTable,
+    updateSharers,
 } from "@gooseberrybend/core/dispatch";
 import { type JSONRPCRequest, type JSONRPCResponse, JSONRPCServer } from "json-rpc-2.0";
 import { randomBytes } from "node:crypto";
@@ -24,6 +25,7 @@
 import { createGatewayMetrics, type GatewayMetrics } from "./gateway-metrics.js";
 import type { GatewaySettings } from "./gateway-settings.js";
 import { Ingress } from "./ingress.js";
+import { LIMIT_PREFIX, LimitReports } from "./limit-reports.js";
 import { LOAD_SAMPLE_INTERVAL_MS, LoadMonitor } from "./load-monitor.js";
 import { createGatewayLogs, type GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoreChange, StoredItem } from "./metadata-store.js";
@@ -40,8 +42,8 @@
 /** Time in ms after a store outage within which expired registrations may be renewed. */
 const EXPIRY_GRACE_MS = 2_000;
 
-/** Interval in ms of removing expired crash reports, which count for minutes. */
-const CRASH_SWEEP_INTERVAL_MS = 60_000;
+/** Interval in ms of removing expired crash reports, which count for minutes, and limits of removed endpoints. */
+const REPORT_SWEEP_INTERVAL_MS = 60_000;
 /** Interval in ms of the log line that sums up the calls to the store. */
 const STORE_SUMMARY_INTERVAL_MS = 10_000;
 
@@ -65,6 +67,7 @@
     private readonly follower: StoreFollower;
     private readonly crashReports: CrashReports;
     private readonly suspects: PoisonRequestTracker;
+    private readonly limitReports: LimitReports;
     private readonly storeCalls = new Map<string, number>();
     private readonly timers: NodeJS.Timeout[] = [];
     private readonly loggedFaults = new Map<string, string>();
@@ -103,6 +106,14 @@
             (crash, keep) => void crashNotifier.notifyPeers(crash, keep),
         );
         this.suspects = new PoisonRequestTracker(this.crashReports, this.logs, countSuspectEvent, this.clock);
+        this.limitReports = new LimitReports(
+            store,
+            this.endpoints.limits,
+            this.logs,
+            (event) => this.metrics.limits.inc({ event }),
+            Math.random,
+            this.clock,
+        );
         const holder = { name: settings.name, incarnation, startedAt };
         this.prepaid = new PrepaidAccounts(
             store,
@@ -162,7 +173,7 @@
         this.prepaid.start();
         this.timers.push(setInterval(() => this.logStoreCalls(), STORE_SUMMARY_INTERVAL_MS));
         this.timers.push(setInterval(() => this.measureLoad(), LOAD_SAMPLE_INTERVAL_MS));
-        this.timers.push(setInterval(() => this.sweepCrashReports(), CRASH_SWEEP_INTERVAL_MS));
+        this.timers.push(setInterval(() => this.sweepReports(), REPORT_SWEEP_INTERVAL_MS));
     }
 
     /**
@@ -223,12 +234,15 @@
         const hasOtherServingRouters = this.registry.serving.some((member) => member.name !== this.settings.name);
         this.load.measure(hasOtherServingRouters, this.clock());
         this.registry.publishHighLoad(this.load.isUnderHighLoad);
+        const serving = this.registry.serving.map((member) => member.name);
+        updateSharers(this.endpoints.limits, this.settings.name, serving, this.registry.members.size, this.clock());
     }
 
     // One router would be enough; the few that follow the store only repeat each other's work.
-    private sweepCrashReports(): void {
+    private sweepReports(): void {
         if (this.registry.isStoreWatcher) {
             void this.crashReports.removeExpired();
+            void this.limitReports.removeUnregistered((endpoint) => this.endpoints.rows.has(endpoint));
         }
     }
 
@@ -240,6 +254,7 @@
             retries: new Map(),
             prepaid: this.prepaid,
             suspects: this.suspects,
+            limitReports: this.limitReports,
             logs: this.logs,
             clock: this.clock,
             random: Math.random,
@@ -279,6 +294,7 @@
             this.putConfiguration(configuration);
         }
         this.suspects.applyItems(withPrefix(SUSPECT_PREFIX));
+        withPrefix(LIMIT_PREFIX).forEach((item) => this.limitReports.apply(item));
         withPrefix(CHECKPOINT_PREFIX).forEach((item) => this.prepaid.applyCheckpoints(item));
         this.prepaid.replaceRecords(withPrefix(PREPAID_PREFIX), revision);
     }
@@ -314,6 +330,14 @@
                 this.suspects.applyItems([item]);
             }
         }
+        else if (key.startsWith(LIMIT_PREFIX)) {
+            if (item === undefined) {
+                this.limitReports.recordRemoved(key, change.revision);
+            }
+            else {
+                this.limitReports.apply(item);
+            }
+        }
         else if (key.startsWith(CHECKPOINT_PREFIX) && item !== undefined) {
             this.prepaid.applyCheckpoints(item);
         }
--- a/packages/router/src/gateway/refusal.ts
+++ b/packages/router/src/gateway/refusal.ts
@@ -1,3 +1,4 @@
+import { type EndpointTable, isServiceLimited, type ServiceName } from "@gooseberrybend/core/dispatch";
 import type { ServerResponse } from "node:http";
 
 /** HTTP status of a refusal, by its cause. */
@@ -11,6 +12,7 @@
     "no-configuration": 503,
     "no-endpoint": 503,
     "endpoint-full": 503,
+    "endpoints-limited": 503,
     "deadline-exceeded": 503,
     "draining": 503,
     "router-overloaded": 503,
@@ -22,6 +24,11 @@
 /** Cause of a refusal. */
 export type RefusalCause = keyof typeof refusalStatus;
 
+/** Returns why no endpoint of a service can be chosen. */
+export function noEndpointCause(endpoints: EndpointTable, service: ServiceName): RefusalCause {
+    return isServiceLimited(endpoints, service) ? "endpoints-limited" : "no-endpoint";
+}
+
 /** Refuses a request. Statuses 429 and 503 state that it has not run and never will. */
 export function sendRefusal(response: ServerResponse, cause: RefusalCause, retryAfterMs: number | undefined): void {
     const body = JSON.stringify({ error: cause });
--- a/packages/router/src/gateway/response-head.ts
+++ b/packages/router/src/gateway/response-head.ts
@@ -70,7 +70,7 @@
         // Responses that an endpoint's front end sends without running the request need not state the limit.
         return;
     }
-    const change = recordStatedLimit(endpoints.limits, row.entry, stated?.perSecond, sentAt, now);
+    const change = recordStatedLimit(endpoints.limits, row.entry, stated?.perSecond, sentAt, context.random, now);
     if (change !== undefined) {
         context.countLimitEvent(change.after === undefined ? "ended" : "stated");
         logs.endpoints.info("Request limit of the endpoint changed.", {
@@ -81,4 +81,5 @@
             ageMs: Math.round(now - sentAt),
         });
     }
+    void context.limitReports.report(row.entry);
 }
