--- /dev/null
+++ b/packages/router/src/mocks/index.ts
@@ -0,0 +1,1 @@
+export { type LoopbackAddress, reserveLoopbackAddress } from "./loopback-address.js";
--- a/packages/router/src/server.test.ts
+++ b/packages/router/src/server.test.ts
@@ -2,12 +2,13 @@
 import { createHash } from "node:crypto";
 import { request } from "undici";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { reserveLoopbackAddress } from "./mocks/index.js";
 import { tracesOfKey } from "./observability/trace-buffer.js";
 import { type RunningRouter, startRouter } from "./server.js";
 import { settingsSchema } from "./settings.js";
 
-const PORT = 24_311;
-const address = `http://127.0.0.1:${PORT}`;
+const { host, port } = reserveLoopbackAddress();
+const address = `http://${host}:${port}`;
 const digest = createHash("sha256").update("credential").digest("hex");
 const keys = { peer: "peer-key-peer-key", operator: "operator-key-operator", resume: "resume-key-resume" };
 
@@ -15,7 +16,7 @@
     let running: RunningRouter;
     beforeAll(async () => {
         const settings = {
-            listen: { port: PORT },
+            listen: { address: host, port },
             domain: "r/a",
             platform: { keyValue: "http://127.0.0.1:9" },
             keys,
@@ -109,11 +110,12 @@
 
     describe("without a configuration", () => {
         it("responds that it is not ready instead of that the account is unknown", async () => {
-            const port = PORT + 1;
-            const settings = { listen: { port }, domain: "r/a", platform: { keyValue: "http://127.0.0.1:9" } };
+            const other = reserveLoopbackAddress();
+            const listen = { address: other.host, port: other.port };
+            const settings = { listen, domain: "r/a", platform: { keyValue: "http://127.0.0.1:9" } };
             const fresh = await startRouter(settingsSchema.parse({ ...settings, log: { level: "error" } }));
             const headers = { "authorization": "Bearer credential", "content-type": "application/json" };
-            const url = `http://127.0.0.1:${port}/v1/chat/completions`;
+            const url = `http://${other.host}:${other.port}/v1/chat/completions`;
             const answer = await request(url, { method: "POST", headers, body: chat({}) });
             expect(answer.statusCode).toBe(503);
             expect(answer.headers["retry-after"]).toBe("1");
