Keep request limits of earlier starts of an endpoint from replacing later ones

A response of an earlier start that arrives late replaced what was known of the start that runs now, and a router that has not yet heard of a new start could report the old one's limit over it. Both tests failed before. Found by reading.

--- a/packages/core/src/dispatch/endpoint-limits.test.ts
+++ b/packages/core/src/dispatch/endpoint-limits.test.ts
@@ -7,6 +7,7 @@
     type EndpointLimits,
     isTrialDue,
     limitOf,
+    limitToReport,
     recordLimitedSend,
     recordReportedLimit,
     recordStatedLimit,
@@ -186,6 +187,23 @@
             expect(limitOf(table.limits, { ...engine, startedAt: 2 })).toBeUndefined();
         });
 
+        it("is not replaced by a late response or an old report of an earlier start", () => {
+            const limits = createEndpointLimits();
+            updateSharers(limits, "router-0", ["router-0"], 1, 0);
+            const next = { ...engine, startedAt: 2 };
+            recordStatedLimit(limits, next, 2, 0, half, 10);
+            expect(recordStatedLimit(limits, engine, 50, 0, half, 20)).toBeUndefined();
+            expect(recordReportedLimit(limits, { endpoint: engine.id, startedAt: 1, perSecond: 50 }, half, 9_000))
+                .toBeUndefined();
+            expect(limitOf(limits, next)?.perSecond).toBe(2);
+        });
+
+        it("is not reported over that of a later start", () => {
+            const later = { endpoint: engine.id, startedAt: 2, perSecond: undefined };
+            expect(limitToReport(limitsOf(2), engine, later)).toBeUndefined();
+            expect(limitToReport(limitsOf(2), engine, { ...later, startedAt: 0 })?.perSecond).toBe(2);
+        });
+
         it("is not ended or raised by responses to requests that were sent before it was known", () => {
             const limits = limitsOf(2);
             expect(recordStatedLimit(limits, engine, undefined, -5, half, 20)).toBeUndefined();
--- a/packages/core/src/dispatch/endpoint-limits.ts
+++ b/packages/core/src/dispatch/endpoint-limits.ts
@@ -159,7 +159,7 @@
 ): LimitChange | undefined {
     const limit = limitOf(limits, entry);
     if (limit === undefined) {
-        if (perSecond === undefined) {
+        if (perSecond === undefined || isOfLaterStart(limits, entry)) {
             return undefined;
         }
         addLimit(limits, { endpoint: entry.id, startedAt: entry.startedAt, perSecond }, random, now);
@@ -284,9 +284,10 @@
         return undefined;
     }
     const report = { endpoint: entry.id, startedAt: entry.startedAt, perSecond: limit.perSecond };
-    const isNew = last?.startedAt === report.startedAt
-        ? differs(report.perSecond, last.perSecond)
-        : report.perSecond !== undefined;
+    const isFirst = last === undefined || last.startedAt < report.startedAt;
+    const isNew = isFirst
+        ? report.perSecond !== undefined
+        : last.startedAt === report.startedAt && differs(report.perSecond, last.perSecond);
     if (!isNew) {
         return undefined;
     }
@@ -331,6 +332,11 @@
     return limit.share;
 }
 
+// A response of an earlier start may arrive after the endpoint has started again.
+function isOfLaterStart(limits: EndpointLimits, entry: EndpointEntry): boolean {
+    return (limits.known.get(entry.id)?.startedAt ?? -Infinity) > entry.startedAt;
+}
+
 function setLimit(limit: RequestLimit, perSecond: number | undefined, learnedAt: number): void {
     limit.learnedAt = learnedAt;
     if (limit.perSecond !== perSecond) {
