--- a/packages/core/src/dispatch/endpoint-limits.test.ts
+++ b/packages/core/src/dispatch/endpoint-limits.test.ts
@@ -15,7 +15,8 @@
     updateSharers,
 } from "./endpoint-limits.js";
 import { createEndpointTable, putEndpoint } from "./endpoint-table.js";
-import { FakeLimitedFleet, type FakeLimitedFleetOptions, STABILITY_WINDOW_MS } from "./mocks/fake-limited-fleet.js";
+import { FakeLimitedFleet, type FakeLimitedFleetOptions } from "./mocks/fake-limited-fleet.js";
+import { allowedInWindow, STABILITY_WINDOW_MS } from "./mocks/limit-rule.js";
 import type { EndpointEntry, ServiceName } from "./types.js";
 
 const service = brand<ServiceName>("engines");
@@ -49,10 +50,6 @@
     });
 }
 
-function allowedInWindow(perSecond: number): number {
-    return 1.5 * perSecond * 4 + 5;
-}
-
 const sizes = [
     { routers: 6, serving: 3, requestsPerSecond: 100 },
     { routers: 73, serving: 24, requestsPerSecond: 400 },
--- a/packages/core/src/dispatch/mocks/fake-limited-fleet.ts
+++ b/packages/core/src/dispatch/mocks/fake-limited-fleet.ts
@@ -12,13 +12,8 @@
 import { createEndpointTable, type EndpointTable, putEndpoint } from "../endpoint-table.js";
 import { chooseEndpoint, type PlacementQuery, recordSend } from "../placement.js";
 import type { EndpointEntry, ServiceName } from "../types.js";
+import { INFORMED_AFTER_MS, maxInWindow, STABILITY_WINDOW_MS } from "./limit-rule.js";
 
-/** Length in ms of the windows in which requests are counted. */
-const WINDOW_MS = 4_000;
-/** Time in ms after a fault for which a router is excused, and from the first statement of a limit until it binds. */
-export const STABILITY_WINDOW_MS = 3_000;
-/** Time in ms from a response that states a limit until its router counts as informed. */
-const INFORMED_AFTER_MS = 500;
 /** Time in ms after which a router that is cut off or has ended is removed from the fleet. */
 const LEASE_MS = 2_000;
 /** Time in ms between two updates of a router's view of the fleet. */
@@ -144,15 +139,7 @@
             .filter((arrival) => arrival.endpoint === this.endpoints[endpoint]!.id && (arrival.counts || !countsOnly))
             .map(({ at }) => at)
             .filter((at) => at >= from);
-        let first = 0;
-        let max = 0;
-        times.forEach((at, index) => {
-            while (times[first]! <= at - WINDOW_MS) {
-                first++;
-            }
-            max = Math.max(max, index - first + 1);
-        });
-        return max;
+        return maxInWindow(times);
     }
 
     /** Returns the arrivals per second at an endpoint in a period in ms. */
--- a/packages/core/src/mocks/index.ts
+++ b/packages/core/src/mocks/index.ts
@@ -1,4 +1,5 @@
 export { memberOf } from "../dispatch/mocks/fleet-members.js";
+export { allowedInWindow, INFORMED_AFTER_MS, maxInWindow, STABILITY_WINDOW_MS } from "../dispatch/mocks/limit-rule.js";
 export { schedules } from "./arbitraries.js";
 export type { RequestPlan, RequestRecord } from "./fake-callers.js";
 export { FakeFleet, type FleetOptions } from "./fake-fleet.js";
