Remove lost routers from the simulated fleet when their lease ends, not before

The fake fleet of the request limits had the lease backwards: a router that was cut off or killed left the others' view at once and came back 2 s before its fault ended. It now leaves 2 s after the fault began and is back when it ends; a further fault does not renew its registration.

Found by reading the whole change again; no code of the product changes.

--- a/packages/core/src/dispatch/mocks/fake-limited-fleet.ts
+++ b/packages/core/src/dispatch/mocks/fake-limited-fleet.ts
@@ -32,6 +32,8 @@
 type FakeRouter = {
     readonly name: string;
     table: EndpointTable;
+    /** Start of the current or last fault. */
+    lostSince: number;
     /** End of the current partition from the store. */
     cutUntil: number;
     /** Undefined while the router runs. */
@@ -91,6 +93,7 @@
         this.routers = Array.from({ length: options.routers }, (unused, index) => ({
             name: `router-${index}`,
             table: this.newTable(),
+            lostSince: -Infinity,
             cutUntil: -Infinity,
             downUntil: undefined,
             excusedUntil: -Infinity,
@@ -115,6 +118,7 @@
 
     /** Cuts a router off from the store for a time in ms. */
     cut(router: FakeRouter, durationMs: number): void {
+        this.markLost(router);
         router.cutUntil = this.now + durationMs;
         router.excusedUntil = Math.max(router.excusedUntil, router.cutUntil + STABILITY_WINDOW_MS);
         this.schedule(durationMs, () => this.deliver(router));
@@ -122,6 +126,7 @@
 
     /** Kills a router; a new process with the same name starts after a time in ms. */
     restart(router: FakeRouter, durationMs: number): void {
+        this.markLost(router);
         router.downUntil = this.now + durationMs;
         router.excusedUntil = Math.max(router.excusedUntil, router.downUntil + STABILITY_WINDOW_MS);
         this.schedule(durationMs, () => {
@@ -175,9 +180,17 @@
 
     private readonly fraction = (): number => randomFraction(this.random);
 
+    private isLost(router: FakeRouter): boolean {
+        return router.downUntil !== undefined || router.cutUntil > this.now;
+    }
+
+    // A further fault of a lost router does not renew its registration.
+    private markLost(router: FakeRouter): void {
+        router.lostSince = this.isLost(router) ? router.lostSince : this.now;
+    }
+
     private isRegistered(router: FakeRouter): boolean {
-        const isDown = router.downUntil !== undefined && router.downUntil > this.now + LEASE_MS;
-        return !isDown && router.cutUntil <= this.now + LEASE_MS;
+        return !this.isLost(router) || this.now - router.lostSince < LEASE_MS;
     }
 
     private get serving(): FakeRouter[] {
