--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -10,6 +10,7 @@
 export * from "./prepaid-loan.js";
 export * from "./prepaid-record.js";
 export * from "./prepaid.js";
+export * from "./prompt-parts.js";
 export * from "./request-digest.js";
 export * from "./retry-quota.js";
 export * from "./routing.js";
--- a/packages/core/src/dispatch/placement.ts
+++ b/packages/core/src/dispatch/placement.ts
@@ -4,6 +4,7 @@
 import { failureRate, isSilent } from "./endpoint-health.js";
 import { allowsSend, isTrialDue, recordLimitedSend } from "./endpoint-limits.js";
 import type { EndpointState, EndpointTable, ServicePace } from "./endpoint-table.js";
+import { sharedParts } from "./prompt-parts.js";
 import type { EngineDeclaration, PromptPart, PromptPartId, ServiceName } from "./types.js";
 
 /** Inputs for the choice of an endpoint. */
@@ -107,13 +108,12 @@
     if (session === undefined) {
         return undefined;
     }
-    const first = rendezvousFirst(session.id, rows.map((row) => row.entry.id));
+    const first = rendezvousFirst(session, rows.map((row) => row.entry.id));
     return rows.find((row) => row.entry.id === first);
 }
 
-// The last part is specific to the request; the one before it ends the longest prefix that others share.
-function sessionPart(parts: readonly PromptPart[]): PromptPart | undefined {
-    return parts.length < 2 ? undefined : parts[parts.length - 2];
+function sessionPart(parts: readonly PromptPart[]): PromptPartId | undefined {
+    return sharedParts(parts).at(-1);
 }
 
 function uncachedTokens(row: EndpointState, query: PlacementQuery, isPreferred: boolean, now: number): number {
--- a/packages/core/src/dispatch/suspect-requests.ts
+++ b/packages/core/src/dispatch/suspect-requests.ts
@@ -1,4 +1,13 @@
 import type { BodyDigest, EndpointId } from "../types/ids.js";
+import type { PromptPartId } from "./types.js";
+
+/** What may crash the endpoints that run a request: the request itself, or a part of its prompt. */
+export type RequestFeatures = {
+    /** Identical for all attempts of the same request by the same caller. */
+    readonly request: BodyDigest;
+    /** Parts of the prompt that other requests may share, in order. */
+    readonly parts: readonly PromptPartId[];
+};
 
 /** One start of an endpoint. */
 export type EndpointStart = { readonly endpoint: EndpointId; readonly startedAt: number; };
--- a/packages/router/src/gateway/admitted-request.ts
+++ b/packages/router/src/gateway/admitted-request.ts
@@ -1,5 +1,4 @@
-import type { BodyDigest } from "@gooseberrybend/core";
-import type { AccountDeclaration, Route, ServiceDeclaration } from "@gooseberrybend/core/dispatch";
+import type { AccountDeclaration, RequestFeatures, Route, ServiceDeclaration } from "@gooseberrybend/core/dispatch";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { CallerFields } from "./dialect.js";
 
@@ -12,7 +11,7 @@
     readonly route: Route;
     readonly service: ServiceDeclaration;
     readonly account: AccountDeclaration | undefined;
-    /** Identical for all attempts of the same request by the same caller. */
-    readonly bodyDigest: BodyDigest;
+    /** What may crash the endpoints that run it. */
+    readonly features: RequestFeatures;
     readonly arrivedAt: number;
 };
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -105,7 +105,7 @@
             // The caller has given up, even if a busy router has not yet seen its disconnect.
             return this.handleDeadline();
         }
-        if (this.context.suspects.isPoison(this.admitted.bodyDigest)) {
+        if (this.context.suspects.isPoison(this.admitted.features.request)) {
             return this.refuseOrAbort("poison-request", POISON_RETRY_AFTER_MS);
         }
         const query = { ...this.query, isRepeat: this.sends > 0 && !this.answer.isHeadSent };
@@ -140,7 +140,7 @@
                     return;
                 }
                 send.requestStarted = true;
-                send.trackedSend = this.context.suspects.track(send.row.entry, this.admitted.bodyDigest);
+                send.trackedSend = this.context.suspects.track(send.row.entry, this.admitted.features.request);
                 this.sends++;
                 this.tried.add(send.row.entry.id);
             },
@@ -238,7 +238,7 @@
             return;
         }
         if (send.fields!.sealed && !send.fields!.notRun && !failed) {
-            this.context.suspects.recordServed(send.row.entry, this.admitted.bodyDigest, send.status);
+            this.context.suspects.recordServed(send.row.entry, this.admitted.features.request, send.status);
         }
         if (send.isStreaming) {
             this.answer.write(this.admitted.route.resumable ? this.splitter.takeRemainder() : undefined, undefined);
@@ -286,9 +286,11 @@
         void this.context.suspects.recordBrokenConnection(send.row.entry);
         this.context.logs.endpoints.warn("Connection to the endpoint broke after the request was sent.", {
             ...this.figures(send),
-            request: this.admitted.bodyDigest,
+            request: this.admitted.features.request,
             code,
             heard: send.hasResponded,
+            events: this.splitter.eventCount,
+            sentMsAgo: Math.round(now - send.sentAt),
         });
         this.handleFailure(send, "broken");
     }
@@ -476,7 +478,7 @@
             account: this.admitted.account?.id,
             attempt: this.sends + 1,
             configuration: this.context.configurationVersion(),
-            ...this.context.suspects.figures(this.admitted.bodyDigest),
+            ...this.context.suspects.figures(this.admitted.features),
             ...endpointFigures(this.context.endpoints, row, now),
         });
     }
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -8,6 +8,7 @@
     type Route,
     type RoutingTable,
     type ServiceDeclaration,
+    sharedParts,
     shedChance,
 } from "@gooseberrybend/core/dispatch";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
@@ -138,12 +139,18 @@
             return;
         }
         const content = { method: request.method!, target: request.url!, body: body.toString("latin1") };
-        const bodyDigest = digestRequest(account?.id ?? NO_ACCOUNT, content);
-        if (context.suspects.isPoison(bodyDigest)) {
-            this.refuse(fields, response, "poison-request", POISON_RETRY_AFTER_MS, { route: route.name, bodyDigest });
+        const features = {
+            request: digestRequest(account?.id ?? NO_ACCOUNT, content),
+            parts: sharedParts(fields.parts),
+        };
+        if (context.suspects.isPoison(features.request)) {
+            this.refuse(fields, response, "poison-request", POISON_RETRY_AFTER_MS, {
+                route: route.name,
+                ...context.suspects.figures(features),
+            });
             return;
         }
-        const admitted = { request, response, body, fields, route, service, account, bodyDigest, arrivedAt };
+        const admitted = { request, response, body, fields, route, service, account, features, arrivedAt };
         void new Exchange(context, admitted).run();
     }
 
--- a/packages/router/src/gateway/poison-request-tracker.ts
+++ b/packages/router/src/gateway/poison-request-tracker.ts
@@ -15,6 +15,7 @@
     recordEnd,
     recordExpiry,
     recordRestart,
+    type RequestFeatures,
     startName,
     type TrackedSend,
     trackSend,
@@ -27,6 +28,9 @@
 /** Maximum requests listed in one log line. */
 const MAX_LOGGED_REQUESTS = 8;
 
+/** Maximum prompt parts listed in one log line. */
+const MAX_LOGGED_PARTS = 8;
+
 /** Events of suspect requests, as counted in the metrics. */
 export const suspectEvents = ["broken", "crashed", "heard", "shared", "not-shared", "cleared"] as const;
 
@@ -143,7 +147,7 @@
         this.logs.endpoints.info("Crash report received.", {
             start,
             ageMs: Math.round(this.clock() - at),
-            requests: requests.slice(0, MAX_LOGGED_REQUESTS).map((body) => this.figures(body)),
+            requests: requests.slice(0, MAX_LOGGED_REQUESTS).map((body) => this.crashFigures(body)),
         });
     }
 
@@ -170,8 +174,12 @@
         return isPoison(this.table, body, this.clock());
     }
 
-    /** Returns the log fields of a request: its digest and the number of its crashes. */
-    figures(body: BodyDigest): { readonly request: BodyDigest; readonly crashes: number; } {
+    /** Returns the log fields of a request: its digest, the number of its crashes, and the shared parts of its prompt. */
+    figures({ request, parts }: RequestFeatures): object {
+        return { ...this.crashFigures(request), parts: parts.slice(0, MAX_LOGGED_PARTS) };
+    }
+
+    private crashFigures(body: BodyDigest): object {
         return { request: body, crashes: crashCount(this.table, body, this.clock()) };
     }
 
@@ -197,7 +205,7 @@
             start: crash.start,
             evidence,
             suspects: crash.requests.length,
-            requests: crash.requests.slice(0, MAX_LOGGED_REQUESTS).map((body) => this.figures(body)),
+            requests: crash.requests.slice(0, MAX_LOGGED_REQUESTS).map((body) => this.crashFigures(body)),
         });
         this.reports.addCrash(crash);
     }
