Hold prompt parts responsible for crashes of endpoints, not only whole requests

Cause: what crashes endpoints was found by one fixed identity, a digest of account, method, path and body. Of requests that share a part and nothing else, none was seen twice: 74 suspects in 13 logged crashes, none in three.

Fix: a suspect is a request with features, its digest and each shared part of its prompt. A crash counts against every feature of every request that may have caused it. A request that completes refutes the evidence against its features; so does a stream of a second, as a part that crashes endpoints does so when they begin to respond. A response that ends with its connection counts only once the endpoint shows that it still runs. Three separate crashes since the last completion convict a part. Each crash is explained by as few parts as possible: the part in most crashes, and of parts that come together the most specific.

Why it works: the part that crashes endpoints never completes, so its count only grows; what sound requests share completes all the time.

--- a/packages/core/src/dispatch/fleet.ts
+++ b/packages/core/src/dispatch/fleet.ts
@@ -1,4 +1,4 @@
-import { rendezvousOrder } from "../support/rendezvous.js";
+import { rendezvousFirst, rendezvousOrder } from "../support/rendezvous.js";
 import type { FleetMember } from "./types.js";
 
 /** Maximum number of router addresses in one response. */
@@ -33,6 +33,11 @@
     return chosen.map(({ member }) => member);
 }
 
+/** Returns the name of the router that acts for a key; the same on all routers that know the same members. */
+export function ownerOf(key: string, members: readonly FleetMember[]): string | undefined {
+    return rendezvousFirst(key, members.map(({ name }) => name));
+}
+
 // The weight of a router is its scarcest resource relative to the maximum in the fleet. The order breaks ties.
 function candidatesOf(members: readonly FleetMember[]): Candidate[] {
     const maxCores = Math.max(...members.map((member) => member.capacity.cores));
--- a/packages/core/src/dispatch/suspect-requests.ts
+++ b/packages/core/src/dispatch/suspect-requests.ts
@@ -1,17 +1,24 @@
 import type { BodyDigest, EndpointId } from "../types/ids.js";
+import {
+    addSuspect,
+    convictedParts,
+    type Crash,
+    CRASH_LIMIT,
+    crashCount,
+    crashedStarts,
+    type CrashEvidence,
+    createCrashEvidence,
+    didOthersRun,
+    type RequestFeatures,
+} from "./crash-evidence.js";
 import type { PromptPartId } from "./types.js";
 
-/** What may crash the endpoints that run a request: the request itself, or a part of its prompt. */
-export type RequestFeatures = {
-    /** Identical for all attempts of the same request by the same caller. */
-    readonly request: BodyDigest;
-    /** Parts of the prompt that other requests may share, in order. */
-    readonly parts: readonly PromptPartId[];
-};
-
 /** One start of an endpoint. */
 export type EndpointStart = { readonly endpoint: EndpointId; readonly startedAt: number; };
 
+/** A send that ended without a response. */
+type UnansweredSend = { readonly at: number; readonly parts: readonly PromptPartId[]; };
+
 /** This router's sends to one start of an endpoint. */
 type TrackedStart = {
     /** Name of the start as registered. */
@@ -20,21 +27,24 @@
     readonly generation: number;
     /** In-flight sends. */
     readonly open: Set<TrackedSend>;
-    /** Requests whose sends recently ended without a response, and when. */
-    readonly unanswered: Map<BodyDigest, number>;
+    /** Requests whose sends recently ended without a response. */
+    readonly unanswered: Map<BodyDigest, UnansweredSend>;
     lastByteAt: number;
 };
 
 /** A send of a request that may crash the endpoint that runs it. */
-export type TrackedSend = { readonly body: BodyDigest; readonly start: TrackedStart; };
-
-/** The crash of a start of an endpoint, and the requests that may have caused it. */
-export type Crash = { readonly start: string; readonly requests: readonly BodyDigest[]; };
+export type TrackedSend = {
+    readonly features: RequestFeatures;
+    readonly start: TrackedStart;
+    /** When the first byte of the response arrived, in ms; undefined before. */
+    firstByteAt: number | undefined;
+    /** True once the endpoint has responded for long enough that the parts of the prompt did not crash it. */
+    partsRan: boolean;
+};
 
 /** Suspect requests, which may crash the endpoints that run them. Times in ms. */
 export type SuspectTable = {
-    /** Starts that crashed while they ran a request, and until when the crash counts, by request. */
-    readonly crashes: Map<BodyDigest, Map<string, number>>;
+    readonly evidence: CrashEvidence;
     /** Starts that this router sends to, by name. */
     readonly starts: Map<string, TrackedStart>;
     /** Starts at which a request recently got no response, by request. */
@@ -43,24 +53,22 @@
     readonly generations: Map<string, number>;
 };
 
-/** Crashes after which a request is refused; a single crash also affects many unrelated requests. */
-const CRASH_LIMIT = 3;
-/** Time in ms for which a crash counts; the caller of a poison request may repeat it for minutes. */
-export const CRASH_MEMORY_MS = 600_000;
 /** Time in ms for which an unanswered send counts at a silent endpoint: longer than registrations take to expire. */
 const UNANSWERED_MEMORY_MS = 10_000;
 /** Time in ms by which bytes sent before a crash may be read after the connections were lost. */
 const READ_DELAY_MS = 250;
 /** Silence in ms after which an endpoint with an expired registration counts as ended: some still serve for a while. */
 const EXPIRY_SILENCE_MS = 1_000;
-/** Maximum number of requests and of starts remembered; the oldest are evicted first. */
-const MAX_ENTRIES = 5_000;
+/** Time in ms after the first byte in which a part that crashes endpoints as they begin to respond has done so. */
+const PARTS_RAN_MS = 1_000;
+/** Maximum number of starts remembered; the oldest are evicted first. */
+const MAX_STARTS = 5_000;
 /** Separates the name of a start from its generation. */
 const GENERATION_SEPARATOR = "#";
 
 /** Creates an empty table. */
 export function createSuspectTable(): SuspectTable {
-    return { crashes: new Map(), starts: new Map(), unresolved: new Map(), generations: new Map() };
+    return { evidence: createCrashEvidence(), starts: new Map(), unresolved: new Map(), generations: new Map() };
 }
 
 /** Returns the name of a start of an endpoint. */
@@ -69,9 +77,9 @@
 }
 
 /** Records that a request is sent to an endpoint. */
-export function trackSend(table: SuspectTable, start: EndpointStart, body: BodyDigest): TrackedSend {
+export function trackSend(table: SuspectTable, start: EndpointStart, features: RequestFeatures): TrackedSend {
     const tracked = trackedStartOf(table, start);
-    const send = { body, start: tracked };
+    const send = { features, start: tracked, firstByteAt: undefined, partsRan: false };
     tracked.open.add(send);
     return send;
 }
@@ -93,25 +101,39 @@
     return generation === 0 ? key : key + GENERATION_SEPARATOR + generation;
 }
 
-/** Records bytes from an endpoint, which shows that it survived the requests unanswered before. */
-export function recordBytes({ start: tracked }: TrackedSend, now: number): void {
-    tracked.lastByteAt = now;
+/**
+ * Records bytes from an endpoint, which shows that it survived the requests unanswered before. Returns true once for
+ * a send, when the endpoint has streamed a successful response for long enough that the parts did not crash it.
+ */
+export function recordBytes(send: TrackedSend, isStreaming: boolean, now: number): boolean {
+    send.start.lastByteAt = now;
+    send.firstByteAt ??= now;
+    if (!isStreaming || send.partsRan || now - send.firstByteAt < PARTS_RAN_MS) {
+        return false;
+    }
+    send.partsRan = true;
+    return true;
+}
+
+/** Returns whether bytes show that an endpoint still ran after it closed the connection of a send, at a time in ms. */
+export function ranAfter({ start: tracked }: TrackedSend, closedAt: number): boolean {
+    return tracked.lastByteAt - READ_DELAY_MS > closedAt;
 }
 
 /** Records the end of a send; without a response, the endpoint may have crashed. */
 export function endTrackedSend(table: SuspectTable, send: TrackedSend, answered: boolean, now: number): void {
-    const { body, start: tracked } = send;
+    const { features: { request }, start: tracked } = send;
     tracked.open.delete(send);
     if (answered || table.starts.get(tracked.key) !== tracked) {
         return;
     }
-    [...tracked.unanswered].filter(([, at]) => now - at >= UNANSWERED_MEMORY_MS).forEach(([old]) =>
+    [...tracked.unanswered].filter(([, { at }]) => now - at >= UNANSWERED_MEMORY_MS).forEach(([old]) =>
         removeUnanswered(table, old, tracked)
     );
-    tracked.unanswered.set(body, now);
-    const trackedStarts = table.unresolved.get(body) ?? new Set();
+    tracked.unanswered.set(request, { at: now, parts: suspectParts(send) });
+    const trackedStarts = table.unresolved.get(request) ?? new Set();
     trackedStarts.add(tracked);
-    table.unresolved.set(body, trackedStarts);
+    table.unresolved.set(request, trackedStarts);
 }
 
 /**
@@ -137,11 +159,21 @@
     if (tracked === undefined) {
         return undefined;
     }
-    const unanswered = [...tracked.unanswered].filter(([, at]) => mayHaveCaused(tracked, at)).map(([body]) => body);
-    const requests = [...new Set([...[...tracked.open].map((send) => send.body), ...unanswered])];
+    const unanswered = [...tracked.unanswered].filter(([, { at }]) => mayHaveCaused(tracked, at))
+        .map(([request, { parts }]) => ({ request, parts }));
+    const open = [...tracked.open].map((send) => ({ request: send.features.request, parts: suspectParts(send) }));
     discardStart(table, start);
-    requests.forEach((body) => addCrash(table, body, generationName(tracked), now));
-    return requests.length === 0 ? undefined : { start: generationName(tracked), requests };
+    const crash = {
+        start: generationName(tracked),
+        suspects: [...open, ...unanswered],
+        othersRan: didOthersRun(table.evidence),
+    };
+    addCrash(table, crash, now);
+    return crash.suspects.length === 0 ? undefined : crash;
+}
+
+function suspectParts({ features, partsRan }: TrackedSend): readonly PromptPartId[] {
+    return partsRan ? [] : features.parts;
 }
 
 /**
@@ -167,47 +199,50 @@
 }
 
 /** Adds a crash that this or another router detected at a time in ms. */
-export function addCrash(table: SuspectTable, body: BodyDigest, start: string, at: number): void {
+export function addCrash(table: SuspectTable, crash: Crash, at: number): void {
+    const { suspects, start } = crash;
+    if (suspects.length === 0) {
+        return;
+    }
+    const othersRan = crash.othersRan || didOthersRun(table.evidence);
     const [key, generation] = start.split(GENERATION_SEPARATOR);
     recordGeneration(table.generations, key!, Number(generation ?? 0) + 1);
-    const starts = table.crashes.get(body) ?? new Map<string, number>();
-    starts.set(start, Math.max(starts.get(start) ?? 0, at + CRASH_MEMORY_MS));
-    table.crashes.set(body, starts);
-    if (table.crashes.size > MAX_ENTRIES) {
-        evictOldest(table.crashes);
-    }
+    suspects.forEach((features) => addSuspect(table.evidence, features, { start, othersRan }, at));
 }
 
-/** Clears a request that completed successfully. Returns the number of crashes attributed to it until then. */
-export function clearSuspect(table: SuspectTable, body: BodyDigest, now: number): number {
-    const crashes = crashCount(table, body, now);
-    table.crashes.delete(body);
-    table.unresolved.get(body)?.forEach((tracked) => tracked.unanswered.delete(body));
-    table.unresolved.delete(body);
-    return crashes;
-}
-
-/** Returns how many starts of endpoints crashed while they ran a request. */
-export function crashCount(table: SuspectTable, body: BodyDigest, now: number): number {
-    return [...table.crashes.get(body)?.values() ?? []].filter((until) => until > now).length;
+/** Forgets at which endpoints a request was left unanswered, as it has completed since. */
+export function clearUnanswered(table: SuspectTable, request: BodyDigest): void {
+    table.unresolved.get(request)?.forEach((tracked) => tracked.unanswered.delete(request));
+    table.unresolved.delete(request);
 }
 
 /**
  * Returns whether a request has crashed too many endpoints to be run again. Endpoints that left it unanswered
  * count as well, at this router only and until bytes arrive from them.
  */
-export function isPoison(table: SuspectTable, body: BodyDigest, now: number): boolean {
-    const crashed = table.crashes.get(body);
-    const silenced = [...table.unresolved.get(body) ?? []]
+export function isPoison({ evidence, unresolved }: SuspectTable, request: BodyDigest, now: number): boolean {
+    const crashed = crashedStarts(evidence, request, now);
+    const silenced = [...unresolved.get(request) ?? []]
         .filter((tracked) =>
-            !crashed?.has(generationName(tracked)) && isSilentSince(tracked, tracked.unanswered.get(body)!, now)
+            !crashed.includes(generationName(tracked))
+            && isSilentSince(tracked, tracked.unanswered.get(request)!.at, now)
         );
-    return crashCount(table, body, now) + silenced.length >= CRASH_LIMIT;
+    return crashCount(evidence, request, now) + silenced.length >= CRASH_LIMIT;
+}
+
+/** Returns the first part of a prompt that is held responsible for crashes. */
+export function poisonPart(
+    { evidence }: SuspectTable,
+    parts: readonly PromptPartId[],
+    now: number,
+): PromptPartId | undefined {
+    const convicted = convictedParts(evidence, now);
+    return parts.find((part) => convicted.has(part));
 }
 
 function recordGeneration(generations: SuspectTable["generations"], key: string, generation: number): void {
     generations.set(key, Math.max(generations.get(key) ?? 0, generation));
-    if (generations.size > MAX_ENTRIES) {
+    if (generations.size > MAX_STARTS) {
         generations.delete(generations.keys().next().value!);
     }
 }
@@ -224,14 +259,3 @@
         table.unresolved.delete(body);
     }
 }
-
-// Requests with a single crash are evicted first, as most of them are unrelated to it.
-function evictOldest(crashes: SuspectTable["crashes"]): void {
-    for (const [body, starts] of crashes) {
-        if (starts.size === 1) {
-            crashes.delete(body);
-            return;
-        }
-    }
-    crashes.delete(crashes.keys().next().value!);
-}
--- a/packages/router/src/gateway/admitted-request.ts
+++ b/packages/router/src/gateway/admitted-request.ts
@@ -13,5 +13,7 @@
     readonly account: AccountDeclaration | undefined;
     /** What may crash the endpoints that run it. */
     readonly features: RequestFeatures;
+    /** True if it shows whether a convicted part of its prompt still crashes endpoints; it is sent once. */
+    readonly isTrial: boolean;
     readonly arrivedAt: number;
 };
--- a/packages/router/src/gateway/crash-notifier.ts
+++ b/packages/router/src/gateway/crash-notifier.ts
@@ -1,6 +1,6 @@
-import { type BodyDigest, brand } from "@gooseberrybend/core";
 import type { Crash } from "@gooseberrybend/core/dispatch";
 import { z } from "zod";
+import { crashFields, crashMessage, suspectsOf } from "./crash-message.js";
 import type { GatewayLogs } from "./log-sink.js";
 import type { PeerCalls } from "./peer-calls.js";
 
@@ -14,7 +14,7 @@
 
 const messageSchema = z.object({
     start: z.string(),
-    requests: z.array(z.string()),
+    ...crashFields,
     /** True if the sender can't write the crash to the store, so the recipient should. */
     keep: z.boolean(),
 });
@@ -24,8 +24,8 @@
 
 /** Parses a crash message. Throws if it is invalid; the peer server returns the error to the sender. */
 export function readCrashMessage(parameters: unknown): CrashMessage {
-    const { start, requests, keep } = messageSchema.parse(parameters);
-    return { crash: { start, requests: requests.map((request) => brand<BodyDigest>(request)) }, keep };
+    const { start, keep, ...fields } = messageSchema.parse(parameters);
+    return { crash: { start, ...suspectsOf(fields) }, keep };
 }
 
 /** Notifies other routers of crashes directly: faster than through the store, and also while it is unavailable. */
@@ -38,18 +38,17 @@
     ) {}
 
     /** Notifies other routers of a crash. */
-    async notifyPeers({ start, requests }: Crash, keep: boolean): Promise<void> {
+    async notifyPeers({ start, ...crash }: Crash, keep: boolean): Promise<void> {
         const addresses = this.addresses().slice(0, MAX_RECIPIENTS);
+        const message = { start, keep, ...crashMessage(crash) };
         const answers = await Promise.all(
-            addresses.map((address) =>
-                this.peers.call(address, CRASH_METHOD, { start, requests, keep }, CALL_TIMEOUT_MS)
-            ),
+            addresses.map((address) => this.peers.call(address, CRASH_METHOD, message, CALL_TIMEOUT_MS)),
         );
         const acknowledged = answers.filter((answer) => answer.isOk()).length;
         this.logs.endpoints.info("Crash reported to other routers.", {
             start,
             keep,
-            requests: requests.length,
+            requests: crash.suspects.length,
             told: acknowledged,
             of: addresses.length,
         });
--- a/packages/router/src/gateway/crash-reports.ts
+++ b/packages/router/src/gateway/crash-reports.ts
@@ -1,6 +1,7 @@
-import { type BodyDigest, brand, type Incarnation } from "@gooseberrybend/core";
-import { type Crash, CRASH_MEMORY_MS } from "@gooseberrybend/core/dispatch";
+import { brand, type Incarnation } from "@gooseberrybend/core";
+import { type Crash, CRASH_MEMORY_MS, type RequestFeatures, type SuspectFeature } from "@gooseberrybend/core/dispatch";
 import { z } from "zod";
+import { crashFields, crashMessage, suspectsOf } from "./crash-message.js";
 import type { GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoredItem } from "./metadata-store.js";
 import { parseJson } from "./parse-json.js";
@@ -10,7 +11,7 @@
 export const SUSPECT_PREFIX = `${SHARED_PREFIX}suspects/`;
 /** Key prefix of crashes, followed by the endpoint's start, the router's incarnation and a sequence number. */
 const CRASH_PREFIX = `${SUSPECT_PREFIX}crashes/`;
-/** Key prefix of cleared requests, followed by the request, the router's incarnation and a sequence number. */
+/** Key prefix of refutations, followed by the feature, the router's incarnation and a sequence number. */
 const CLEARED_PREFIX = `${SUSPECT_PREFIX}cleared/`;
 
 /** Delay in ms after a failed write: including the call, others get reports within 3 s of the store's recovery. */
@@ -27,28 +28,29 @@
 const valueSchema = z.object({
     /** Wall-clock time in ms. */
     at: z.number(),
-    requests: z.array(z.string()),
+    ...crashFields,
 });
 
-/** Requests that were running at a crash, or cleared requests if `start` is undefined. */
-export type CrashReport = {
-    /** Identifies the start of the endpoint that crashed. */
-    readonly start: string | undefined;
-    readonly requests: readonly BodyDigest[];
-    /** Monotonic time in ms. */
-    readonly at: number;
-};
+/** A stored report. Times are monotonic, in ms. */
+export type CrashReport =
+    /** The crash of a start of an endpoint. */
+    | { readonly kind: "crash"; readonly crash: Crash; readonly at: number; }
+    /** Requests with these features completed, so that earlier crashes do not count against them. */
+    | { readonly kind: "refutation"; readonly features: readonly SuspectFeature[]; readonly at: number; };
 
 /** Why a report can't be read. */
 export type ReportFault = { readonly kind: "unreadable-report"; readonly key: string; };
 
 /** A report whose write to the store has not been confirmed. */
 type PendingReport = {
-    /** Identifies the start of the endpoint that crashed; undefined for a cleared request. */
+    /** Undefined for a refutation. */
     readonly start: string | undefined;
+    readonly othersRan: boolean;
     /** Wall-clock time in ms. */
     readonly at: number;
-    readonly requests: Set<BodyDigest>;
+    suspects: readonly RequestFeatures[];
+    /** Features of a refutation. */
+    readonly refuted: readonly SuspectFeature[];
     /** True once other routers were asked to store the report, or if they need not be asked. */
     skipDelegation: boolean;
 };
@@ -82,18 +84,29 @@
     /** Reports the requests that were running when an endpoint crashed. */
     addCrash(crash: Crash): void {
         this.notifyPeers(crash, false);
-        this.add(`${CRASH_PREFIX}${encodeURIComponent(crash.start)}`, { ...crash, skipDelegation: false });
+        this.add(`${CRASH_PREFIX}${encodeURIComponent(crash.start)}`, { ...crash, refuted: [], skipDelegation: false });
     }
 
     /** Writes a crash to the store on behalf of a router that can't. */
-    storeCrashForPeer({ start, requests }: Crash): void {
-        this.add(`${CRASH_PREFIX}${encodeURIComponent(start)}`, { start, requests, skipDelegation: true });
+    storeCrashForPeer(crash: Crash): void {
+        this.add(`${CRASH_PREFIX}${encodeURIComponent(crash.start)}`, { ...crash, refuted: [], skipDelegation: true });
     }
 
-    /** Reports that a request is cleared of the crashes reported for it. */
-    addCleared(request: BodyDigest): void {
-        this.pending.forEach((report) => report.requests.delete(request));
-        this.add(CLEARED_PREFIX + request, { start: undefined, requests: [request], skipDelegation: true });
+    /** Reports that requests with a feature completed, despite the crashes reported for it. */
+    addRefutation(feature: SuspectFeature): void {
+        for (const report of this.pending.values()) {
+            report.suspects = report.suspects.filter(({ request }) => request !== feature).map((suspect) => ({
+                ...suspect,
+                parts: suspect.parts.filter((part) => part !== feature),
+            }));
+        }
+        this.add(CLEARED_PREFIX + encodeURIComponent(feature), {
+            start: undefined,
+            othersRan: false,
+            suspects: [],
+            refuted: [feature],
+            skipDelegation: true,
+        });
     }
 
     /** Parses a stored report. Returns undefined if it has expired. */
@@ -109,8 +122,11 @@
         if (ageMs > CRASH_MEMORY_MS) {
             return undefined;
         }
-        const requests = parsed.data.requests.map((request) => brand<BodyDigest>(request));
-        return { start, requests, at };
+        if (start === undefined) {
+            const { requests, parts } = parsed.data;
+            return { kind: "refutation", features: [...requests, ...parts.flat()].map(brand<SuspectFeature>), at };
+        }
+        return { kind: "crash", crash: { start, ...suspectsOf(parsed.data) }, at };
     }
 
     /** Records that a key was removed from the store. */
@@ -144,14 +160,9 @@
         this.pending.clear();
     }
 
-    private add(
-        prefix: string,
-        { start, requests, skipDelegation }:
-            & Pick<PendingReport, "start" | "skipDelegation">
-            & Pick<CrashReport, "requests">,
-    ): void {
+    private add(prefix: string, report: Omit<PendingReport, "at">): void {
         const key = `${prefix}/${this.incarnation}/${++this.reportCount}`;
-        this.pending.set(key, { start, at: this.clock.wall(), requests: new Set(requests), skipDelegation });
+        this.pending.set(key, { ...report, at: this.clock.wall() });
         if (this.pending.size > MAX_PENDING_REPORTS) {
             const [oldest] = this.pending.keys();
             this.pending.delete(oldest!);
@@ -185,10 +196,7 @@
     private async writeBatch(batch: readonly [string, PendingReport][]): Promise<boolean> {
         const result = await this.store.transact({
             conditions: new Map(batch.map(([key]) => [key, 0])),
-            puts: batch.map(([key, { at, requests }]) => ({
-                key,
-                value: JSON.stringify({ at, requests: [...requests] }),
-            })),
+            puts: batch.map(([key, report]) => ({ key, value: JSON.stringify(storedValueOf(report)) })),
             deletes: [],
         });
         // Existing keys were written by an earlier call that got no response.
@@ -213,11 +221,17 @@
     private delegateToPeers(report: PendingReport): void {
         if (!report.skipDelegation && report.start !== undefined) {
             report.skipDelegation = true;
-            this.notifyPeers({ start: report.start, requests: [...report.requests] }, true);
+            this.notifyPeers({ ...report, start: report.start }, true);
         }
     }
 }
 
+function storedValueOf({ at, start, refuted, ...crash }: PendingReport): z.input<typeof valueSchema> {
+    return start === undefined
+        ? { at, requests: [], parts: refuted.map((feature) => [feature]) }
+        : { at, ...crashMessage(crash) };
+}
+
 // Returns undefined for keys that are not of crashes.
 function startOfKey(key: string): string | typeof UNREADABLE_KEY | undefined {
     if (!key.startsWith(CRASH_PREFIX)) {
--- a/packages/router/src/gateway/event-splitter.ts
+++ b/packages/router/src/gateway/event-splitter.ts
@@ -41,13 +41,6 @@
         this.partialEvent = "";
     }
 
-    /** Returns the bytes after the last complete event of a stream that ended normally. */
-    takeRemainder(): Buffer | undefined {
-        const remainder = this.partialEvent;
-        this.partialEvent = "";
-        return remainder === "" ? undefined : Buffer.from(remainder, "latin1");
-    }
-
     private countEvents(complete: string): void {
         let from = 0;
         for (let at = complete.indexOf(EVENT_END); at >= 0; at = complete.indexOf(EVENT_END, from)) {
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -2,8 +2,6 @@
 import {
     type AttemptState,
     chooseEndpoint,
-    endpointFigures,
-    type EndpointState,
     nextStep,
     type PlacementQuery,
     recordConnectFailure,
@@ -22,8 +20,9 @@
 import { createSend, type Send } from "./endpoint-send.js";
 import { EventSplitter } from "./event-splitter.js";
 import type { GatewayContext } from "./gateway-context.js";
-import { withoutContentLength } from "./raw-headers.js";
-import { noEndpointCause, POISON_RETRY_AFTER_MS, type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
+import { logPlacement } from "./placement-log.js";
+import { endOfResponse, withoutContentLength } from "./raw-headers.js";
+import { noEndpointCause, type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
 import { isForOtherRequest, recordBytesReceived, recordRequestLimit, recordResponseHead } from "./response-head.js";
 import { sendOptions } from "./send-options.js";
 import { TokenClaim } from "./token-claim.js";
@@ -105,8 +104,10 @@
             // The caller has given up, even if a busy router has not yet seen its disconnect.
             return this.handleDeadline();
         }
-        if (this.context.suspects.isPoison(this.admitted.features.request)) {
-            return this.refuseOrAbort("poison-request", POISON_RETRY_AFTER_MS);
+        const isTrial = this.admitted.isTrial && this.sends === 0;
+        const conviction = isTrial ? undefined : this.context.suspects.convictionOf(this.admitted.features);
+        if (conviction !== undefined) {
+            return this.refuseOrAbort("poison-request", conviction.retryAfterMs);
         }
         const query = { ...this.query, isRepeat: this.sends > 0 && !this.answer.isHeadSent };
         const placement = chooseEndpoint(this.context.endpoints, query, this.context.random, now);
@@ -117,7 +118,7 @@
         const send = createSend(row, units, now);
         const options = sendOptions(this.context, this.admitted, row, this.deadline - now, this.splitter.lastEventId);
         this.send = send;
-        this.logPlacement(row, now);
+        logPlacement(this.context, this.admitted, row, this.sends + 1, now);
         setTimeout(() => this.handleConnectTimeout(send), CONNECT_TIMEOUT_MS);
         recordSend(this.context.endpoints, row, this.query, this.context.random, now);
         try {
@@ -140,7 +141,7 @@
                     return;
                 }
                 send.requestStarted = true;
-                send.trackedSend = this.context.suspects.track(send.row.entry, this.admitted.features.request);
+                send.trackedSend = this.context.suspects.track(send.row.entry, this.admitted.features);
                 this.sends++;
                 this.tried.add(send.row.entry.id);
             },
@@ -233,15 +234,15 @@
             return;
         }
         const failed = send.status >= MIN_FAILURE_STATUS;
-        this.endSend(send, failed);
+        const ended = endOfResponse(send.status, send.headers, this.admitted.request.method);
+        this.endSend(send, failed, ended === "complete");
+        if (send.fields!.sealed && !send.fields!.notRun && !failed) {
+            this.context.suspects.recordResponse(send.row.entry, send.trackedSend!, send.status, ended);
+        }
         if (this.isFinished) {
             return;
         }
-        if (send.fields!.sealed && !send.fields!.notRun && !failed) {
-            this.context.suspects.recordServed(send.row.entry, this.admitted.features.request, send.status);
-        }
         if (send.isStreaming) {
-            this.answer.write(this.admitted.route.resumable ? this.splitter.takeRemainder() : undefined, undefined);
             this.finish("answered", send);
             this.answer.end();
             return;
@@ -471,18 +472,6 @@
         }
     }
 
-    private logPlacement(row: EndpointState, now: number): void {
-        this.context.logs.requests.info("Endpoint chosen for the request.", {
-            id: this.admitted.fields.requestId,
-            route: this.admitted.route.name,
-            account: this.admitted.account?.id,
-            attempt: this.sends + 1,
-            configuration: this.context.configurationVersion(),
-            ...this.context.suspects.figures(this.admitted.features),
-            ...endpointFigures(this.context.endpoints, row, now),
-        });
-    }
-
     private figures(send: Send | undefined): Record<string, unknown> {
         return {
             id: this.admitted.fields.requestId,
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
     type Drain,
     fleetShareOf,
     type InstanceCapacity,
+    ownerOf,
     putEndpoint,
     removeEndpoint,
     type RoutingTable,
@@ -105,7 +106,14 @@
             reportClock,
             (crash, keep) => void crashNotifier.notifyPeers(crash, keep),
         );
-        this.suspects = new PoisonRequestTracker(this.crashReports, this.logs, countSuspectEvent, this.clock);
+        this.suspects = new PoisonRequestTracker(
+            this.crashReports,
+            this.logs,
+            countSuspectEvent,
+            this.clock,
+            (part) => ownerOf(part, this.registry.serving) === settings.name,
+            Math.random,
+        );
         this.limitReports = new LimitReports(
             store,
             this.endpoints.limits,
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -16,7 +16,7 @@
 import { Exchange } from "./exchange.js";
 import type { GatewayContext } from "./gateway-context.js";
 import type { LoadMonitor } from "./load-monitor.js";
-import { POISON_RETRY_AFTER_MS, type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
+import { type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
 
 /** Interval in ms of checking for connections that are too slow. */
 const CONNECTION_CHECK_INTERVAL_MS = 250;
@@ -143,14 +143,17 @@
             request: digestRequest(account?.id ?? NO_ACCOUNT, content),
             parts: sharedParts(fields.parts),
         };
-        if (context.suspects.isPoison(features.request)) {
-            this.refuse(fields, response, "poison-request", POISON_RETRY_AFTER_MS, {
+        const admission = context.suspects.admit(features);
+        if (admission.kind === "convicted") {
+            this.refuse(fields, response, "poison-request", admission.retryAfterMs, {
                 route: route.name,
+                part: admission.part,
                 ...context.suspects.figures(features),
             });
             return;
         }
-        const admitted = { request, response, body, fields, route, service, account, features, arrivedAt };
+        const isTrial = admission.kind === "trial";
+        const admitted = { request, response, body, fields, route, service, account, features, isTrial, arrivedAt };
         void new Exchange(context, admitted).run();
     }
 
--- /dev/null
+++ b/packages/router/src/gateway/placement-log.ts
@@ -0,0 +1,22 @@
+import { endpointFigures, type EndpointState } from "@gooseberrybend/core/dispatch";
+import type { AdmittedRequest } from "./admitted-request.js";
+import type { GatewayContext } from "./gateway-context.js";
+
+/** Logs the endpoint that was chosen for an attempt to serve a request, and what decided it. */
+export function logPlacement(
+    context: GatewayContext,
+    { fields, route, account, features }: AdmittedRequest,
+    row: EndpointState,
+    attempt: number,
+    now: number,
+): void {
+    context.logs.requests.info("Endpoint chosen for the request.", {
+        id: fields.requestId,
+        route: route.name,
+        account: account?.id,
+        attempt,
+        configuration: context.configurationVersion(),
+        ...context.suspects.figures(features),
+        ...endpointFigures(context.endpoints, row, now),
+    });
+}
--- a/packages/router/src/gateway/refusal.ts
+++ b/packages/router/src/gateway/refusal.ts
@@ -40,9 +40,6 @@
     response.end(body);
 }
 
-/** Retry delay in ms for the caller of a request that crashes endpoints. */
-export const POISON_RETRY_AFTER_MS = 5_000;
-
 /** Range in ms of the retry delay, so that callers don't retry at the same time. */
 const RETRY_AFTER_RANGE_MS = [150, 450] as const;
 
--- a/packages/router/src/gateway/response-head.ts
+++ b/packages/router/src/gateway/response-head.ts
@@ -34,11 +34,11 @@
 /** Records that an endpoint sent bytes. */
 export function recordBytesReceived(
     { suspects }: GatewayContext,
-    { row, trackedSend }: Send,
+    { row, trackedSend, isStreaming }: Send,
     now: number,
 ): void {
     recordResponseBytes(row);
-    suspects.recordResponseByte(trackedSend, now);
+    suspects.recordResponseByte(trackedSend, isStreaming, now);
 }
 
 function recordAvailability({ endpoints, logs }: GatewayContext, { row, fields }: Send, now: number): void {
