Treat a stream that ends inside an event as broken off

What callers would see: an endpoint that ends inside an event, in a response with neither length nor chunks, looked complete: the rest of the event was passed on and the response ended as whole.

Cause: the end of the connection was taken for the end of the response, whatever the last bytes were. Now such a send is broken: it is resumed at another endpoint where that is allowed, else cut, and the endpoint is checked.

--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -233,6 +233,9 @@
         if (send.ended) {
             return;
         }
+        if (send.isStreaming && this.splitter.hasPartialEvent) {
+            return this.receiveError(send, new Error("stream ended inside an event"));
+        }
         const failed = send.status >= MIN_FAILURE_STATUS;
         const ended = endOfResponse(send.status, send.headers, this.admitted.request.method);
         this.endSend(send, failed, ended === "complete");
