--- a/packages/core/src/dispatch/crash-evidence.test.ts
+++ b/packages/core/src/dispatch/crash-evidence.test.ts
@@ -6,7 +6,6 @@
     crashCount,
     type CrashEvidence,
     createCrashEvidence,
-    didOthersRun,
     isRefutable,
     nextTrialAt,
     recordCompletion,
@@ -31,7 +30,7 @@
 
     const crash = (start: string, at: number, ...parts: PromptPartId[]): void => {
         const request = brand<BodyDigest>(`request-${++requestCount}`);
-        addSuspect(evidence, { request, parts }, { start, othersRan: true }, at);
+        addSuspect(evidence, { request, parts }, { start, isTimed: true }, at);
     };
     const convicted = (now: number): PromptPartId[] => [...convictedParts(evidence, now)];
 
@@ -65,10 +64,17 @@
             expect(convicted(5_000).sort()).toEqual([other, poison]);
         });
 
+        it("is convicted before all endpoints are back if its requests crash all of them within moments", () => {
+            for (let index = 0; index < 8; index++) {
+                crash(`e${index}`, index * 100, system, poison);
+            }
+            expect(convicted(1_000)).toEqual([poison]);
+        });
+
         it("is not convicted if one request had it in all of them", () => {
             for (const [index, start] of ["e1", "e2", "e3"].entries()) {
                 const features = { request: brand<BodyDigest>("repeated"), parts: [system, session] };
-                addSuspect(evidence, features, { start, othersRan: true }, index * 1_000);
+                addSuspect(evidence, features, { start, isTimed: true }, index * 1_000);
             }
             expect(convicted(3_000)).toEqual([]);
             expect(crashCount(evidence, brand<BodyDigest>("repeated"), 3_000)).toBe(3);
@@ -106,13 +112,22 @@
             expect(convicted(1_000)).toEqual([]);
         });
 
-        it("is not convicted if all endpoints end within seconds, and nothing completes in between", () => {
+        it("is not convicted if the endpoints that end together had others of its requests only", () => {
+            for (let failure = 0; failure < 4; failure++) {
+                crash(`e${failure}`, failure * 5_000, system, session);
+                crash(`f${failure}`, failure * 5_000 + 100, system);
+                recordCompletion(evidence, [system], failure * 5_000 + 400);
+            }
+            expect(convicted(20_000)).toEqual([]);
+        });
+
+        it("is not convicted if the registrations of all endpoints expire one by one", () => {
             for (let index = 0; index < 6; index++) {
                 addSuspect(
                     evidence,
                     { request: brand<BodyDigest>(`${index}`), parts: [system] },
-                    { start: `e${index}`, othersRan: didOthersRun(evidence) },
-                    index * 700,
+                    { start: `e${index}`, isTimed: false },
+                    index * 250,
                 );
             }
             expect(convicted(5_000)).toEqual([]);
@@ -126,13 +141,22 @@
             crash("e2", 1_000, system);
             expect(isRefutable(evidence, system)).toBe(false);
             expect(recordCompletion(evidence, [system], 1_100)).toEqual([system]);
-            refute(evidence, system);
-            expect(recordCompletion(evidence, [system], 1_200)).toEqual([]);
+            refute(evidence, system, 1_200);
+            expect(recordCompletion(evidence, [system], 1_300)).toEqual([]);
+        });
+
+        it("is not counted again by reports of the same crashes that arrive later", () => {
+            for (const [index, start] of ["e1", "e2", "e3"].entries()) {
+                crash(start, index * 1_000, session);
+                recordCompletion(evidence, [session], index * 1_000 + 300);
+                crash(start, index * 1_000 + 600, session);
+            }
+            expect(convicted(3_000)).toEqual([]);
         });
 
         it("no longer convicts the feature", () => {
             ["e1", "e2", "e3"].forEach((start, index) => crash(start, index * 1_000, poison));
-            refute(evidence, poison);
+            refute(evidence, poison, 2_500);
             expect(convicted(3_000)).toEqual([]);
         });
     });
@@ -140,13 +164,13 @@
     describe("trials of a convicted part", () => {
         it("become rarer with each crash, and come again and again", () => {
             ["e1", "e2", "e3"].forEach((start, index) => crash(start, index * 1_000, poison));
-            expect(nextTrialAt(evidence, poison, 2_000)).toBe(17_000);
-            recordTrial(evidence, poison, 17_000);
-            expect(nextTrialAt(evidence, poison, 17_000)).toBe(32_000);
-            crash("e4", 17_100, poison);
-            expect(nextTrialAt(evidence, poison, 17_100)).toBe(77_100);
-            ["e5", "e6", "e7"].forEach((start, index) => crash(start, 80_000 + index * 1_000, poison));
-            expect(nextTrialAt(evidence, poison, 82_000)).toBe(82_000 + 240_000);
+            expect(nextTrialAt(evidence, poison, 2_000)).toBe(32_000);
+            recordTrial(evidence, poison, 32_000);
+            expect(nextTrialAt(evidence, poison, 32_000)).toBe(62_000);
+            crash("e4", 32_100, poison);
+            expect(nextTrialAt(evidence, poison, 32_100)).toBe(152_100);
+            ["e5", "e6", "e7"].forEach((start, index) => crash(start, 160_000 + index * 1_000, poison));
+            expect(nextTrialAt(evidence, poison, 162_000)).toBe(162_000 + 240_000);
         });
     });
 
--- a/packages/core/src/dispatch/crash-evidence.ts
+++ b/packages/core/src/dispatch/crash-evidence.ts
@@ -16,12 +16,12 @@
 export type Crash = {
     readonly start: string;
     readonly suspects: readonly RequestFeatures[];
-    /** True if the reporting router received a complete response since the crash before, so that others still ran. */
-    readonly othersRan: boolean;
+    /** True if it was noticed as it happened; registrations of endpoints that end together expire one by one. */
+    readonly isTimed: boolean;
 };
 
 /** A crash that counts against a feature. */
-type CountedCrash = { readonly at: number; othersRan: boolean; };
+type CountedCrash = { readonly at: number; isTimed: boolean; };
 
 /** Evidence against one feature. */
 type FeatureEvidence = {
@@ -32,36 +32,44 @@
     readonly unrefuted: Set<string>;
     /** Parts before this feature in the prompts of requests. */
     readonly broader: Set<PromptPartId>;
+    /** When a request with the feature last completed; reports of earlier crashes may still arrive. */
+    completedAt: number;
 };
 
 /** Crashes of endpoints and the features that may have caused them. Times in ms. */
 export type CrashEvidence = {
     readonly features: Map<SuspectFeature, FeatureEvidence>;
+    /** When the latest crashes became known, by start. */
+    readonly crashTimes: Map<string, number>;
     /** Parts held responsible for crashes; undefined if it has to be worked out again. */
     convictedParts: ReadonlySet<PromptPartId> | undefined;
     /** When the first of `convictedParts` expires. */
     convictedUntil: number;
-    lastCrashAt: number;
-    lastCompletionAt: number;
     /** When this router last let a request with a convicted part run. */
     readonly lastTrials: Map<PromptPartId, number>;
 };
 
 /** Crashes after which a feature is held responsible; a single crash also affects many unrelated requests. */
 export const CRASH_LIMIT = 3;
+/** Crashes after which a part is held responsible even if some of them may have the same cause. */
+const STORM_CRASHES = 2 * CRASH_LIMIT;
 /** Time in ms after its last crash for which evidence against a feature counts; callers may repeat for minutes. */
 export const CRASH_MEMORY_MS = 600_000;
 /** Crashes of a part's requests within this time in ms count once: a rack that fails ends many endpoints together. */
 const SAME_CAUSE_MS = 500;
-/** The same if no response completed in between: then all endpoints may have failed for another reason. */
-const SAME_OUTAGE_MS = 4_000;
+/** The same for crashes that were noticed by an expired or replaced registration. */
+const SAME_CAUSE_UNTIMED_MS = 1_500;
+/** Crashes known within this time in ms are simultaneous; those without a part show that it did not cause the others. */
+const SIMULTANEOUS_MS = 150;
+/** Maximum number of crashes of which the time is remembered; the oldest are evicted first. */
+const MAX_CRASH_TIMES = 500;
 /** Maximum number of features remembered; the oldest are evicted first. */
 const MAX_FEATURES = 5_000;
 /** Parts of a request that count; longer prompts share their first parts anyway. */
 const MAX_PARTS = 32;
 
 /** Time in ms after its last crash at which one request with a convicted part may run, to learn if it still crashes. */
-const FIRST_TRIAL_DELAY_MS = 15_000;
+const FIRST_TRIAL_DELAY_MS = 30_000;
 /** Factor by which each further crash delays the next trial, and the longest delay in ms. */
 const TRIAL_DELAY_FACTOR = 4;
 const MAX_TRIAL_DELAY_MS = 240_000;
@@ -70,10 +78,9 @@
 export function createCrashEvidence(): CrashEvidence {
     return {
         features: new Map(),
+        crashTimes: new Map(),
         convictedParts: undefined,
         convictedUntil: -Infinity,
-        lastCrashAt: -Infinity,
-        lastCompletionAt: -Infinity,
         lastTrials: new Map(),
     };
 }
@@ -82,47 +89,49 @@
 export function addSuspect(
     evidence: CrashEvidence,
     { request, parts }: RequestFeatures,
-    { start, othersRan }: Pick<Crash, "start" | "othersRan">,
+    crash: Omit<Crash, "suspects">,
     at: number,
 ): void {
     const counted = parts.slice(0, MAX_PARTS);
-    counted.forEach((part, index) => addFeature(evidence, part, "part", counted.slice(0, index), start, othersRan, at));
-    addFeature(evidence, request, "request", counted, start, othersRan, at);
-    evidence.lastCrashAt = Math.max(evidence.lastCrashAt, at);
+    counted.forEach((part, index) => addFeature(evidence, part, "part", counted.slice(0, index), crash, at));
+    addFeature(evidence, request, "request", counted, crash, at);
     evidence.convictedParts = undefined;
+    if (!evidence.crashTimes.has(crash.start)) {
+        evidence.crashTimes.set(crash.start, at);
+    }
+    if (evidence.crashTimes.size > MAX_CRASH_TIMES) {
+        evidence.crashTimes.delete(evidence.crashTimes.keys().next().value!);
+    }
     while (evidence.features.size > MAX_FEATURES) {
         evictOldest(evidence.features);
     }
 }
 
 function addFeature(
-    { features }: CrashEvidence,
+    { features, crashTimes }: CrashEvidence,
     feature: SuspectFeature,
     kind: FeatureEvidence["kind"],
     broader: readonly PromptPartId[],
-    start: string,
-    othersRan: boolean,
+    { start, isTimed }: Omit<Crash, "suspects">,
     at: number,
 ): void {
     const known = features.get(feature)
-        ?? { kind, crashes: new Map(), unrefuted: new Set(), broader: new Set<PromptPartId>() };
+        ?? { kind, crashes: new Map(), unrefuted: new Set(), broader: new Set<PromptPartId>(), completedAt: -Infinity };
     features.set(feature, known);
     broader.forEach((part) => known.broader.add(part));
     known.unrefuted.add(start);
+    if ((crashTimes.get(start) ?? at) <= known.completedAt) {
+        return;
+    }
     const crash = known.crashes.get(start);
     if (crash === undefined) {
-        known.crashes.set(start, { at, othersRan });
+        known.crashes.set(start, { at, isTimed });
     }
     else {
-        crash.othersRan ||= othersRan;
+        crash.isTimed ||= isTimed;
     }
 }
 
-/** Returns whether a response completed at this router since the last crash that it knows of. */
-export function didOthersRun({ lastCompletionAt, lastCrashAt }: CrashEvidence): boolean {
-    return lastCompletionAt > lastCrashAt;
-}
-
 /**
  * Records that requests with these features completed, which refutes the evidence against them. Returns those that
  * other routers should be told of, as one more crash may make them refuse requests.
@@ -132,12 +141,10 @@
     completed: readonly SuspectFeature[],
     now: number,
 ): SuspectFeature[] {
-    evidence.lastCompletionAt = now;
     for (const feature of completed) {
         const known = evidence.features.get(feature);
-        if (known !== undefined && known.crashes.size > 0) {
-            known.crashes.clear();
-            evidence.convictedParts = undefined;
+        if (known !== undefined) {
+            clearCrashes(evidence, known, now);
         }
     }
     return completed.filter((feature) => isRefutable(evidence, feature));
@@ -150,10 +157,21 @@
 }
 
 /** Drops all evidence against a feature, because some router reported that a request with it completed. */
-export function refute(evidence: CrashEvidence, feature: SuspectFeature): void {
-    evidence.features.delete(feature);
-    evidence.lastTrials.delete(feature as PromptPartId);
-    evidence.convictedParts = undefined;
+export function refute(evidence: CrashEvidence, feature: SuspectFeature, now: number): void {
+    const known = evidence.features.get(feature);
+    if (known !== undefined) {
+        clearCrashes(evidence, known, now);
+        known.unrefuted.clear();
+        evidence.lastTrials.delete(feature as PromptPartId);
+    }
+}
+
+function clearCrashes(evidence: CrashEvidence, known: FeatureEvidence, now: number): void {
+    known.completedAt = now;
+    if (known.crashes.size > 0) {
+        known.crashes.clear();
+        evidence.convictedParts = undefined;
+    }
 }
 
 /** Returns how many crashes of starts count against a feature. */
@@ -183,7 +201,7 @@
 
 /** Returns when the fleet may let a single request with a convicted part run, as a time in ms. */
 export function nextTrialAt(evidence: CrashEvidence, part: PromptPartId, now: number): number {
-    const beyondLimit = Math.max(0, separateCrashes(crashesOf(evidence, part, now)) - CRASH_LIMIT);
+    const beyondLimit = Math.max(0, separateCrashes(crashesOf(evidence, part, now)).length - CRASH_LIMIT);
     const delayMs = Math.min(MAX_TRIAL_DELAY_MS, FIRST_TRIAL_DELAY_MS * TRIAL_DELAY_FACTOR ** beyondLimit);
     return Math.max(lastCrashOf(evidence, part), evidence.lastTrials.get(part) ?? -Infinity) + delayMs;
 }
@@ -211,50 +229,103 @@
 }
 
 function convict(evidence: CrashEvidence, now: number): SuspectFeature[] {
-    const { features } = evidence;
-    const weightOf = (feature: SuspectFeature, crashes: Crashes): number =>
-        features.get(feature)!.kind === "part" ? separateCrashes(crashes) : crashes.length;
-    const candidates = [...features.keys()].filter((feature) =>
-        features.get(feature)!.crashes.size >= CRASH_LIMIT
-        && weightOf(feature, crashesOf(evidence, feature, now)) >= CRASH_LIMIT
-    );
+    const candidates = candidatesOf(evidence, now);
     const explained = new Set<string>();
     const convicted: SuspectFeature[] = [];
-    const unexplained = (feature: SuspectFeature, also = new Set<string>()): number =>
-        weightOf(
-            feature,
-            crashesOf(evidence, feature, now).filter(([start]) => !explained.has(start) && !also.has(start)),
-        );
     while (true) {
         const remaining = candidates
-            .filter((feature) => !convicted.includes(feature) && unexplained(feature) >= CRASH_LIMIT)
+            .filter(({ feature }) => !convicted.includes(feature))
+            .map((candidate) => ({ ...candidate, weight: weightOf(candidate, explained) }))
+            .filter(({ weight }) => weight.isEnough)
             .sort((one, other) =>
-                unexplained(other) - unexplained(one)
-                || features.get(other)!.broader.size - features.get(one)!.broader.size
+                other.weight.separate - one.weight.separate
+                || other.weight.total - one.weight.total
+                || other.broader.size - one.broader.size
             );
         const [strongest] = remaining;
         if (strongest === undefined) {
             return convicted;
         }
-        const narrower = remaining.filter((feature) => features.get(feature)!.broader.has(strongest as PromptPartId));
-        const explainedByNarrower = new Set(narrower.flatMap((feature) => crashedStarts(evidence, feature, now)));
-        const isExplained = unexplained(strongest, explainedByNarrower) < CRASH_LIMIT;
+        const narrower = remaining.filter(({ broader }) => broader.has(strongest.feature as PromptPartId));
+        const explainedByNarrower = new Set([...explained, ...narrower.flatMap(startsOf)]);
+        const isExplained = !weightOf(strongest, explainedByNarrower).isEnough;
         const found = isExplained ? narrower[0]! : strongest;
-        convicted.push(found);
-        crashedStarts(evidence, found, now).forEach((start) => explained.add(start));
+        convicted.push(found.feature);
+        startsOf(found).forEach((start) => explained.add(start));
+    }
+}
+
+/** A feature with enough crashes to be convicted, and those that count. */
+type Candidate = {
+    readonly feature: SuspectFeature;
+    readonly kind: FeatureEvidence["kind"];
+    readonly broader: ReadonlySet<PromptPartId>;
+    readonly crashes: Crashes;
+};
+
+function candidatesOf(evidence: CrashEvidence, now: number): Candidate[] {
+    const candidates: Candidate[] = [];
+    for (const [feature, { kind, broader, crashes: known }] of evidence.features) {
+        if (known.size >= CRASH_LIMIT) {
+            const crashes = crashesOf(evidence, feature, now);
+            const candidate = {
+                feature,
+                kind,
+                broader,
+                crashes: kind === "part" ? crashes.filter((crash) => !isCoincident(evidence, known, crash)) : crashes,
+            };
+            if (weightOf(candidate, new Set()).isEnough) {
+                candidates.push(candidate);
+            }
+        }
+    }
+    return candidates;
+}
+
+function startsOf({ crashes }: Candidate): string[] {
+    return crashes.map(([start]) => start);
+}
+
+/** Weight of the crashes that count against a feature, without those that others explain. */
+type Weight = { readonly total: number; readonly separate: number; readonly isEnough: boolean; };
+
+function weightOf({ kind, crashes }: Candidate, explained: ReadonlySet<string>): Weight {
+    const unexplained = crashes.filter(([start]) => !explained.has(start));
+    const total = unexplained.length;
+    if (kind === "request") {
+        return { total, separate: total, isEnough: total >= CRASH_LIMIT };
+    }
+    const separate = separateCrashes(unexplained).length;
+    // Requests that come often crash all endpoints within moments, and again as soon as they are back.
+    const isStorm = separate > 1 && total >= STORM_CRASHES;
+    return { total, separate, isEnough: separate >= CRASH_LIMIT || isStorm };
+}
+
+// Endpoints that end together without a request with the part have another cause, which may explain this crash too.
+function isCoincident(
+    { crashTimes }: CrashEvidence,
+    known: ReadonlyMap<string, CountedCrash>,
+    [start, { at }]: Crashes[number],
+): boolean {
+    for (const [otherStart, otherAt] of crashTimes) {
+        if (otherStart !== start && Math.abs(otherAt - at) <= SIMULTANEOUS_MS && !known.has(otherStart)) {
+            return true;
+        }
     }
+    return false;
 }
 
-function separateCrashes(crashes: Crashes): number {
-    let count = 0;
-    let countedAt = -Infinity;
-    for (const { at, othersRan } of crashes.map(([, crash]) => crash).sort((one, other) => one.at - other.at)) {
-        if (at - countedAt >= (othersRan ? SAME_CAUSE_MS : SAME_OUTAGE_MS)) {
-            count++;
-            countedAt = at;
+// Returns one crash of each group that may have the same cause.
+function separateCrashes(crashes: Crashes): CountedCrash[] {
+    const separate: CountedCrash[] = [];
+    const ordered = crashes.map(([, crash]) => crash).sort((one, other) => one.at - other.at);
+    for (const crash of ordered) {
+        const minGapMs = crash.isTimed ? SAME_CAUSE_MS : SAME_CAUSE_UNTIMED_MS;
+        if (crash.at - (separate.at(-1)?.at ?? -Infinity) >= minGapMs) {
+            separate.push(crash);
         }
     }
-    return count;
+    return separate;
 }
 
 // Features with a single crash are evicted first, as most of them are unrelated to it.
--- a/packages/core/src/dispatch/suspect-requests.test.ts
+++ b/packages/core/src/dispatch/suspect-requests.test.ts
@@ -9,6 +9,7 @@
     type EndpointStart,
     endTrackedSend,
     isPoison,
+    ranAfter,
     recordBytes,
     recordEnd,
     recordExpiry,
@@ -18,6 +19,7 @@
     type TrackedSend,
     trackSend,
 } from "./suspect-requests.js";
+import type { PromptPartId } from "./types.js";
 
 const poison = brand<BodyDigest>("poison");
 const unrelated = brand<BodyDigest>("innocent");
@@ -38,7 +40,7 @@
     const send = (name: string, body = poison): TrackedSend => trackSend(table, startOf(name), featuresOf(body));
     const receiveBytes = (tracked: TrackedSend, now: number): boolean => recordBytes(tracked, false, now);
     const addCrash = (body: BodyDigest, start: string, at: number): void =>
-        addReportedCrash(table, { start, suspects: [featuresOf(body)], othersRan: false }, at);
+        addReportedCrash(table, { start, suspects: [featuresOf(body)], isTimed: false }, at);
     const crashCount = (body: BodyDigest, now: number): number => countCrashes(table.evidence, body, now);
     const requestsOf = (crash: Crash | undefined): BodyDigest[] | undefined =>
         crash?.suspects.map(({ request }) => request);
@@ -92,7 +94,7 @@
             expect(recordEnd(table, startOf("engine-1"), 9_000)).toEqual({
                 start: "engine-1@1",
                 suspects: [featuresOf(poison)],
-                othersRan: false,
+                isTimed: true,
             });
         });
 
@@ -133,6 +135,48 @@
         });
     });
 
+    // Guards against incident BUDGET, prompt parts: all that ran at an endpoint when it crashed was equally suspect.
+    describe("the prompt parts of a request", () => {
+        const part = brand<PromptPartId>("part");
+        const sendWithPart = (): TrackedSend =>
+            trackSend(table, startOf("engine-1"), { request: poison, parts: [part] });
+        const suspectParts = (crash: Crash | undefined): (readonly PromptPartId[])[] | undefined =>
+            crash?.suspects.map(({ parts }) => parts);
+
+        it("are suspect if the endpoint crashes as it begins to respond", () => {
+            const tracked = sendWithPart();
+            expect(recordBytes(tracked, true, 100)).toBe(false);
+            expect(recordBytes(tracked, true, 200)).toBe(false);
+            endTrackedSend(table, tracked, false, 210);
+            expect(suspectParts(recordEnd(table, startOf("engine-1"), 220))).toEqual([[part]]);
+        });
+
+        it("are not suspect once the endpoint has streamed for a while, though the request is", () => {
+            const tracked = sendWithPart();
+            recordBytes(tracked, true, 100);
+            expect(recordBytes(tracked, true, 1_100)).toBe(true);
+            expect(recordBytes(tracked, true, 1_200)).toBe(false);
+            endTrackedSend(table, tracked, false, 1_300);
+            expect(recordEnd(table, startOf("engine-1"), 1_310)).toMatchObject({
+                suspects: [{ request: poison, parts: [] }],
+            });
+        });
+
+        it("stay suspect while bytes are of no successful stream", () => {
+            const tracked = sendWithPart();
+            recordBytes(tracked, false, 100);
+            expect(recordBytes(tracked, false, 5_000)).toBe(false);
+        });
+
+        it("are known to have run only by bytes that can't have been sent before the connection closed", () => {
+            const tracked = sendWithPart();
+            recordBytes(send("engine-1", unrelated), false, 1_200);
+            expect(ranAfter(tracked, 1_000)).toBe(false);
+            recordBytes(send("engine-1", unrelated), false, 1_300);
+            expect(ranAfter(tracked, 1_000)).toBe(true);
+        });
+    });
+
     describe("an unrelated request", () => {
         it("is cleared once it completes", () => {
             ["engine-1@1", "engine-2@1", "engine-3@1"].forEach((start) => addCrash(unrelated, start, 0));
--- a/packages/core/src/dispatch/suspect-requests.ts
+++ b/packages/core/src/dispatch/suspect-requests.ts
@@ -8,7 +8,6 @@
     crashedStarts,
     type CrashEvidence,
     createCrashEvidence,
-    didOthersRun,
     type RequestFeatures,
 } from "./crash-evidence.js";
 import type { PromptPartId } from "./types.js";
@@ -141,18 +140,19 @@
  * were running, and unanswered ones after which no bytes arrived from it.
  */
 export function recordEnd(table: SuspectTable, start: EndpointStart, now: number): Crash | undefined {
-    return attributeCrash(table, start, (tracked, at) => isSilentSince(tracked, at, now), now);
+    return attributeCrash(table, start, (tracked, at) => isSilentSince(tracked, at, now), true, now);
 }
 
 /** Records that an endpoint restarted; recent bytes may have come from the new process already. */
 export function recordRestart(table: SuspectTable, start: EndpointStart, now: number): Crash | undefined {
-    return attributeCrash(table, start, (unusedStart, at) => now - at < UNANSWERED_MEMORY_MS, now);
+    return attributeCrash(table, start, (unusedStart, at) => now - at < UNANSWERED_MEMORY_MS, false, now);
 }
 
 function attributeCrash(
     table: SuspectTable,
     start: EndpointStart,
     mayHaveCaused: (tracked: TrackedStart, unansweredAt: number) => boolean,
+    isTimed: boolean,
     now: number,
 ): Crash | undefined {
     const tracked = table.starts.get(startName(start));
@@ -166,7 +166,7 @@
     const crash = {
         start: generationName(tracked),
         suspects: [...open, ...unanswered],
-        othersRan: didOthersRun(table.evidence),
+        isTimed,
     };
     addCrash(table, crash, now);
     return crash.suspects.length === 0 ? undefined : crash;
@@ -183,7 +183,7 @@
 export function recordExpiry(table: SuspectTable, start: EndpointStart, now: number): Crash | undefined {
     const tracked = table.starts.get(startName(start));
     if (tracked !== undefined && now - tracked.lastByteAt >= EXPIRY_SILENCE_MS) {
-        return recordEnd(table, start, now);
+        return attributeCrash(table, start, (unanswered, at) => isSilentSince(unanswered, at, now), false, now);
     }
     discardStart(table, start);
     return undefined;
@@ -204,10 +204,9 @@
     if (suspects.length === 0) {
         return;
     }
-    const othersRan = crash.othersRan || didOthersRun(table.evidence);
     const [key, generation] = start.split(GENERATION_SEPARATOR);
     recordGeneration(table.generations, key!, Number(generation ?? 0) + 1);
-    suspects.forEach((features) => addSuspect(table.evidence, features, { start, othersRan }, at));
+    suspects.forEach((features) => addSuspect(table.evidence, features, crash, at));
 }
 
 /** Forgets at which endpoints a request was left unanswered, as it has completed since. */
--- a/packages/router/src/gateway/crash-message.ts
+++ b/packages/router/src/gateway/crash-message.ts
@@ -7,28 +7,28 @@
     requests: z.array(z.string()),
     /** Shared prompt parts of each request; missing in reports of routers that do not track them. */
     parts: z.array(z.array(z.string())).default([]),
-    /** Whether the reporting router received a complete response since the crash before. */
-    othersRan: z.boolean().default(false),
+    /** Whether the crash was noticed as it happened. */
+    isTimed: z.boolean().default(false),
 };
 
 type CrashFields = z.infer<z.ZodObject<typeof crashFields>>;
 
 /** Returns the fields that describe the suspects of a crash. */
-export function crashMessage({ suspects, othersRan }: Pick<Crash, "suspects" | "othersRan">): CrashFields {
+export function crashMessage({ suspects, isTimed }: Pick<Crash, "suspects" | "isTimed">): CrashFields {
     return {
         requests: suspects.map(({ request }) => request),
         parts: suspects.map(({ parts }) => [...parts]),
-        othersRan,
+        isTimed,
     };
 }
 
 /** Returns the suspects of a crash that fields describe. */
-export function suspectsOf({ requests, parts, othersRan }: CrashFields): Pick<Crash, "suspects" | "othersRan"> {
+export function suspectsOf({ requests, parts, isTimed }: CrashFields): Pick<Crash, "suspects" | "isTimed"> {
     return {
         suspects: requests.map((request, index) => ({
             request: brand<BodyDigest>(request),
             parts: (parts[index] ?? []).map((part) => brand<PromptPartId>(part)),
         })),
-        othersRan,
+        isTimed,
     };
 }
--- a/packages/router/src/gateway/crash-reports.test.ts
+++ b/packages/router/src/gateway/crash-reports.test.ts
@@ -13,7 +13,7 @@
 const CRASH_MEMORY_MS = 600_000;
 
 function suspectsOf(requests: readonly BodyDigest[]): Omit<Crash, "start"> {
-    return { suspects: requests.map((request) => ({ request, parts: [] })), othersRan: true };
+    return { suspects: requests.map((request) => ({ request, parts: [] })), isTimed: true };
 }
 
 function isRefused(tracker: PoisonRequestTracker, request: BodyDigest, parts: PromptPartId[] = []): boolean {
@@ -119,7 +119,7 @@
         const reportCrashesOfPart = async (): Promise<void> => {
             for (const [index, name] of ["one", "two", "three"].entries()) {
                 const suspects = [{ request: brand<BodyDigest>(name), parts: [part] }];
-                reports.addCrash({ start: `engine-${index}@1`, suspects, othersRan: true });
+                reports.addCrash({ start: `engine-${index}@1`, suspects, isTimed: true });
                 await advanceTime(1_000);
             }
         };
--- a/packages/router/src/gateway/crash-reports.ts
+++ b/packages/router/src/gateway/crash-reports.ts
@@ -45,7 +45,7 @@
 type PendingReport = {
     /** Undefined for a refutation. */
     readonly start: string | undefined;
-    readonly othersRan: boolean;
+    readonly isTimed: boolean;
     /** Wall-clock time in ms. */
     readonly at: number;
     suspects: readonly RequestFeatures[];
@@ -102,7 +102,7 @@
         }
         this.add(CLEARED_PREFIX + encodeURIComponent(feature), {
             start: undefined,
-            othersRan: false,
+            isTimed: false,
             suspects: [],
             refuted: [feature],
             skipDelegation: true,
--- a/packages/router/src/gateway/poison-request-tracker.ts
+++ b/packages/router/src/gateway/poison-request-tracker.ts
@@ -106,7 +106,7 @@
     /** Records that bytes of a response arrived; `isStreaming` if they are of a successful stream. */
     recordResponseByte(send: TrackedSend | undefined, isStreaming: boolean, now: number): void {
         if (send !== undefined && recordBytes(send, isStreaming, now)) {
-            this.recordCompletion(send.features.parts, now);
+            this.recordCompletion(send.features.parts);
         }
     }
 
@@ -203,13 +203,13 @@
         this.logs.endpoints.info("Crash report received.", {
             start: crash.start,
             ageMs: Math.round(this.clock() - at),
-            othersRan: crash.othersRan,
+            isTimed: crash.isTimed,
             requests: this.loggedSuspects(crash),
         });
     }
 
     private applyRefutation(feature: SuspectFeature): void {
-        refute(this.table.evidence, feature);
+        refute(this.table.evidence, feature, this.clock());
         clearUnanswered(this.table, feature as BodyDigest);
     }
 
@@ -218,7 +218,7 @@
         const now = this.clock();
         const crashes = crashCount(this.table.evidence, request, now);
         clearUnanswered(this.table, request);
-        this.recordCompletion([request, ...isSuccess(status) ? parts : []], now);
+        this.recordCompletion([request, ...isSuccess(status) ? parts : []]);
         if (crashes > 0) {
             this.countEvent("cleared");
             this.logs.endpoints.info("Suspect request completed; cleared of its crashes.", {
@@ -276,8 +276,8 @@
         return suspects.slice(0, MAX_LOGGED_REQUESTS).map((features) => this.figures(features));
     }
 
-    private recordCompletion(features: readonly SuspectFeature[], now: number): void {
-        for (const feature of recordCompletion(this.table.evidence, features, now)) {
+    private recordCompletion(features: readonly SuspectFeature[]): void {
+        for (const feature of recordCompletion(this.table.evidence, features, this.clock())) {
             if (!this.pendingRefutations.has(feature)) {
                 this.pendingRefutations.add(feature);
                 setTimeout(() => this.reportRefutation(feature), this.random() * MAX_REFUTATION_DELAY_MS).unref();
@@ -290,7 +290,7 @@
     private reportRefutation(feature: SuspectFeature): void {
         this.pendingRefutations.delete(feature);
         if (isRefutable(this.table.evidence, feature)) {
-            refute(this.table.evidence, feature);
+            refute(this.table.evidence, feature, this.clock());
             this.reports.addRefutation(feature);
         }
     }
@@ -354,7 +354,7 @@
             start: crash.start,
             evidence,
             suspects: crash.suspects.length,
-            othersRan: crash.othersRan,
+            isTimed: crash.isTimed,
             requests: this.loggedSuspects(crash),
         });
         this.logConvictions("endpoint crashed");
