Log and count how responses of endpoints end, and refusals without a request id

Nothing in the logs told a response that states its end from one that ends with its connection, which event the caller received last, or whether a response came on a connection that an earlier request had used. "Request ended." and "Send failed." now say so; the counters endpoint_responses_total and endpoint_refusals_total say how often.

--- a/packages/router/src/gateway/endpoint-send.ts
+++ b/packages/router/src/gateway/endpoint-send.ts
@@ -1,6 +1,7 @@
 import type { EndpointState, TrackedSend } from "@gooseberrybend/core/dispatch";
 import type { Dispatcher } from "undici";
 import type { EndpointFields } from "./dialect.js";
+import type { ResponseEnd } from "./raw-headers.js";
 
 /** One send to an endpoint, and its state so far. */
 export type Send = {
@@ -11,6 +12,8 @@
     controller: Dispatcher.DispatchController | undefined;
     /** True once bytes may have been sent. */
     requestStarted: boolean;
+    /** False only if the connection was opened for this request. */
+    onReusedConnection: boolean;
     hasResponded: boolean;
     ended: boolean;
     status: number;
@@ -21,6 +24,8 @@
     /** Size of the buffered body. */
     bufferedBytes: number;
     isStreaming: boolean;
+    /** How the response ended; undefined before, and if it broke off. */
+    end: ResponseEnd | undefined;
     /** Set once bytes may have been sent. */
     trackedSend: TrackedSend | undefined;
 };
@@ -33,6 +38,7 @@
         expectedWork,
         controller: undefined,
         requestStarted: false,
+        onReusedConnection: true,
         hasResponded: false,
         ended: false,
         status: 0,
@@ -41,6 +47,7 @@
         chunks: [],
         bufferedBytes: 0,
         isStreaming: false,
+        end: undefined,
         trackedSend: undefined,
     };
 }
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -6,17 +6,16 @@
     type PlacementQuery,
     recordConnectFailure,
     recordFirstByte,
-    recordFirstSend,
     recordOutcome,
     recordSend,
     returnDelayMs,
     type SendFailure,
-    takeRepeat,
 } from "@gooseberrybend/core/dispatch";
 import type { Dispatcher } from "undici";
 import type { AdmittedRequest } from "./admitted-request.js";
 import { CallerAnswer } from "./caller-answer.js";
 import { REFUSED_CODE } from "./connection-check.js";
+import { observeReuse } from "./connection-use.js";
 import { createSend, type Send } from "./endpoint-send.js";
 import { EventSplitter } from "./event-splitter.js";
 import type { GatewayContext } from "./gateway-context.js";
@@ -24,6 +23,8 @@
 import { endOfResponse, withoutContentLength } from "./raw-headers.js";
 import { noEndpointCause, type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
 import { isForOtherRequest, recordBytesReceived, recordRequestLimit, recordResponseHead } from "./response-head.js";
+import { responseFigures } from "./response-log.js";
+import { recordFirst, takeRetry } from "./retry-accounting.js";
 import { sendOptions } from "./send-options.js";
 import { TokenClaim } from "./token-claim.js";
 
@@ -74,8 +75,7 @@
         response.on("close", () => this.handleCallerDisconnect());
         this.timer = setTimeout(() => this.handleDeadline(), Math.max(0, this.deadline - this.context.clock()));
         if (await this.reserve()) {
-            const { retryWindowMs } = this.context.settings().bounds;
-            recordFirstSend(this.context.retries, this.query.service, retryWindowMs, this.context.clock());
+            recordFirst(this.context, this.query.service, this.context.clock());
             this.dispatch();
         }
     }
@@ -141,6 +141,9 @@
                     return;
                 }
                 send.requestStarted = true;
+                observeReuse((isReused) => {
+                    send.onReusedConnection = isReused;
+                });
                 send.trackedSend = this.context.suspects.track(send.row.entry, this.admitted.features);
                 this.sends++;
                 this.tried.add(send.row.entry.id);
@@ -160,6 +163,9 @@
         send.headers = headers;
         send.fields = this.context.dialect.readEndpointHeaders(status, headers);
         recordResponseHead(this.context, this.query, send, now);
+        if (send.fields.notRun) {
+            this.context.countEndpointRefusal(send.fields.requestId !== undefined, send.onReusedConnection);
+        }
         this.firstMs ??= Math.round(now - this.admitted.arrivedAt);
         const isSuccess = status >= 200 && status < 300;
         if (isForOtherRequest(send.fields, this.admitted.fields.requestId) || (isSuccess && !send.fields.sealed)) {
@@ -238,6 +244,8 @@
         }
         const failed = send.status >= MIN_FAILURE_STATUS;
         const ended = endOfResponse(send.status, send.headers, this.admitted.request.method);
+        send.end = ended;
+        this.context.countResponse(ended);
         this.endSend(send, failed, ended === "complete");
         if (send.fields!.sealed && !send.fields!.notRun && !failed) {
             this.context.suspects.recordResponse(send.row.entry, send.trackedSend!, send.status, ended);
@@ -287,6 +295,7 @@
             return;
         }
         this.mayHaveRun = true;
+        this.context.countResponse("broken");
         void this.context.suspects.recordBrokenConnection(send.row.entry);
         this.context.logs.endpoints.warn("Connection to the endpoint broke after the request was sent.", {
             ...this.figures(send),
@@ -330,9 +339,14 @@
             resumable: route.resumable && (this.splitter.lastEventId !== undefined || this.splitter.eventCount === 0),
             deadline: this.deadline,
         };
-        const step = nextStep(route, state, failure, () => this.takeRetry(now), now);
+        const step = nextStep(route, state, failure, () => takeRetry(this.context, this.query.service, now), now);
         this.context.countFailedSend(step.kind, failure);
-        this.context.logs.requests.info("Send failed.", { ...this.figures(send), failure, next: step.kind });
+        this.context.logs.requests.info("Send failed.", {
+            ...this.figures(send),
+            failure,
+            next: step.kind,
+            ...responseFigures(send, this.splitter),
+        });
         switch (step.kind) {
             case "retry":
                 return this.dispatch();
@@ -350,12 +364,6 @@
         }
     }
 
-    private takeRetry(now: number): boolean {
-        const { retryRatio, retrySlack, retryWindowMs } = this.context.settings().bounds;
-        const bounds = { ratio: retryRatio, slack: retrySlack, windowMs: retryWindowMs };
-        return takeRepeat(this.context.retries, this.query.service, bounds, this.context.fleetShare(), now);
-    }
-
     // Called when the request can't be sent to any endpoint.
     private refuseOrAbort(cause: RefusalCause, waitMs: number): void {
         if (this.answer.isHeadSent) {
@@ -456,7 +464,7 @@
         this.context.logs.requests.info("Request ended.", {
             ...this.figures(send),
             outcome,
-            status: send?.status,
+            ...responseFigures(send, this.splitter),
             firstMs: this.firstMs,
             targetMs: this.admitted.route.targetMs,
             timeoutMs: this.admitted.route.timeoutMs,
--- a/packages/router/src/gateway/gateway-context.ts
+++ b/packages/router/src/gateway/gateway-context.ts
@@ -15,6 +15,7 @@
 import type { GatewayLogs } from "./log-sink.js";
 import type { PoisonRequestTracker } from "./poison-request-tracker.js";
 import type { PrepaidAccounts } from "./prepaid-accounts.js";
+import type { ResponseEnd } from "./raw-headers.js";
 import type { RefusalCause } from "./refusal.js";
 
 /** Dependencies shared by the exchanges of one router. */
@@ -39,6 +40,8 @@
     readonly countRefusal: (cause: RefusalCause) => void;
     readonly countFailedSend: (step: string, failure: SendFailure) => void;
     readonly countCutAnswer: () => void;
+    readonly countResponse: (end: ResponseEnd | "broken") => void;
+    readonly countEndpointRefusal: (hasId: boolean, onReusedConnection: boolean) => void;
     readonly countLimitEvent: (event: LimitEvent) => void;
     readonly observeFirstByte: (request: AdmittedRequest, now: number) => void;
     readonly observeRequestEnd: (outcome: string, tookMs: number) => void;
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -11,6 +11,9 @@
 /** Event of the request limit of an endpoint. */
 export type LimitEvent = typeof limitEvents[number];
 
+/** How responses of endpoints end, as counted in the metrics. */
+export const responseEnds = ["complete", "connection-closed", "broken"] as const;
+
 /** Metrics of a router that serves a deployment. Labels are reasons and outcomes only. */
 export type GatewayMetrics = ReturnType<typeof createGatewayMetrics>;
 
@@ -29,11 +32,19 @@
         "event",
     ]);
     limitEvents.forEach((event) => limits.inc({ event }, 0));
+    const responses = counter("endpoint_responses_total", "Responses of endpoints by how they ended.", ["end"]);
+    responseEnds.forEach((end) => responses.inc({ end }, 0));
     return {
         registry,
         refusals,
         suspects,
         limits,
+        responses,
+        endpointRefusals: counter(
+            "endpoint_refusals_total",
+            "Responses that state that the request did not run, by request id and connection.",
+            ["id", "connection"],
+        ),
         failedSends: counter("failed_sends_total", "Failed sends by failure and what followed.", ["failure", "next"]),
         cutAnswers: counter("cut_answers_total", "Answers that ended before they were whole.", []),
         endedRequests: counter("requests_total", "Ended requests by outcome.", ["outcome"]),
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -274,6 +274,12 @@
             countRefusal: (cause) => this.metrics.refusals.inc({ cause }),
             countFailedSend: (next, failure) => this.metrics.failedSends.inc({ next, failure }),
             countCutAnswer: () => this.metrics.cutAnswers.inc(),
+            countResponse: (end) => this.metrics.responses.inc({ end }),
+            countEndpointRefusal: (hasId, onReusedConnection) =>
+                this.metrics.endpointRefusals.inc({
+                    id: hasId ? "echoed" : "missing",
+                    connection: onReusedConnection ? "reused" : "new",
+                }),
             countLimitEvent: (event) => this.metrics.limits.inc({ event }),
             observeFirstByte: (request, now) =>
                 this.metrics.firstByteSeconds.observe((now - request.arrivedAt) / 1_000),
