Split streams whose lines end with CR LF or CR into events

Callers of a resumable stream with CR LF line ends received no event, and a broken connection at its end: the splitter knew LF only, so that no event was ever complete. Line ends that follow the last event are forwarded at the end of the stream, so that its bytes stay the endpoint's.

--- a/packages/router/src/gateway/event-splitter.ts
+++ b/packages/router/src/gateway/event-splitter.ts
@@ -1,4 +1,7 @@
-const EVENT_END = "\n\n";
+// A lone CR ends a line too, but not the first half of CR LF.
+const EVENT_END = /(?:\r\n|\n|\r(?!\n)){2}/g;
+const ID_LINE = /(?:^|[\r\n])id: ?([^\r\n]*)/;
+const LINE_ENDS_ONLY = /^[\r\n]*$/;
 
 /** Maximum size of an event; events of model engines have about 100 bytes. */
 const MAX_EVENT_BYTES = 256 * 1024;
@@ -13,7 +16,7 @@
 
     /** Whether part of an event is buffered. */
     get hasPartialEvent(): boolean {
-        return this.partialEvent !== "";
+        return !LINE_ENDS_ONLY.test(this.partialEvent);
     }
 
     /** Whether the buffered part of an event exceeds the maximum size. */
@@ -25,35 +28,29 @@
     push(bytes: Buffer): Buffer | undefined {
         // Latin 1 maps each byte to one character, so chunk boundaries never split a character.
         const text = this.partialEvent + bytes.toString("latin1");
-        const end = text.lastIndexOf(EVENT_END);
-        if (end < 0) {
-            this.partialEvent = text;
-            return undefined;
+        let end = 0;
+        for (const match of text.matchAll(EVENT_END)) {
+            this.addEvent(text.slice(end, match.index));
+            end = match.index + match[0].length;
         }
-        const complete = text.slice(0, end + EVENT_END.length);
-        this.partialEvent = text.slice(complete.length);
-        this.countEvents(complete);
-        return Buffer.from(complete, "latin1");
+        this.partialEvent = text.slice(end);
+        return end === 0 ? undefined : Buffer.from(text.slice(0, end), "latin1");
     }
 
-    /** Drops the partial event of a broken stream, so that another one can resume after the last complete event. */
-    dropPartial(): void {
+    /** Returns the line ends that follow the last event, once the stream has ended. */
+    takeRemainder(): Buffer | undefined {
+        const remainder = this.partialEvent;
         this.partialEvent = "";
+        return remainder === "" ? undefined : Buffer.from(remainder, "latin1");
     }
 
-    private countEvents(complete: string): void {
-        let from = 0;
-        for (let at = complete.indexOf(EVENT_END); at >= 0; at = complete.indexOf(EVENT_END, from)) {
-            this.recordId(complete.slice(from, at));
-            this.eventCount++;
-            from = at + EVENT_END.length;
-        }
+    /** Drops the partial event of a broken stream, so that another one can resume after the last complete event. */
+    dropPartial(): void {
+        this.partialEvent = "";
     }
 
-    private recordId(event: string): void {
-        const id = /(?:^|\n)id: ?([^\n]*)/.exec(event)?.[1];
-        if (id !== undefined) {
-            this.lastEventId = id;
-        }
+    private addEvent(event: string): void {
+        this.eventCount++;
+        this.lastEventId = ID_LINE.exec(event)?.[1] ?? this.lastEventId;
     }
 }
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -254,6 +254,10 @@
             return;
         }
         if (send.isStreaming) {
+            this.answer.write(
+                this.admitted.route.resumable ? this.splitter.takeRemainder() : undefined,
+                send.controller,
+            );
             this.finish("answered", send);
             this.answer.end();
             return;
