Continue a broken stream only with the rest of the same stream

Cause: the response to a resumed send was handled by the code for first responses. Only statuses of 500 and more and stated refusals were told apart; others wrote a second head, which throws inside a callback of the HTTP client, where the error was dropped.

What a response proves is now decided in one place without I/O (response-verdict.ts): a begun stream is continued only by a stream of the same status whose first event follows the last one delivered. Anything else is a failure of that send, so that the next endpoint is asked, or the response is cut. A stream is not resumed after an event without an id. Successes of another media type on a stream's route are buffered like other plain responses. Errors thrown in callbacks of a send and in its timers are logged and end the request.

--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -13,6 +13,7 @@
 export * from "./prepaid.js";
 export * from "./prompt-parts.js";
 export * from "./request-digest.js";
+export * from "./response-verdict.js";
 export * from "./retry-quota.js";
 export * from "./routing.js";
 export * from "./shedding.js";
--- a/packages/router/src/gateway/caller-answer.ts
+++ b/packages/router/src/gateway/caller-answer.ts
@@ -6,17 +6,22 @@
 
 /** The response to a caller; a resumed stream is assembled from several endpoints. */
 export class CallerAnswer {
-    /** True once the response head has been sent. */
-    isHeadSent = false;
+    /** Status of the response head; undefined until it is sent. */
+    status: number | undefined;
     private pausedSource: Dispatcher.DispatchController | undefined;
 
     constructor(private readonly response: ServerResponse) {
         response.on("drain", () => this.resumeSource());
     }
 
+    /** Whether the response head has been sent. */
+    get isHeadSent(): boolean {
+        return this.status !== undefined;
+    }
+
     /** Sends the response head. */
     sendHead(status: number, headers: string[]): void {
-        this.isHeadSent = true;
+        this.status = status;
         this.response.writeHead(status, headers);
         this.response.flushHeaders();
     }
@@ -34,10 +39,11 @@
         this.response.end();
     }
 
-    /** Sends a complete response to a request with the given method; `headers` must not contain Content-Length. */
-    sendComplete(method: string | undefined, status: number, headers: string[], body: Buffer): void {
-        const hasBody = method !== "HEAD" && !BODYLESS_STATUSES.has(status);
-        this.response.writeHead(status, hasBody ? [...headers, "Content-Length", String(body.length)] : headers);
+    /** Sends a response that has ended; `headers` must not contain Content-Length. */
+    sendWhole(status: number, headers: string[], body: Buffer): void {
+        const { method } = this.response.req;
+        const hasLength = method !== "HEAD" && !BODYLESS_STATUSES.has(status);
+        this.response.writeHead(status, hasLength ? [...headers, "Content-Length", String(body.length)] : headers);
         this.response.end(body);
     }
 
--- a/packages/router/src/gateway/endpoint-send.ts
+++ b/packages/router/src/gateway/endpoint-send.ts
@@ -1,7 +1,6 @@
-import type { EndpointState, TrackedSend } from "@gooseberrybend/core/dispatch";
+import type { EndpointState, HeadVerdict, ResponseEnd, TrackedSend } from "@gooseberrybend/core/dispatch";
 import type { Dispatcher } from "undici";
 import type { EndpointFields } from "./dialect.js";
-import type { ResponseEnd } from "./raw-headers.js";
 
 /** One send to an endpoint, and its state so far. */
 export type Send = {
@@ -19,6 +18,10 @@
     status: number;
     fields: EndpointFields | undefined;
     headers: string[];
+    /** How the end of the response shows, by its head. */
+    framing: ResponseEnd;
+    /** What the response head proves; undefined before. */
+    verdict: HeadVerdict | undefined;
     /** Body of a response that is buffered until complete. */
     chunks: Buffer[];
     /** Size of the buffered body. */
@@ -44,6 +47,8 @@
         status: 0,
         fields: undefined,
         headers: [],
+        framing: "connection-closed",
+        verdict: undefined,
         chunks: [],
         bufferedBytes: 0,
         isStreaming: false,
--- a/packages/router/src/gateway/event-splitter.test.ts
+++ b/packages/router/src/gateway/event-splitter.test.ts
@@ -28,7 +28,7 @@
         const splitter = new EventSplitter();
         splitter.push(Buffer.from("id: 1\ndata: 1\n\nid: 2\nda"));
         expect(splitter.hasPartialEvent).toBe(true);
-        splitter.dropPartial();
+        splitter.breakOff();
         expect(splitter.hasPartialEvent).toBe(false);
         expect(splitter.push(Buffer.from("id: 2\ndata: 2\n\n"))!.toString()).toBe("id: 2\ndata: 2\n\n");
     });
--- a/packages/router/src/gateway/event-splitter.ts
+++ b/packages/router/src/gateway/event-splitter.ts
@@ -1,18 +1,40 @@
+import { advance, continuesStream, STREAM_START, type StreamPosition } from "@gooseberrybend/core/dispatch";
+
 // A lone CR ends a line too, but not the first half of CR LF.
 const EVENT_END = /(?:\r\n|\n|\r(?!\n)){2}/g;
 const ID_LINE = /(?:^|[\r\n])id: ?([^\r\n]*)/;
+// Comments, such as those that keep a connection alive, have no data and are no events.
+const DATA_LINE = /(?:^|[\r\n])data(?::|[\r\n]|$)/;
 const LINE_ENDS_ONLY = /^[\r\n]*$/;
 
 /** Maximum size of an event; events of model engines have about 100 bytes. */
 const MAX_EVENT_BYTES = 256 * 1024;
 
-/** Splits a stream into complete events, and counts them. */
+/** Splits a stream into complete events, counts them, and checks that a resumed stream continues the one before. */
 export class EventSplitter {
     /** Complete events returned so far. */
     eventCount = 0;
-    /** Id of the last complete event that had one. */
-    lastEventId: string | undefined;
+    /** True if an event of a resumed stream did not follow the last one; it was not returned. */
+    hasGap = false;
+    private position: StreamPosition;
     private partialEvent = "";
+    /** Events at the last break of the stream; undefined if it never broke. */
+    private countAtBreak: number | undefined;
+
+    /** `resumeAfter` is the id of the last event that the caller has received on an earlier connection. */
+    constructor(resumeAfter?: string) {
+        this.position = { ...STREAM_START, lastId: resumeAfter };
+    }
+
+    /** Id of the last event that the caller has received; undefined if that had none. */
+    get lastEventId(): string | undefined {
+        return this.position.lastId;
+    }
+
+    /** Whether another endpoint can be asked for the events after the last one. */
+    get isResumable(): boolean {
+        return this.lastEventId !== undefined || this.eventCount === 0;
+    }
 
     /** Whether part of an event is buffered. */
     get hasPartialEvent(): boolean {
@@ -24,13 +46,20 @@
         return this.partialEvent.length > MAX_EVENT_BYTES;
     }
 
+    /** Whether the stream has broken after events and no event has continued it. */
+    get isWithoutContinuation(): boolean {
+        return this.eventCount > 0 && this.countAtBreak === this.eventCount;
+    }
+
     /** Adds bytes, and returns all events completed by them. */
     push(bytes: Buffer): Buffer | undefined {
         // Latin 1 maps each byte to one character, so chunk boundaries never split a character.
         const text = this.partialEvent + bytes.toString("latin1");
         let end = 0;
         for (const match of text.matchAll(EVENT_END)) {
-            this.addEvent(text.slice(end, match.index));
+            if (!this.addEvent(text.slice(end, match.index))) {
+                break;
+            }
             end = match.index + match[0].length;
         }
         this.partialEvent = text.slice(end);
@@ -44,13 +73,24 @@
         return remainder === "" ? undefined : Buffer.from(remainder, "latin1");
     }
 
-    /** Drops the partial event of a broken stream, so that another one can resume after the last complete event. */
-    dropPartial(): void {
+    /** Drops the partial event of a broken stream, so that another one can continue after the last complete event. */
+    breakOff(): void {
         this.partialEvent = "";
+        this.hasGap = false;
+        this.countAtBreak = this.eventCount;
     }
 
-    private addEvent(event: string): void {
+    private addEvent(event: string): boolean {
+        if (!DATA_LINE.test(event)) {
+            return true;
+        }
+        const id = ID_LINE.exec(event)?.[1];
+        if (this.countAtBreak === this.eventCount && !continuesStream(this.position, id)) {
+            this.hasGap = true;
+            return false;
+        }
+        this.position = advance(this.position, id);
         this.eventCount++;
-        this.lastEventId = ID_LINE.exec(event)?.[1] ?? this.lastEventId;
+        return true;
     }
 }
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -2,11 +2,11 @@
 import {
     type AttemptState,
     chooseEndpoint,
+    impliesNotRun,
+    judgeEnd,
     nextStep,
     type PlacementQuery,
     recordConnectFailure,
-    recordFirstByte,
-    recordOutcome,
     recordSend,
     returnDelayMs,
     type SendFailure,
@@ -18,18 +18,18 @@
 import { observeReuse } from "./connection-use.js";
 import { createSend, type Send } from "./endpoint-send.js";
 import { EventSplitter } from "./event-splitter.js";
+import { ExchangeLog } from "./exchange-log.js";
 import type { GatewayContext } from "./gateway-context.js";
+import { guard, guardedHandler } from "./guarded-handler.js";
 import { logPlacement } from "./placement-log.js";
-import { endOfResponse, withoutContentLength } from "./raw-headers.js";
+import { rawHeadersOf, withoutContentLength } from "./raw-headers.js";
 import { noEndpointCause, type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
-import { isForOtherRequest, recordBytesReceived, recordRequestLimit, recordResponseHead } from "./response-head.js";
-import { responseFigures } from "./response-log.js";
+import { readResponseHead, recordBytesReceived, recordRequestLimit, recordResponseHead } from "./response-head.js";
 import { recordFirst, takeRetry } from "./retry-accounting.js";
-import { sendOptions } from "./send-options.js";
+import { recordSendEnd } from "./send-end.js";
+import { placementQueryOf, sendOptions } from "./send-options.js";
 import { TokenClaim } from "./token-claim.js";
 
-/** Statuses that imply that a request did not run; forwarded only if the endpoint states so explicitly. */
-const NOT_EXECUTED_STATUSES = new Set([408, 421, 429, 503]);
 const MIN_FAILURE_STATUS = 500;
 /** Bytes of a response that are buffered until complete; responses of plain services have a few KB. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
@@ -40,7 +40,8 @@
 export class Exchange {
     private readonly deadline: number;
     private readonly tried = new Set<EndpointId>();
-    private readonly splitter = new EventSplitter();
+    private readonly splitter: EventSplitter;
+    private readonly log: ExchangeLog;
     private readonly query: PlacementQuery;
     private sends = 0;
     private mayHaveRun = false;
@@ -52,28 +53,32 @@
     private firstMs: number | undefined;
 
     constructor(private readonly context: GatewayContext, private readonly admitted: AdmittedRequest) {
-        const { route, fields, arrivedAt, service } = admitted;
+        const { route, fields, arrivedAt } = admitted;
         this.deadline = arrivedAt + Math.min(fields.callerTimeoutMs ?? Infinity, route.timeoutMs);
         this.tokenClaim = new TokenClaim(context, admitted);
         this.answer = new CallerAnswer(admitted.response);
-        this.query = {
-            service: service.name,
-            engine: service.engine,
-            parts: fields.parts,
-            promptTokens: fields.tokens?.prompt ?? 0,
-            domain: context.domain,
-            tried: this.tried,
-            isRepeat: false,
-            priority: admitted.account?.priority ?? route.priority,
-            cacheMs: context.settings().bounds.promptCacheMs,
-        };
+        this.splitter = new EventSplitter(fields.resumeAfter);
+        this.log = new ExchangeLog(
+            context,
+            admitted,
+            this.splitter,
+            () => ({ sends: this.sends, mayHaveRun: this.mayHaveRun }),
+        );
+        this.query = placementQueryOf(context, admitted, this.tried);
     }
 
-    /** Serves the request. */
+    /** Serves the request; ends it if an unexpected error occurs before it is sent. */
     async run(): Promise<void> {
+        await this.begin().catch((error: Error) => this.handleUnexpectedError(error));
+    }
+
+    private async begin(): Promise<void> {
         const { response } = this.admitted;
-        response.on("close", () => this.handleCallerDisconnect());
-        this.timer = setTimeout(() => this.handleDeadline(), Math.max(0, this.deadline - this.context.clock()));
+        response.on("close", this.guarded(() => this.handleCallerDisconnect()));
+        this.timer = setTimeout(
+            this.guarded(() => this.handleDeadline()),
+            Math.max(0, this.deadline - this.context.clock()),
+        );
         if (await this.reserve()) {
             recordFirst(this.context, this.query.service, this.context.clock());
             this.dispatch();
@@ -86,16 +91,11 @@
             this.tokenClaim.settle(0);
             return false;
         }
-        switch (reservation) {
-            case "reserved":
-                return true;
-            case "exhausted":
-                this.refuse("budget-exhausted", undefined, this.tokenClaim.figures());
-                return false;
-            case "short":
-                this.refuse("budget-unavailable", this.tokenClaim.retryAfterMs(), this.tokenClaim.figures());
-                return false;
+        const refusal = this.tokenClaim.refusalOf(reservation);
+        if (refusal !== undefined) {
+            this.refuse(refusal.cause, refusal.retryAfterMs, this.tokenClaim.figures());
         }
+        return refusal === undefined;
     }
 
     private dispatch(): void {
@@ -119,7 +119,7 @@
         const options = sendOptions(this.context, this.admitted, row, this.deadline - now, this.splitter.lastEventId);
         this.send = send;
         logPlacement(this.context, this.admitted, row, this.sends + 1, now);
-        setTimeout(() => this.handleConnectTimeout(send), CONNECT_TIMEOUT_MS);
+        setTimeout(this.guarded(() => this.handleConnectTimeout(send), send), CONNECT_TIMEOUT_MS);
         recordSend(this.context.endpoints, row, this.query, this.context.random, now);
         try {
             this.context.connectionsOf(row.entry, this.admitted.service)
@@ -133,49 +133,61 @@
     }
 
     private handlerOf(send: Send): Dispatcher.DispatchHandler {
-        return {
-            onRequestStart: (controller) => {
-                send.controller = controller;
-                if (send.ended || this.isFinished) {
-                    this.abort(send);
-                    return;
-                }
-                send.requestStarted = true;
-                observeReuse((isReused) => {
-                    send.onReusedConnection = isReused;
-                });
-                send.trackedSend = this.context.suspects.track(send.row.entry, this.admitted.features);
-                this.sends++;
-                this.tried.add(send.row.entry.id);
-            },
-            onResponseStart: (controller, status) => this.receiveHead(send, controller, status),
-            onResponseData: (unusedController, chunk) => this.receiveData(send, chunk),
-            onResponseEnd: () => this.receiveEnd(send),
-            onResponseError: (unusedController, error) => this.receiveError(send, error),
-        };
+        return guardedHandler({
+            start: (controller) => this.startSend(send, controller),
+            head: (controller, status) => this.receiveHead(send, controller, status),
+            data: (chunk) => this.receiveData(send, chunk),
+            end: () => this.receiveEnd(send),
+            error: (error) => this.receiveError(send, error),
+        }, (error) => this.handleUnexpectedError(error, send));
+    }
+
+    private startSend(send: Send, controller: Dispatcher.DispatchController): void {
+        send.controller = controller;
+        if (send.ended || this.isFinished) {
+            this.abort(send);
+            return;
+        }
+        send.requestStarted = true;
+        observeReuse((isReused) => {
+            send.onReusedConnection = isReused;
+        });
+        send.trackedSend = this.context.suspects.track(send.row.entry, this.admitted.features);
+        this.sends++;
+        this.tried.add(send.row.entry.id);
+    }
+
+    private guarded(callback: () => void, send?: Send): () => void {
+        return guard(callback, (error) => this.handleUnexpectedError(error, send));
+    }
+
+    private handleUnexpectedError(error: Error, send?: Send): void {
+        this.log.unexpectedError(send, error);
+        if (send !== undefined) {
+            if (!send.ended) {
+                this.endSend(send, true);
+            }
+            this.abort(send);
+        }
+        if (!this.isFinished) {
+            this.mayHaveRun = true;
+            this.finish("unexpected-error", send);
+        }
+        this.answer.abort();
     }
 
     private receiveHead(send: Send, controller: Dispatcher.DispatchController, status: number): void {
-        const headers = (controller as unknown as { rawHeaders: Buffer[]; }).rawHeaders
-            .map((value) => value.toString("latin1"));
         const now = this.context.clock();
-        send.status = status;
-        send.headers = headers;
-        send.fields = this.context.dialect.readEndpointHeaders(status, headers);
+        readResponseHead(this.context, this.admitted, send, rawHeadersOf(controller), status, this.answer.status);
         recordResponseHead(this.context, this.query, send, now);
-        if (send.fields.notRun) {
-            this.context.countEndpointRefusal(send.fields.requestId !== undefined, send.onReusedConnection);
-        }
         this.firstMs ??= Math.round(now - this.admitted.arrivedAt);
-        const isSuccess = status >= 200 && status < 300;
-        if (isForOtherRequest(send.fields, this.admitted.fields.requestId) || (isSuccess && !send.fields.sealed)) {
-            // Says nothing about this request, even if it states that it did not run.
+        if (send.verdict?.kind === "foreign") {
             this.mayHaveRun = true;
-            this.rejectAnswer(send, "Response belongs to another request or does not come from an endpoint; rejected.");
+            this.rejectAnswer(send, send.verdict.reason);
             return;
         }
         recordRequestLimit(this.context, send, now);
-        if (this.admitted.route.kind === "stream" && isSuccess) {
+        if (send.verdict?.kind === "stream") {
             this.startStreaming(send);
         }
     }
@@ -188,7 +200,10 @@
         }
         this.context.observeFirstByte(this.admitted, this.context.clock());
         const headers = this.context.dialect.responseHeaders(send.headers);
-        this.answer.sendHead(send.status, this.admitted.route.resumable ? withoutContentLength(headers) : headers);
+        this.answer.sendHead(
+            send.status,
+            this.admitted.route.resumable ? withoutContentLength(headers) : headers,
+        );
     }
 
     private receiveData(send: Send, chunk: Buffer): void {
@@ -200,14 +215,18 @@
             this.buffer(send, chunk);
             return;
         }
-        if (this.admitted.route.kind !== "stream") {
+        if (send.verdict?.kind !== "stream") {
             this.answer.write(chunk, send.controller);
             return;
         }
         const completeEvents = this.splitter.push(chunk);
+        if (this.splitter.hasGap) {
+            this.rejectAnswer(send, "it does not continue the stream after its last event");
+            return;
+        }
         this.answer.write(this.admitted.route.resumable ? completeEvents : chunk, send.controller);
         if (this.splitter.isEventTooLong) {
-            this.rejectAnswer(send, "Stream event exceeds the maximum size; response rejected.");
+            this.rejectAnswer(send, "an event exceeds the maximum size");
         }
     }
 
@@ -218,9 +237,8 @@
         if (send.bufferedBytes <= MAX_BUFFERED_BYTES) {
             return;
         }
-        const { sealed, notRun } = send.fields!;
-        if (!sealed || notRun || send.status >= MIN_FAILURE_STATUS || NOT_EXECUTED_STATUSES.has(send.status)) {
-            this.rejectAnswer(send, "Failure response exceeds the buffer limit; rejected.");
+        if (send.verdict!.kind !== "whole" || !send.fields!.sealed) {
+            this.rejectAnswer(send, "it is a failure and exceeds the buffer limit");
             return;
         }
         this.startStreaming(send);
@@ -228,7 +246,7 @@
     }
 
     private rejectAnswer(send: Send, reason: string): void {
-        this.context.logs.requests.warn(reason, this.figures(send));
+        this.log.rejected(send, reason);
         this.mayHaveRun ||= send.fields?.notRun !== true;
         this.endSend(send, true);
         this.abort(send);
@@ -239,49 +257,52 @@
         if (send.ended) {
             return;
         }
-        if (send.isStreaming && this.splitter.hasPartialEvent) {
-            return this.receiveError(send, new Error("stream ended inside an event"));
+        const isStream = send.verdict?.kind === "stream";
+        const verdict = judgeEnd({
+            hasPartialEvent: isStream && this.splitter.hasPartialEvent,
+            isEmptyContinuation: isStream && this.splitter.isWithoutContinuation,
+        });
+        if (verdict === "broken") {
+            this.receiveError(send, new Error("stream ended inside an event or without an event"));
+            return;
         }
-        const failed = send.status >= MIN_FAILURE_STATUS;
-        const ended = endOfResponse(send.status, send.headers, this.admitted.request.method);
-        send.end = ended;
-        this.context.countResponse(ended);
-        this.endSend(send, failed, ended === "complete");
+        send.end = send.framing;
+        this.context.countResponse(send.end);
+        const failed = send.status >= MIN_FAILURE_STATUS || send.verdict?.kind === "failure";
+        this.endSend(send, failed, send.end === "complete");
         if (send.fields!.sealed && !send.fields!.notRun && !failed) {
-            this.context.suspects.recordResponse(send.row.entry, send.trackedSend!, send.status, ended);
+            this.context.suspects.recordResponse(send.row.entry, send.trackedSend!, send.status, send.end);
         }
+        this.handleEndedResponse(send);
+    }
+
+    private handleEndedResponse(send: Send): void {
         if (this.isFinished) {
             return;
         }
-        if (send.isStreaming) {
-            this.answer.write(
-                this.admitted.route.resumable ? this.splitter.takeRemainder() : undefined,
-                send.controller,
-            );
-            this.finish("answered", send);
-            this.answer.end();
-            return;
-        }
-        if (send.fields!.notRun) {
-            this.handleFailure(send, "not-run");
-            return;
+        if (send.verdict?.kind === "not-run") {
+            return this.handleFailure(send, "not-run");
         }
         this.mayHaveRun = true;
-        if (failed) {
-            this.handleFailure(send, "failed");
-            return;
+        if (send.verdict?.kind === "failure") {
+            return this.handleFailure(send, "failed");
+        }
+        if (!send.isStreaming) {
+            return this.forwardAnswer(send);
         }
-        this.forwardAnswer(send);
+        this.answer.write(this.admitted.route.resumable ? this.splitter.takeRemainder() : undefined, send.controller);
+        this.finish("answered", send);
+        this.answer.end();
     }
 
     private forwardAnswer(send: Send): void {
-        if (NOT_EXECUTED_STATUSES.has(send.status) && !send.fields!.notRun) {
+        if (impliesNotRun(send.status) && !send.fields!.notRun) {
             // The endpoint does not state that the request did not run, so the router must not imply it.
-            return this.refuse("may-have-run", undefined, this.figures(send));
+            return this.refuse("may-have-run", undefined, this.log.figures(send));
         }
         const headers = withoutContentLength(this.context.dialect.responseHeaders(send.headers));
         this.finish("answered", send);
-        this.answer.sendComplete(this.admitted.request.method, send.status, headers, Buffer.concat(send.chunks));
+        this.answer.sendWhole(send.status, headers, Buffer.concat(send.chunks));
     }
 
     private receiveError(send: Send, error: Error): void {
@@ -298,17 +319,14 @@
             this.recordUnreachable(send, code, now);
             return;
         }
+        void this.context.suspects.recordBrokenConnection(send.row.entry);
+        this.handleBrokenResponse(send, code);
+    }
+
+    private handleBrokenResponse(send: Send, code: string): void {
         this.mayHaveRun = true;
         this.context.countResponse("broken");
-        void this.context.suspects.recordBrokenConnection(send.row.entry);
-        this.context.logs.endpoints.warn("Connection to the endpoint broke after the request was sent.", {
-            ...this.figures(send),
-            request: this.admitted.features.request,
-            code,
-            heard: send.hasResponded,
-            events: this.splitter.eventCount,
-            sentMsAgo: Math.round(now - send.sentAt),
-        });
+        this.log.broken(send, code, this.context.clock());
         this.handleFailure(send, "broken");
     }
 
@@ -326,7 +344,7 @@
             this.context.suspects.recordUnreachable(send.row.entry, now);
         }
         this.tried.add(send.row.entry.id);
-        this.context.logs.endpoints.warn("Could not connect to the endpoint.", { ...this.figures(send), code });
+        this.log.unreachable(send, code);
         this.handleFailure(send, "unreachable");
     }
 
@@ -340,22 +358,17 @@
             sends: this.sends,
             mayHaveRun: this.mayHaveRun,
             answering: this.answer.isHeadSent,
-            resumable: route.resumable && (this.splitter.lastEventId !== undefined || this.splitter.eventCount === 0),
+            resumable: route.resumable && this.splitter.isResumable,
             deadline: this.deadline,
         };
         const step = nextStep(route, state, failure, () => takeRetry(this.context, this.query.service, now), now);
         this.context.countFailedSend(step.kind, failure);
-        this.context.logs.requests.info("Send failed.", {
-            ...this.figures(send),
-            failure,
-            next: step.kind,
-            ...responseFigures(send, this.splitter),
-        });
+        this.log.failed(send, failure, step.kind);
         switch (step.kind) {
             case "retry":
                 return this.dispatch();
             case "resume":
-                this.splitter.dropPartial();
+                this.splitter.breakOff();
                 return this.dispatch();
             case "refuse":
                 return this.refuse(failure === "unreachable" ? "no-endpoint" : "endpoint-full", this.waitMs(now));
@@ -429,20 +442,17 @@
 
     private endSend(send: Send, failed: boolean, answered = send.hasResponded): void {
         send.ended = true;
-        this.context.suspects.recordSendEnd(send.trackedSend, answered, this.context.clock());
-        send.row.open--;
-        if (!send.hasResponded) {
-            recordFirstByte(send.row, this.query);
-        }
-        if (send.row.open === 0) {
-            send.row.unansweredSince = undefined;
-        }
-        recordOutcome(send.row, failed, this.context.clock());
+        recordSendEnd(this.context, this.query, send, failed, answered);
     }
 
     private refuse(cause: RefusalCause, retryAfterMs: number | undefined, figures: object = {}): void {
         this.context.countRefusal(cause);
-        this.context.logs.requests.info("Refused.", { ...this.figures(this.send), cause, retryAfterMs, ...figures });
+        this.context.logs.requests.info("Refused.", {
+            ...this.log.figures(this.send),
+            cause,
+            retryAfterMs,
+            ...figures,
+        });
         this.finish(cause, this.send);
         sendRefusal(this.admitted.response, cause, retryAfterMs);
     }
@@ -450,11 +460,7 @@
     // A caller must not mistake a partial response for a complete one.
     private abortAnswer(cause: string): void {
         this.context.countCutAnswer();
-        this.context.logs.requests.warn("Response aborted.", {
-            ...this.figures(this.send),
-            cause,
-            events: this.splitter.eventCount,
-        });
+        this.log.aborted(this.send, cause);
         this.finish(cause, this.send);
         this.answer.abort();
     }
@@ -462,38 +468,10 @@
     private finish(outcome: string, send: Send | undefined): void {
         this.isFinished = true;
         clearTimeout(this.timer);
-        this.settleTokens();
+        const ran = this.mayHaveRun || (this.send?.requestStarted === true && this.send.fields?.notRun !== true);
+        this.tokenClaim.settleEnd(ran, this.splitter.eventCount);
         const tookMs = Math.round(this.context.clock() - this.admitted.arrivedAt);
         this.context.observeRequestEnd(outcome, tookMs);
-        this.context.logs.requests.info("Request ended.", {
-            ...this.figures(send),
-            outcome,
-            ...responseFigures(send, this.splitter),
-            firstMs: this.firstMs,
-            targetMs: this.admitted.route.targetMs,
-            timeoutMs: this.admitted.route.timeoutMs,
-            patienceMs: this.admitted.fields.callerTimeoutMs,
-            tookMs,
-        });
-    }
-
-    private settleTokens(): void {
-        const ran = this.mayHaveRun || (this.send?.requestStarted === true && this.send.fields?.notRun !== true);
-        if (ran) {
-            this.tokenClaim.settleEvents(this.splitter.eventCount);
-        }
-        else {
-            this.tokenClaim.settle(0);
-        }
-    }
-
-    private figures(send: Send | undefined): Record<string, unknown> {
-        return {
-            id: this.admitted.fields.requestId,
-            account: this.admitted.account?.id,
-            endpoint: send?.row.entry.id,
-            sends: this.sends,
-            mayHaveRun: this.mayHaveRun,
-        };
+        this.log.ended(send, outcome, this.firstMs, tookMs);
     }
 }
--- a/packages/router/src/gateway/gateway-context.ts
+++ b/packages/router/src/gateway/gateway-context.ts
@@ -2,6 +2,7 @@
 import type {
     EndpointEntry,
     EndpointTable,
+    ResponseEnd,
     RetryQuota,
     SendFailure,
     ServiceDeclaration,
@@ -15,7 +16,6 @@
 import type { GatewayLogs } from "./log-sink.js";
 import type { PoisonRequestTracker } from "./poison-request-tracker.js";
 import type { PrepaidAccounts } from "./prepaid-accounts.js";
-import type { ResponseEnd } from "./raw-headers.js";
 import type { RefusalCause } from "./refusal.js";
 
 /** Dependencies shared by the exchanges of one router. */
--- a/packages/router/src/gateway/poison-request-tracker.ts
+++ b/packages/router/src/gateway/poison-request-tracker.ts
@@ -25,6 +25,7 @@
     recordTrial,
     refute,
     type RequestFeatures,
+    type ResponseEnd,
     startName,
     type SuspectFeature,
     type TrackedSend,
@@ -34,7 +35,6 @@
 import type { CrashReports } from "./crash-reports.js";
 import type { GatewayLogs } from "./log-sink.js";
 import type { StoredItem } from "./metadata-store.js";
-import type { ResponseEnd } from "./raw-headers.js";
 
 /** Maximum requests, and prompt parts of each, listed in one log line. */
 const MAX_LOGGED_REQUESTS = 8;
--- a/packages/router/src/gateway/raw-headers.ts
+++ b/packages/router/src/gateway/raw-headers.ts
@@ -1,5 +1,17 @@
+import type { ResponseEnd } from "@gooseberrybend/core/dispatch";
+import type { Dispatcher } from "undici";
 import type { RawHeaders } from "./dialect.js";
 
+const CONTENT_TYPE = "content-type";
+const EVENT_STREAM_TYPE = /^\s*text\/event-stream\s*(?:;|$)/i;
+
+/** Returns the headers of a response as they arrived. */
+export function rawHeadersOf(controller: Dispatcher.DispatchController): string[] {
+    // The type declarations of the HTTP client lack this field.
+    const { rawHeaders } = controller as unknown as { readonly rawHeaders: readonly Buffer[]; };
+    return rawHeaders.map((value) => value.toString("latin1"));
+}
+
 /** Returns headers without `content-length`. */
 export function withoutContentLength(headers: RawHeaders): string[] {
     const remaining: string[] = [];
@@ -11,8 +23,11 @@
     return remaining;
 }
 
-/** How the end of a response shows: by itself, or by the end of its connection, which a crash ends as well. */
-export type ResponseEnd = "complete" | "connection-closed";
+/** Returns whether a body is a stream of events, unless its headers declare another type. */
+export function isEventStream(headers: RawHeaders): boolean {
+    const index = headers.findIndex((name, at) => at % 2 === 0 && name.toLowerCase() === CONTENT_TYPE);
+    return index < 0 || EVENT_STREAM_TYPE.test(headers[index + 1]!);
+}
 
 /** Statuses of responses without a body. */
 const BODILESS_STATUSES = new Set([204, 304]);
--- a/packages/router/src/gateway/response-head.ts
+++ b/packages/router/src/gateway/response-head.ts
@@ -1,4 +1,5 @@
 import {
+    judgeHead,
     paceOf,
     type PlacementQuery,
     recordBackoff,
@@ -9,9 +10,36 @@
     recordResponseBytes,
     recordStatedLimit,
 } from "@gooseberrybend/core/dispatch";
-import type { EndpointFields } from "./dialect.js";
+import type { AdmittedRequest } from "./admitted-request.js";
 import type { Send } from "./endpoint-send.js";
 import type { GatewayContext } from "./gateway-context.js";
+import { endOfResponse, isEventStream } from "./raw-headers.js";
+
+/**
+ * Reads a response head, and decides what it proves. `begunStatus` is the status that the caller has already received
+ * with the beginning of a stream.
+ */
+export function readResponseHead(
+    context: GatewayContext,
+    { request, fields: { requestId }, route: { kind } }: AdmittedRequest,
+    send: Send,
+    headers: string[],
+    status: number,
+    begunStatus: number | undefined,
+): void {
+    const fields = context.dialect.readEndpointHeaders(status, headers);
+    send.status = status;
+    send.headers = headers;
+    send.framing = endOfResponse(status, headers, request.method);
+    send.fields = fields;
+    send.verdict = judgeHead(
+        { ...fields, status, isEventStream: isEventStream(headers) },
+        { requestId, kind, begunStatus },
+    );
+    if (fields.notRun) {
+        context.countEndpointRefusal(fields.requestId !== undefined, send.onReusedConnection);
+    }
+}
 
 /** Records what a response head reports about its endpoint: speed, load and availability. */
 export function recordResponseHead(context: GatewayContext, query: PlacementQuery, send: Send, now: number): void {
@@ -26,11 +54,6 @@
     recordAvailability(context, send, now);
 }
 
-/** Returns whether a response belongs to another request than the one with this id. */
-export function isForOtherRequest(fields: EndpointFields, requestId: string | undefined): boolean {
-    return fields.requestId !== undefined ? fields.requestId !== requestId : fields.sealed;
-}
-
 /** Records that an endpoint sent bytes. */
 export function recordBytesReceived(
     { suspects }: GatewayContext,
--- /dev/null
+++ b/packages/router/src/gateway/send-end.ts
@@ -0,0 +1,24 @@
+import { type PlacementQuery, recordFirstByte, recordOutcome } from "@gooseberrybend/core/dispatch";
+import type { Send } from "./endpoint-send.js";
+import type { GatewayContext } from "./gateway-context.js";
+
+/** Records the end of a send with its endpoint: load, health, and evidence of what it survived. */
+export function recordSendEnd(
+    context: GatewayContext,
+    query: PlacementQuery,
+    send: Send,
+    failed: boolean,
+    answered: boolean,
+): void {
+    const now = context.clock();
+    const { row } = send;
+    context.suspects.recordSendEnd(send.trackedSend, answered, now);
+    row.open--;
+    if (!send.hasResponded) {
+        recordFirstByte(row, query);
+    }
+    if (row.open === 0) {
+        row.unansweredSince = undefined;
+    }
+    recordOutcome(row, failed, now);
+}
--- a/packages/router/src/gateway/send-options.ts
+++ b/packages/router/src/gateway/send-options.ts
@@ -1,8 +1,28 @@
-import { type EndpointState, paceOf, rankAtEngine } from "@gooseberrybend/core/dispatch";
+import type { EndpointId } from "@gooseberrybend/core";
+import { type EndpointState, paceOf, type PlacementQuery, rankAtEngine } from "@gooseberrybend/core/dispatch";
 import type { Dispatcher } from "undici";
 import type { AdmittedRequest } from "./admitted-request.js";
 import type { GatewayContext } from "./gateway-context.js";
 
+/** Returns what the choice of an endpoint for a request depends on. `tried` is the set of endpoints it was sent to. */
+export function placementQueryOf(
+    context: GatewayContext,
+    { route, fields, service, account }: AdmittedRequest,
+    tried: ReadonlySet<EndpointId>,
+): PlacementQuery {
+    return {
+        service: service.name,
+        engine: service.engine,
+        parts: fields.parts,
+        promptTokens: fields.tokens?.prompt ?? 0,
+        domain: context.domain,
+        tried,
+        isRepeat: false,
+        priority: account?.priority ?? route.priority,
+        cacheMs: context.settings().bounds.promptCacheMs,
+    };
+}
+
 /** Returns the request to send to an endpoint, with the time left in ms and the event after which to resume. */
 export function sendOptions(
     context: GatewayContext,
--- a/packages/router/src/gateway/token-claim.ts
+++ b/packages/router/src/gateway/token-claim.ts
@@ -1,6 +1,7 @@
 import { prepaidFigures, type Reservation } from "@gooseberrybend/core/dispatch";
 import type { AdmittedRequest } from "./admitted-request.js";
 import type { GatewayContext } from "./gateway-context.js";
+import type { RefusalCause } from "./refusal.js";
 
 /** Share of the target time that a request waits for tokens from the store. */
 const TOKEN_WAIT_SHARE = 0.3;
@@ -29,10 +30,25 @@
         return reservation;
     }
 
-    /** Settles the claim of a request that may have run, by the number of events that were delivered. */
-    settleEvents(events: number): void {
+    /** Returns why a request without a reservation is refused, and after which time in ms it may be sent again. */
+    refusalOf(reservation: Reservation): { cause: RefusalCause; retryAfterMs: number | undefined; } | undefined {
+        switch (reservation) {
+            case "reserved":
+                return undefined;
+            case "exhausted":
+                return { cause: "budget-exhausted", retryAfterMs: undefined };
+            case "short":
+                return { cause: "budget-unavailable", retryAfterMs: this.retryAfterMs() };
+        }
+    }
+
+    /** Settles the claim of a request that has ended, by the number of events that were delivered if it may have run. */
+    settleEnd(mayHaveRun: boolean, events: number): void {
         const { fields, service } = this.admitted;
-        if (fields.tokens !== undefined) {
+        if (!mayHaveRun) {
+            this.settle(0);
+        }
+        else if (fields.tokens !== undefined) {
             const perEvent = service.engine?.tokensPerEvent ?? fields.tokens.output;
             this.settle(fields.tokens.prompt + Math.min(fields.tokens.output, events * perEvent));
         }
@@ -47,8 +63,8 @@
         }
     }
 
-    /** Returns the time in ms after which tokens may be available, with jitter so that callers don't retry together. */
-    retryAfterMs(): number {
+    // Jitter keeps callers from retrying together.
+    private retryAfterMs(): number {
         return this.context.prepaid.retryAfterMs(this.context.clock()) * (1 + this.context.random());
     }
 
