Believe a response without a request id only on a connection opened for its request

Callers were told "not run, try again" for requests that an endpoint had run (REFUSED), and unsafe requests ran at a second endpoint (TWICE): a faulty endpoint repeated an earlier refusal on a kept connection, without a request id, and the router took it for the refusal of the request at hand. One with the id of the earlier request was told apart before.

On a new connection nothing can be repeated, so refusals without an id are still believed there.

--- a/packages/core/src/dispatch/response-verdict.ts
+++ b/packages/core/src/dispatch/response-verdict.ts
@@ -19,6 +19,8 @@
     readonly kind: RouteKind;
     /** Status that the caller has already received with the beginning of a stream. */
     readonly begunStatus: number | undefined;
+    /** True unless the connection was opened for this request; a repeated earlier response may then be in its place. */
+    readonly onReusedConnection: boolean;
 };
 
 /** What the head of a response proves, and how its body is to be handled. */
@@ -49,7 +51,7 @@
 export function judgeHead(head: ResponseHead, situation: ResponseSituation): HeadVerdict {
     const { status } = head;
     const isSuccess = status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECTION_STATUS;
-    if (head.requestId !== undefined && head.requestId !== situation.requestId) {
+    if (head.requestId === undefined ? situation.onReusedConnection : head.requestId !== situation.requestId) {
         return { kind: "foreign", reason: "it does not name this request" };
     }
     if (head.sealed && head.requestId === undefined) {
--- a/packages/router/src/gateway/response-head.ts
+++ b/packages/router/src/gateway/response-head.ts
@@ -28,16 +28,17 @@
     begunStatus: number | undefined,
 ): void {
     const fields = context.dialect.readEndpointHeaders(status, headers);
+    const { onReusedConnection } = send;
     send.status = status;
     send.headers = headers;
     send.framing = endOfResponse(status, headers, request.method);
     send.fields = fields;
     send.verdict = judgeHead(
         { ...fields, status, isEventStream: isEventStream(headers) },
-        { requestId, kind, begunStatus },
+        { requestId, kind, begunStatus, onReusedConnection },
     );
     if (fields.notRun) {
-        context.countEndpointRefusal(fields.requestId !== undefined, send.onReusedConnection);
+        context.countEndpointRefusal(fields.requestId !== undefined, onReusedConnection);
     }
 }
 
