Pass a response that ends with its connection on as it came

Such a response now has neither length nor chunks for the caller either, and its connection ends with it. Before its end counts, the router checks that the endpoint still accepts connections: if it does not, the response has broken off, and is resumed, retried or cut. A resumed stream that began in chunks is cut if only a connection ends it. Where the router itself cuts a response without chunks, it resets the connection, as a close would end the body like that of a whole response.

--- a/packages/core/src/dispatch/response-verdict.ts
+++ b/packages/core/src/dispatch/response-verdict.ts
@@ -78,18 +78,22 @@
 
 /** A response body that has ended without an error of its connection. */
 export type EndedBody = {
+    readonly end: ResponseEnd;
     /** True if the last event is incomplete. */
     readonly hasPartialEvent: boolean;
     /** True if it was to continue a stream, and brought no event of it. */
     readonly isEmptyContinuation: boolean;
 };
 
-/** Whether a response is whole. */
-export type EndVerdict = "complete" | "broken";
+/** Whether a response is whole; `unconfirmed` if only the end of its connection says so. */
+export type EndVerdict = "complete" | "unconfirmed" | "broken";
 
 /** Decides whether a response that has ended is whole. */
-export function judgeEnd({ hasPartialEvent, isEmptyContinuation }: EndedBody): EndVerdict {
-    return hasPartialEvent || isEmptyContinuation ? "broken" : "complete";
+export function judgeEnd({ end, hasPartialEvent, isEmptyContinuation }: EndedBody): EndVerdict {
+    if (hasPartialEvent || isEmptyContinuation) {
+        return "broken";
+    }
+    return end === "complete" ? "complete" : "unconfirmed";
 }
 
 /** Place in a stream of events up to which a caller has received it. */
--- a/packages/router/src/gateway/caller-answer.ts
+++ b/packages/router/src/gateway/caller-answer.ts
@@ -1,3 +1,4 @@
+import type { ResponseEnd } from "@gooseberrybend/core/dispatch";
 import type { ServerResponse } from "node:http";
 import type { Dispatcher } from "undici";
 
@@ -8,6 +9,7 @@
 export class CallerAnswer {
     /** Status of the response head; undefined until it is sent. */
     status: number | undefined;
+    private endsWithConnection = false;
     private pausedSource: Dispatcher.DispatchController | undefined;
 
     constructor(private readonly response: ServerResponse) {
@@ -19,9 +21,10 @@
         return this.status !== undefined;
     }
 
-    /** Sends the response head. */
-    sendHead(status: number, headers: string[]): void {
+    /** Sends the response head. With `end` "connection-closed", no length or chunks tell the end of the body. */
+    sendHead(status: number, headers: string[], end: ResponseEnd): void {
         this.status = status;
+        this.applyEnd(end);
         this.response.writeHead(status, headers);
         this.response.flushHeaders();
     }
@@ -34,24 +37,44 @@
         }
     }
 
+    /** Whether the caller can be told that the body has ended in this way, but not more. */
+    canEnd(end: ResponseEnd): boolean {
+        return end === "complete" || this.endsWithConnection;
+    }
+
     /** Ends the body. */
     end(): void {
         this.response.end();
     }
 
-    /** Sends a response that has ended; `headers` must not contain Content-Length. */
-    sendWhole(status: number, headers: string[], body: Buffer): void {
+    /**
+     * Sends a response that has ended; `headers` must not contain Content-Length. The caller is told its length only
+     * if the endpoint told its end.
+     */
+    sendWhole(status: number, headers: string[], body: Buffer, end: ResponseEnd): void {
         const { method } = this.response.req;
-        const hasLength = method !== "HEAD" && !BODYLESS_STATUSES.has(status);
+        const hasLength = method !== "HEAD" && !BODYLESS_STATUSES.has(status) && end === "complete";
+        this.applyEnd(end);
         this.response.writeHead(status, hasLength ? [...headers, "Content-Length", String(body.length)] : headers);
         this.response.end(body);
     }
 
     /** Destroys the connection, so that the caller can't mistake a partial response for a complete one. */
     abort(): void {
+        if (this.endsWithConnection) {
+            // A close would end the body like that of a complete response.
+            this.response.socket?.resetAndDestroy();
+        }
         this.response.destroy();
     }
 
+    private applyEnd(end: ResponseEnd): void {
+        if (end === "connection-closed") {
+            this.endsWithConnection = true;
+            this.response.useChunkedEncodingByDefault = false;
+        }
+    }
+
     private resumeSource(): void {
         this.pausedSource?.resume();
         this.pausedSource = undefined;
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -203,6 +203,7 @@
         this.answer.sendHead(
             send.status,
             this.admitted.route.resumable ? withoutContentLength(headers) : headers,
+            send.framing,
         );
     }
 
@@ -259,6 +260,7 @@
         }
         const isStream = send.verdict?.kind === "stream";
         const verdict = judgeEnd({
+            end: send.framing,
             hasPartialEvent: isStream && this.splitter.hasPartialEvent,
             isEmptyContinuation: isStream && this.splitter.isWithoutContinuation,
         });
@@ -269,11 +271,27 @@
         send.end = send.framing;
         this.context.countResponse(send.end);
         const failed = send.status >= MIN_FAILURE_STATUS || send.verdict?.kind === "failure";
-        this.endSend(send, failed, send.end === "complete");
+        this.endSend(send, failed, verdict === "complete");
         if (send.fields!.sealed && !send.fields!.notRun && !failed) {
             this.context.suspects.recordResponse(send.row.entry, send.trackedSend!, send.status, send.end);
         }
-        this.handleEndedResponse(send);
+        if (verdict === "complete" || failed || send.verdict?.kind === "not-run") {
+            this.handleEndedResponse(send);
+            return;
+        }
+        this.confirmEnd(send).catch((error: Error) => this.handleUnexpectedError(error, send));
+    }
+
+    // A crash ends the connection too, so the response counts as whole only if the endpoint still runs.
+    private async confirmEnd(send: Send): Promise<void> {
+        const { entry, announcedLeaving } = send.row;
+        const isRunning = entry.leaving || announcedLeaving || await this.context.suspects.isRunning(entry);
+        if (isRunning) {
+            this.handleEndedResponse(send);
+        }
+        else if (!this.isFinished) {
+            this.handleBrokenResponse(send, "endpoint does not accept connections");
+        }
     }
 
     private handleEndedResponse(send: Send): void {
@@ -291,6 +309,10 @@
             return this.forwardAnswer(send);
         }
         this.answer.write(this.admitted.route.resumable ? this.splitter.takeRemainder() : undefined, send.controller);
+        if (!this.answer.canEnd(send.end!)) {
+            this.abortAnswer("end-not-stated");
+            return;
+        }
         this.finish("answered", send);
         this.answer.end();
     }
@@ -302,7 +324,7 @@
         }
         const headers = withoutContentLength(this.context.dialect.responseHeaders(send.headers));
         this.finish("answered", send);
-        this.answer.sendWhole(send.status, headers, Buffer.concat(send.chunks));
+        this.answer.sendWhole(send.status, headers, Buffer.concat(send.chunks), send.framing);
     }
 
     private receiveError(send: Send, error: Error): void {
--- a/packages/router/src/gateway/poison-request-tracker.ts
+++ b/packages/router/src/gateway/poison-request-tracker.ts
@@ -143,6 +143,11 @@
         }, SIGN_OF_LIFE_MS).unref();
     }
 
+    /** Returns whether an endpoint whose response ended with its connection still runs, as far as can be told. */
+    async isRunning(entry: EndpointEntry): Promise<boolean> {
+        return await this.checkEndpoint(entry) === "accepted";
+    }
+
     /** Records that an endpoint refuses connections. */
     recordUnreachable(entry: EndpointEntry, now: number): void {
         this.recordCrash(entry, "refuses-connections", recordEnd(this.table, startOf(entry), now));
