Take a reset within a service's response without a length for a failure

The same cause on the project's own interface: callers of a service got a truncated response with its own length. Its endpoint was reset within a response without a length, and the HTTP client takes that for its end.

An unexpected error while a response is handled is logged, and answered by 502 if nothing has reached the caller.

--- /dev/null
+++ b/packages/router/src/connections/index.ts
@@ -0,0 +1,1 @@
+export { resetDetectingConnector } from "./reset-detection.js";
--- a/packages/router/src/endpoints/endpoint-pool.ts
+++ b/packages/router/src/endpoints/endpoint-pool.ts
@@ -1,5 +1,6 @@
 import type { EndpointDeclaration, EndpointId } from "@gooseberrybend/core";
 import { Pool, request } from "undici";
+import { resetDetectingConnector } from "../connections/index.js";
 import { type EndpointCall, type EndpointClient, type MessageSink, parseLoadReport } from "./endpoint-client.js";
 import { ModelClient } from "./model-client.js";
 import { ServiceClient } from "./service-client.js";
@@ -80,7 +81,7 @@
         }
         const pool = new Pool(declaration.address, {
             connections: MAX_CONNECTIONS_PER_ENDPOINT,
-            connect: { timeout: this.connectMs },
+            connect: resetDetectingConnector(this.connectMs),
             headersTimeout: 0,
             bodyTimeout: 0,
         });
--- a/packages/router/src/gateway/caller-answer.ts
+++ b/packages/router/src/gateway/caller-answer.ts
@@ -59,8 +59,11 @@
         this.response.end(body);
     }
 
-    /** Destroys the connection, so that the caller can't mistake a partial response for a complete one. */
+    /** Destroys the connection of a partial response, so that the caller can't mistake it for a complete one. */
     abort(): void {
+        if (this.response.writableEnded) {
+            return;
+        }
         if (this.endsWithConnection) {
             // A close would end the body like that of a complete response.
             this.response.socket?.resetAndDestroy();
--- a/packages/router/src/gateway/endpoint-connections.ts
+++ b/packages/router/src/gateway/endpoint-connections.ts
@@ -1,6 +1,6 @@
 import type { EndpointEntry } from "@gooseberrybend/core/dispatch";
-import type { Socket } from "node:net";
-import { buildConnector, type Dispatcher, Pool } from "undici";
+import { type Dispatcher, Pool } from "undici";
+import { resetDetectingConnector } from "../connections/index.js";
 
 /** Time in ms after which a connection attempt fails; connecting usually takes a few ms. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -31,7 +31,7 @@
         this.release(entry);
         const pool = new Pool(`http://${entry.address}`, {
             connections: limit,
-            connect: connectWithResetDetection,
+            connect: resetDetectingConnector(CONNECT_TIMEOUT_MS),
             pipelining: 1,
             headersTimeout: 0,
             bodyTimeout: 0,
@@ -60,39 +60,6 @@
     }
 }
 
-/** Error code reported for a connection that was reset. */
-const RESET_ERROR_CODE = "ECONNABORTED";
-
-const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-
-function connectWithResetDetection(options: buildConnector.Options, callback: buildConnector.Callback): void {
-    connect(options, (...result) => {
-        if (result[1]) {
-            failOnReset(result[1]);
-        }
-        callback(...result);
-    });
-}
-
-// Closing a connection completes a response without a length, but a reset must not: the response may be
-// truncated. undici treats ECONNRESET as such a close, so it gets another code; and libuv reports a reset
-// that arrives together with data as an end, recognizable by the missing remote port.
-function failOnReset(socket: Socket): void {
-    socket.prependListener("error", (error: NodeJS.ErrnoException) => {
-        if (error.code === "ECONNRESET") {
-            error.code = RESET_ERROR_CODE;
-        }
-    });
-    const emit = socket.emit.bind(socket) as (event: string | symbol, ...values: unknown[]) => boolean;
-    socket.emit = (event: string | symbol, ...values: unknown[]): boolean => {
-        if (event === "end" && socket.remotePort === undefined) {
-            socket.destroy(Object.assign(new Error("connection reset"), { code: RESET_ERROR_CODE }));
-            return true;
-        }
-        return emit(event, ...values);
-    };
-}
-
 function startKeyOf(entry: EndpointEntry): string {
     return `${entry.id}/${entry.startedAt}/${entry.address}`;
 }
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -169,11 +169,11 @@
             }
             this.abort(send);
         }
-        if (!this.isFinished) {
-            this.mayHaveRun = true;
-            this.finish("unexpected-error", send);
+        if (this.isFinished) {
+            return this.answer.abort();
         }
-        this.answer.abort();
+        this.mayHaveRun = true;
+        this.refuseOrAbort("may-have-run", 0);
     }
 
     private receiveHead(send: Send, controller: Dispatcher.DispatchController, status: number): void {
