Reset a caller's connection only after the data before it has been read

A caller on Node.js took an endless stream without a length, which the router cut by a reset, for complete: the reset arrived together with data, and libuv reports that as the end of the connection. The reset now follows 50 ms after the last write, which also keeps data that was still on its way.

--- a/packages/router/src/gateway/caller-answer.ts
+++ b/packages/router/src/gateway/caller-answer.ts
@@ -5,6 +5,9 @@
 /** Statuses of responses without a body. */
 const BODYLESS_STATUSES = new Set([204, 304]);
 
+/** Delay in ms before a reset: Node.js reports one that arrives together with data as the end of the response. */
+const RESET_DELAY_MS = 50;
+
 /** The response to a caller; a resumed stream is assembled from several endpoints. */
 export class CallerAnswer {
     /** Status of the response head; undefined until it is sent. */
@@ -64,11 +67,13 @@
         if (this.response.writableEnded) {
             return;
         }
-        if (this.endsWithConnection) {
-            // A close would end the body like that of a complete response.
-            this.response.socket?.resetAndDestroy();
+        if (!this.endsWithConnection) {
+            this.response.destroy();
+            return;
         }
-        this.response.destroy();
+        // A close would end the body like that of a complete response.
+        const { socket } = this.response;
+        setTimeout(() => socket?.resetAndDestroy(), RESET_DELAY_MS);
     }
 
     private applyEnd(end: ResponseEnd): void {
