--- a/packages/router/src/gateway/event-splitter.test.ts
+++ b/packages/router/src/gateway/event-splitter.test.ts
@@ -8,6 +8,16 @@
         (unusedItem, index) => `id: ${index + 1}${lineEnd}data: ${"é".repeat(index)}${lineEnd}${lineEnd}`,
     ).join("");
 
+// Adds the bytes in pieces of these sizes, and returns the output.
+function pushAll(splitter: EventSplitter, bytes: Buffer, sizes: readonly number[]): Buffer[] {
+    let from = 0;
+    return [...sizes, bytes.length].map((size) => {
+        const piece = bytes.subarray(from, from + size);
+        from += size;
+        return splitter.push(piece) ?? Buffer.alloc(0);
+    });
+}
+
 describe("event splitter", () => {
     describe.each(["\n", "\r\n", "\r"])("with lines that end with %j", (lineEnd) => {
         const stream = eventsWith(lineEnd);
@@ -16,12 +26,7 @@
             fc.assert(fc.property(fc.array(fc.integer({ min: 1, max: 40 })), fc.nat(), (sizes, stop) => {
                 const bytes = Buffer.from(stream).subarray(0, stop % (Buffer.byteLength(stream) + 1));
                 const splitter = new EventSplitter();
-                const output: Buffer[] = [];
-                let from = 0;
-                for (const size of [...sizes, bytes.length]) {
-                    output.push(splitter.push(bytes.subarray(from, from + size)) ?? Buffer.alloc(0));
-                    from += size;
-                }
+                const output = pushAll(splitter, bytes, sizes);
                 const text = Buffer.concat(output).toString();
                 expect(stream.startsWith(text)).toBe(true);
                 // The last LF of a CR LF may arrive only with the next event.
@@ -36,12 +41,7 @@
             fc.assert(fc.property(fc.array(fc.integer({ min: 1, max: 40 })), (sizes) => {
                 const bytes = Buffer.from(stream);
                 const splitter = new EventSplitter();
-                const output: Buffer[] = [];
-                let from = 0;
-                for (const size of [...sizes, bytes.length]) {
-                    output.push(splitter.push(bytes.subarray(from, from + size)) ?? Buffer.alloc(0));
-                    from += size;
-                }
+                const output = pushAll(splitter, bytes, sizes);
                 expect(splitter.hasPartialEvent).toBe(false);
                 output.push(splitter.takeRemainder() ?? Buffer.alloc(0));
                 expect(Buffer.concat(output).toString()).toBe(stream);
