Share three checks that the code had twice

Whether a response has no body, and whether a status is that of a success, were each written in two places; both are one function now (isBodiless, isSuccess). isPoison read the crashes of a request twice for one decision. Behaviour is as before.

--- a/packages/core/src/dispatch/response-verdict.ts
+++ b/packages/core/src/dispatch/response-verdict.ts
@@ -42,6 +42,11 @@
 const MIN_REDIRECTION_STATUS = 300;
 const MIN_SERVER_ERROR_STATUS = 500;
 
+/** Returns whether a status is that of a success. */
+export function isSuccess(status: number): boolean {
+    return status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECTION_STATUS;
+}
+
 /** Returns whether a status implies that the request did not run. */
 export function impliesNotRun(status: number): boolean {
     return NOT_EXECUTED_STATUSES.has(status);
@@ -50,14 +55,14 @@
 /** Decides what the head of a response proves about the request. */
 export function judgeHead(head: ResponseHead, situation: ResponseSituation): HeadVerdict {
     const { status } = head;
-    const isSuccess = status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECTION_STATUS;
+    const succeeded = isSuccess(status);
     if (head.requestId === undefined ? situation.onReusedConnection : head.requestId !== situation.requestId) {
         return { kind: "foreign", reason: "it does not name this request" };
     }
     if (head.sealed && head.requestId === undefined) {
         return { kind: "foreign", reason: "it names no request although it has run one" };
     }
-    if (isSuccess && !head.sealed) {
+    if (succeeded && !head.sealed) {
         return { kind: "foreign", reason: "it does not come from an endpoint" };
     }
     if (head.notRun) {
@@ -67,10 +72,10 @@
         return { kind: "failure" };
     }
     if (situation.begunStatus !== undefined) {
-        const isContinuation = isSuccess && status === situation.begunStatus && head.isEventStream;
+        const isContinuation = succeeded && status === situation.begunStatus && head.isEventStream;
         return { kind: isContinuation ? "stream" : "failure" };
     }
-    return { kind: situation.kind === "stream" && isSuccess && head.isEventStream ? "stream" : "whole" };
+    return { kind: situation.kind === "stream" && succeeded && head.isEventStream ? "stream" : "whole" };
 }
 
 /** How the end of a response shows: by itself, or by the end of its connection, which a crash ends as well. */
--- a/packages/core/src/dispatch/suspect-requests.ts
+++ b/packages/core/src/dispatch/suspect-requests.ts
@@ -4,7 +4,6 @@
     convictedParts,
     type Crash,
     CRASH_LIMIT,
-    crashCount,
     crashedStarts,
     type CrashEvidence,
     createCrashEvidence,
@@ -226,7 +225,7 @@
             !crashed.includes(generationName(tracked))
             && isSilentSince(tracked, tracked.unanswered.get(request)!.at, now)
         );
-    return crashCount(evidence, request, now) + silenced.length >= CRASH_LIMIT;
+    return crashed.length + silenced.length >= CRASH_LIMIT;
 }
 
 /** Returns the first part of a prompt that is held responsible for crashes. */
--- a/packages/router/src/gateway/caller-answer.ts
+++ b/packages/router/src/gateway/caller-answer.ts
@@ -1,9 +1,7 @@
 import type { ResponseEnd } from "@gooseberrybend/core/dispatch";
 import type { ServerResponse } from "node:http";
 import type { Dispatcher } from "undici";
-
-/** Statuses of responses without a body. */
-const BODYLESS_STATUSES = new Set([204, 304]);
+import { isBodiless } from "./raw-headers.js";
 
 /** Delay in ms before a reset: Node.js reports one that arrives together with data as the end of the response. */
 const RESET_DELAY_MS = 50;
@@ -55,8 +53,7 @@
      * if the endpoint told its end.
      */
     sendWhole(status: number, headers: string[], body: Buffer, end: ResponseEnd): void {
-        const { method } = this.response.req;
-        const hasLength = method !== "HEAD" && !BODYLESS_STATUSES.has(status) && end === "complete";
+        const hasLength = end === "complete" && !isBodiless(status, this.response.req.method);
         this.applyEnd(end);
         this.response.writeHead(status, hasLength ? [...headers, "Content-Length", String(body.length)] : headers);
         this.response.end(body);
--- a/packages/router/src/gateway/poison-request-tracker.ts
+++ b/packages/router/src/gateway/poison-request-tracker.ts
@@ -13,6 +13,7 @@
     endTrackedSend,
     isPoison,
     isRefutable,
+    isSuccess,
     nextTrialAt,
     poisonPart,
     type PromptPartId,
@@ -370,7 +371,3 @@
 function startOf(entry: EndpointEntry): EndpointStart {
     return { endpoint: entry.id, startedAt: entry.startedAt };
 }
-
-function isSuccess(status: number): boolean {
-    return status >= 200 && status < 300;
-}
--- a/packages/router/src/gateway/raw-headers.ts
+++ b/packages/router/src/gateway/raw-headers.ts
@@ -32,9 +32,14 @@
 /** Statuses of responses without a body. */
 const BODILESS_STATUSES = new Set([204, 304]);
 
+/** Returns whether a response to a request with this method has no body, whatever its headers say. */
+export function isBodiless(status: number, method: string | undefined): boolean {
+    return method === "HEAD" || BODILESS_STATUSES.has(status);
+}
+
 /** Returns how the end of a response to a request with this method shows. */
 export function endOfResponse(status: number, headers: RawHeaders, method: string | undefined): ResponseEnd {
     const names = headers.filter((unusedValue, index) => index % 2 === 0).map((name) => name.toLowerCase());
     const isFramed = names.includes("content-length") || names.includes("transfer-encoding");
-    return isFramed || method === "HEAD" || BODILESS_STATUSES.has(status) ? "complete" : "connection-closed";
+    return isFramed || isBodiless(status, method) ? "complete" : "connection-closed";
 }
