Log the age of changes, and make what follows the store testable

Logs could not tell whether a request went to an endpoint that had left because the change was read late, or because the endpoint was kept after its registration was removed.

- 'Endpoint chosen for the request.' carries changesAgeMs, the age of the router's view of the store; gateway metric changes_age_seconds.
- 'Changes were read late.' when a view older than the deadline is replaced, 'Another router relayed no changes in time.' with the time it took, 'Registration removed; endpoint kept ...' with the time.

The handling of registrations moves out of Gateway, and StoreFollower sleeps on timers that tests can replace. No change of behaviour.

--- /dev/null
+++ b/packages/router/src/gateway/endpoint-registrations.ts
@@ -0,0 +1,117 @@
+import { brand, type EndpointId } from "@gooseberrybend/core";
+import {
+    type EndpointEntry,
+    type EndpointState,
+    type EndpointTable,
+    putEndpoint,
+    removeEndpoint,
+} from "@gooseberrybend/core/dispatch";
+import type { Dialect } from "./dialect.js";
+import type { GatewayLogs } from "./log-sink.js";
+import type { StoredItem } from "./metadata-store.js";
+
+/** Maximum number of keys whose invalid registration is remembered as logged. */
+const MAX_LOGGED_FAULTS = 1_000;
+
+/** Told of changes in the endpoints that are registered. */
+export type RegistrationListener = {
+    /** An endpoint restarted, or has another address or service. */
+    readonly onRestarted: (previous: EndpointState, entry: EndpointEntry) => void;
+    readonly onRemoved: (row: EndpointState) => void;
+    readonly onCount: (count: number) => void;
+};
+
+/** Applies the registrations of endpoints in the store to the table of endpoints. Times in ms. */
+export class EndpointRegistrations {
+    private readonly loggedFaults = new Map<string, string>();
+
+    constructor(
+        private readonly dialect: Pick<Dialect, "endpointPrefix" | "readEndpoint">,
+        private readonly table: EndpointTable,
+        private readonly logs: GatewayLogs,
+        private readonly listener: RegistrationListener,
+    ) {}
+
+    /** Applies all registrations of the store; endpoints without one are removed after a grace period. */
+    replace(items: readonly StoredItem[], graceMs: number, now: number): void {
+        const listed = new Set(items.map((item) => this.idOf(item.key)));
+        items.forEach((item) => this.put(item));
+        for (const id of this.table.rows.keys()) {
+            if (!listed.has(id)) {
+                this.removeAfter(id, graceMs, now);
+            }
+        }
+    }
+
+    /** Applies one registration; an invalid one names no endpoint. */
+    put(item: StoredItem): void {
+        const decoded = this.dialect.readEndpoint(item.key, item.value);
+        if (decoded.isErr()) {
+            this.logFault(item.key, decoded.error.message);
+            this.drop(this.idOf(item.key), "unreadable");
+            return;
+        }
+        const entry = decoded.value;
+        const existing = this.table.rows.get(entry.id);
+        const isChanged = existing === undefined || existing.entry.leaving !== entry.leaving
+            || existing.entry.startedAt !== entry.startedAt;
+        const previous = putEndpoint(this.table, entry);
+        if (previous !== undefined) {
+            this.listener.onRestarted(previous, entry);
+        }
+        if (isChanged) {
+            this.logs.endpoints.info(entry.leaving ? "Endpoint is leaving." : "Endpoint registered.", {
+                ...entry,
+                revision: item.revision,
+            });
+        }
+        this.listener.onCount(this.table.rows.size);
+    }
+
+    /** Removes the endpoint of a key, after a grace period in which a live endpoint registers again. */
+    remove(key: string, graceMs: number, now: number): void {
+        this.removeAfter(this.idOf(key), graceMs, now);
+    }
+
+    private removeAfter(id: EndpointId, graceMs: number, now: number): void {
+        const row = this.table.rows.get(id);
+        if (row === undefined) {
+            return;
+        }
+        if (graceMs <= 0) {
+            this.drop(id, "registration removed");
+            return;
+        }
+        this.logs.endpoints.info("Registration removed; endpoint kept, as it may have expired in a store outage.", {
+            endpoint: id,
+            keptMs: Math.round(graceMs),
+        });
+        row.expiresAt = now + graceMs;
+        setTimeout(() => {
+            if (this.table.rows.get(id) === row && row.expiresAt !== undefined) {
+                this.drop(id, "not back after the outage");
+            }
+        }, graceMs).unref();
+    }
+
+    private drop(id: EndpointId, reason: string): void {
+        const row = removeEndpoint(this.table, id);
+        if (row !== undefined) {
+            this.listener.onRemoved(row);
+            this.logs.endpoints.info("Endpoint removed.", { endpoint: id, reason });
+            this.listener.onCount(this.table.rows.size);
+        }
+    }
+
+    private idOf(key: string): EndpointId {
+        return brand<EndpointId>(key.slice(this.dialect.endpointPrefix.length));
+    }
+
+    // Invalid registrations are written repeatedly; each error is logged once.
+    private logFault(key: string, message: string): void {
+        if (this.loggedFaults.get(key) !== message && this.loggedFaults.size < MAX_LOGGED_FAULTS) {
+            this.loggedFaults.set(key, message);
+            this.logs.endpoints.warn("Invalid endpoint registration; endpoint not used.", { key, detail: message });
+        }
+    }
+}
--- a/packages/router/src/gateway/gateway-context.ts
+++ b/packages/router/src/gateway/gateway-context.ts
@@ -36,6 +36,9 @@
     /** This router's share of the limits that hold for the whole fleet. */
     readonly fleetShare: () => number;
     readonly configurationVersion: () => number | undefined;
+    /** Age in ms of this router's view of the store: it lacks no change that was made before that time. */
+    readonly changesAgeMs: (now: number) => number;
+    readonly observeChangesAge: (ageMs: number) => void;
     readonly connectionsOf: (entry: EndpointEntry, service: ServiceDeclaration) => Dispatcher;
     readonly countRefusal: (cause: RefusalCause) => void;
     readonly countFailedSend: (step: string, failure: SendFailure) => void;
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -3,6 +3,7 @@
 import { refusalStatus } from "./refusal.js";
 
 const FIRST_BYTE_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1, 2, 5];
+const CHANGES_AGE_BUCKETS_SECONDS = [0.2, 0.5, 1, 1.5, 2, 2.5, 3, 4, 6, 10];
 const REQUEST_BUCKETS_SECONDS = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 15];
 
 /** Events of the request limits of endpoints, as counted in the metrics. */
@@ -61,6 +62,12 @@
             buckets: FIRST_BYTE_BUCKETS_SECONDS,
             registers,
         }),
+        changesAgeSeconds: new Histogram({
+            name: "gooseberrybend_changes_age_seconds",
+            help: "Age of the router's view of the store at each send.",
+            buckets: CHANGES_AGE_BUCKETS_SECONDS,
+            registers,
+        }),
         requestSeconds: new Histogram({
             name: "gooseberrybend_request_seconds",
             help: "Time from arrival to the end of a request.",
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -1,4 +1,4 @@
-import { brand, type EndpointId, type FailureDomain, type Incarnation } from "@gooseberrybend/core";
+import { brand, type FailureDomain, type Incarnation } from "@gooseberrybend/core";
 import {
     addressesForCaller,
     changeSources,
@@ -8,8 +8,6 @@
     fleetShareOf,
     type InstanceCapacity,
     ownerOf,
-    putEndpoint,
-    removeEndpoint,
     type RoutingTable,
     updateSharers,
 } from "@gooseberrybend/core/dispatch";
@@ -21,6 +19,7 @@
 import { CrashReports, SUSPECT_PREFIX } from "./crash-reports.js";
 import type { Dialect } from "./dialect.js";
 import { EndpointConnections } from "./endpoint-connections.js";
+import { EndpointRegistrations } from "./endpoint-registrations.js";
 import { FLEET_PREFIX, FleetRegistry } from "./fleet-registry.js";
 import type { GatewayContext } from "./gateway-context.js";
 import { createGatewayMetrics, type GatewayMetrics } from "./gateway-metrics.js";
@@ -40,8 +39,6 @@
 
 /** Lifetime in ms of an address response; short, so that routers can leave soon. */
 export const ADDRESS_LIFETIME_MS = 2_000;
-/** Time in ms after a store outage within which expired registrations may be renewed. */
-const EXPIRY_GRACE_MS = 2_000;
 
 /** Interval in ms of removing expired crash reports, which count for minutes, and limits of removed endpoints. */
 const REPORT_SWEEP_INTERVAL_MS = 60_000;
@@ -64,6 +61,7 @@
     private readonly peers = new PeerCalls();
     private readonly peerServer: JSONRPCServer;
     private readonly registry: FleetRegistry;
+    private readonly registrations: EndpointRegistrations;
     private readonly prepaid: PrepaidAccounts;
     private readonly follower: StoreFollower;
     private readonly crashReports: CrashReports;
@@ -71,7 +69,6 @@
     private readonly limitReports: LimitReports;
     private readonly storeCalls = new Map<string, number>();
     private readonly timers: NodeJS.Timeout[] = [];
-    private readonly loggedFaults = new Map<string, string>();
 
     constructor(
         public settings: GatewaySettings,
@@ -114,6 +111,17 @@
             (part) => ownerOf(part, this.registry.serving) === settings.name,
             Math.random,
         );
+        this.registrations = new EndpointRegistrations(dialect, this.endpoints, this.logs, {
+            onRestarted: (previous, entry) => {
+                this.connections.release(previous.entry);
+                this.suspects.recordReplacedRegistration(previous.entry, entry);
+            },
+            onRemoved: (row) => {
+                this.connections.release(row.entry);
+                this.suspects.recordRemovedRegistration(row);
+            },
+            onCount: (count) => this.metrics.endpoints.set(count),
+        });
         this.limitReports = new LimitReports(
             store,
             this.endpoints.limits,
@@ -269,8 +277,10 @@
             settings: () => this.settings,
             fleetShare: () => this.fleetShare(),
             configurationVersion: () => this.table?.configuration.version,
+            changesAgeMs: (now) => this.follower.changesAgeMs(now),
             connectionsOf: (entry, service) =>
                 this.connections.poolOf(entry, service.connectionLimit, this.fleetShare()),
+            observeChangesAge: (ageMs) => this.metrics.changesAgeSeconds.observe(ageMs / 1_000),
             countRefusal: (cause) => this.metrics.refusals.inc({ cause }),
             countFailedSend: (next, failure) => this.metrics.failedSends.inc({ next, failure }),
             countCutAnswer: () => this.metrics.cutAnswers.inc(),
@@ -292,17 +302,8 @@
 
     private replaceAll(items: readonly StoredItem[], revision: number, now: number): void {
         const withPrefix = (prefix: string): StoredItem[] => items.filter((item) => item.key.startsWith(prefix));
-        this.registry.replace(withPrefix(FLEET_PREFIX), this.remainingExpiryGraceMs(now));
-        const listedKeys = new Set<string>();
-        for (const item of withPrefix(this.dialect.endpointPrefix)) {
-            listedKeys.add(item.key);
-            this.putEndpoint(item);
-        }
-        for (const id of this.endpoints.rows.keys()) {
-            if (!listedKeys.has(this.dialect.endpointPrefix + id)) {
-                this.handleDeletedRegistration(id, now);
-            }
-        }
+        this.registry.replace(withPrefix(FLEET_PREFIX), this.follower.expiryGraceMs(now));
+        this.registrations.replace(withPrefix(this.dialect.endpointPrefix), this.follower.expiryGraceMs(now), now);
         const configuration = items.find((item) => item.key === this.dialect.configurationKey);
         if (configuration !== undefined) {
             this.putConfiguration(configuration);
@@ -322,15 +323,15 @@
         }
         else if (key.startsWith(this.dialect.endpointPrefix)) {
             if (item === undefined) {
-                this.handleDeletedRegistration(brand<EndpointId>(key.slice(this.dialect.endpointPrefix.length)), now);
+                this.registrations.remove(key, this.follower.expiryGraceMs(now), now);
             }
             else {
-                this.putEndpoint(item);
+                this.registrations.put(item);
             }
         }
         else if (key.startsWith(FLEET_PREFIX)) {
             if (item === undefined) {
-                this.registry.remove(key, this.remainingExpiryGraceMs(now));
+                this.registry.remove(key, this.follower.expiryGraceMs(now));
             }
             else {
                 this.registry.put(item);
@@ -392,74 +393,6 @@
             routes: configuration.routes.length,
         });
     }
-
-    private putEndpoint(item: StoredItem): void {
-        const decoded = this.dialect.readEndpoint(item.key, item.value);
-        if (decoded.isErr()) {
-            this.logInvalidRegistration(item.key, decoded.error.message);
-            const id = brand<EndpointId>(item.key.slice(this.dialect.endpointPrefix.length));
-            this.dropEndpoint(id, "unreadable");
-            return;
-        }
-        const entry = decoded.value;
-        const existing = this.endpoints.rows.get(entry.id);
-        const isChanged = existing === undefined || existing.entry.leaving !== entry.leaving
-            || existing.entry.startedAt !== entry.startedAt;
-        const previous = putEndpoint(this.endpoints, entry);
-        if (previous !== undefined) {
-            this.connections.release(previous.entry);
-            this.suspects.recordReplacedRegistration(previous.entry, entry);
-        }
-        if (isChanged) {
-            this.logs.endpoints.info(entry.leaving ? "Endpoint is leaving." : "Endpoint registered.", {
-                ...entry,
-                revision: item.revision,
-            });
-        }
-        this.metrics.endpoints.set(this.endpoints.rows.size);
-    }
-
-    // Invalid registrations are written repeatedly; each error is logged once.
-    private logInvalidRegistration(key: string, message: string): void {
-        if (this.loggedFaults.get(key) !== message && this.loggedFaults.size < 1_000) {
-            this.loggedFaults.set(key, message);
-            this.logs.endpoints.warn("Invalid endpoint registration; endpoint not used.", { key, detail: message });
-        }
-    }
-
-    // Time in ms in which registrations that expired in a store outage may still be renewed.
-    private remainingExpiryGraceMs(now: number): number {
-        return Math.max(0, this.follower.restoredAt + EXPIRY_GRACE_MS - now);
-    }
-
-    private handleDeletedRegistration(id: EndpointId, now: number): void {
-        const row = this.endpoints.rows.get(id);
-        if (row === undefined) {
-            return;
-        }
-        const graceMs = this.remainingExpiryGraceMs(now);
-        if (graceMs <= 0) {
-            this.dropEndpoint(id, "registration removed");
-            return;
-        }
-        // The registration may have expired in the outage; a live endpoint registers again.
-        row.expiresAt = now + graceMs;
-        setTimeout(() => {
-            if (this.endpoints.rows.get(id) === row && row.expiresAt !== undefined) {
-                this.dropEndpoint(id, "not back after the outage");
-            }
-        }, graceMs).unref();
-    }
-
-    private dropEndpoint(id: EndpointId, reason: string): void {
-        const row = removeEndpoint(this.endpoints, id);
-        if (row !== undefined) {
-            this.connections.release(row.entry);
-            this.suspects.recordRemovedRegistration(row);
-            this.logs.endpoints.info("Endpoint removed.", { endpoint: id, reason });
-            this.metrics.endpoints.set(this.endpoints.rows.size);
-        }
-    }
 }
 
 function capacityOf(settings: GatewaySettings): InstanceCapacity {
--- a/packages/router/src/gateway/placement-log.ts
+++ b/packages/router/src/gateway/placement-log.ts
@@ -10,12 +10,15 @@
     attempt: number,
     now: number,
 ): void {
+    const changesAgeMs = context.changesAgeMs(now);
+    context.observeChangesAge(changesAgeMs);
     context.logs.requests.info("Endpoint chosen for the request.", {
         id: fields.requestId,
         route: route.name,
         account: account?.id,
         attempt,
         configuration: context.configurationVersion(),
+        changesAgeMs: Math.round(changesAgeMs),
         ...context.suspects.figures(features),
         ...endpointFigures(context.endpoints, row, now),
     });
--- a/packages/router/src/gateway/store-follower.ts
+++ b/packages/router/src/gateway/store-follower.ts
@@ -1,4 +1,3 @@
-import { setTimeout as sleep } from "node:timers/promises";
 import type { GatewayLogs } from "./log-sink.js";
 import type {
     MetadataStore,
@@ -29,6 +28,9 @@
 /** The prefix of all keys. */
 const ALL_KEYS_PREFIX = "";
 
+/** Time in ms after a store outage within which expired registrations may be renewed. */
+const EXPIRY_GRACE_MS = 2_000;
+
 /** Receives the items of the store and their changes. */
 export type StoreListener = {
     /** Called with all items, at the start or after changes may have been missed. */
@@ -48,8 +50,10 @@
     private failures = 0;
     /** Time until which a router that was partitioned from the store reads from other routers only. */
     private peersOnlyUntil = -Infinity;
+    /** Time before which no change is missing; a router starts without any. */
+    private confirmedAt = -Infinity;
     /** Time at which the store was available again after its last outage. */
-    restoredAt = -Infinity;
+    private restoredAt = -Infinity;
 
     constructor(
         private readonly store: MetadataStore,
@@ -77,6 +81,16 @@
         }
     }
 
+    /** Returns the age in ms of what was read: no change that is older is missing. */
+    changesAgeMs(now: number): number {
+        return now - this.confirmedAt;
+    }
+
+    /** Returns the time in ms for which registrations that expired in a store outage may still be renewed. */
+    expiryGraceMs(now: number): number {
+        return Math.max(0, this.restoredAt + EXPIRY_GRACE_MS - now);
+    }
+
     /** Whether the last read failed. */
     get isFailing(): boolean {
         return this.failures > 0;
@@ -128,12 +142,18 @@
 
     private async readFromPeer(feed: PeerChangeFeed): Promise<boolean> {
         const waitMs = PEER_WAIT_SHARE * this.changeDeadlineMs();
+        const startedAt = this.clock();
         const relayed = await feed.changes(this.revision!, waitMs, PEER_MAX_AGE_SHARE * this.changeDeadlineMs());
         if (relayed === undefined) {
+            this.logs.store.info("Another router relayed no changes in time.", {
+                tookMs: Math.round(this.clock() - startedAt),
+                changesAgeMs: Math.round(this.changesAgeMs(this.clock())),
+            });
             return false;
         }
         this.isPartial = true;
         this.recordSuccess();
+        this.recordConfirmed(relayed.readAt, "other-router");
         this.history.add(relayed.changes, relayed.revision, relayed.readAt);
         this.apply(relayed);
         return true;
@@ -148,12 +168,14 @@
     }
 
     private async readAll(): Promise<boolean> {
+        const startedAt = this.clock();
         const result = await this.store.list(ALL_KEYS_PREFIX);
         if (result.kind !== "done") {
             this.recordFailure(result);
             return false;
         }
         this.recordSuccess();
+        this.recordConfirmed(startedAt, "store");
         this.revision = result.value.revision;
         this.isPartial = false;
         this.history.restart(result.value.revision);
@@ -162,6 +184,7 @@
     }
 
     private async readChanges(feedOnly: boolean): Promise<boolean> {
+        const startedAt = this.clock();
         const result = await this.changesWithPrefixes(feedOnly ? this.feedPrefixes : [ALL_KEYS_PREFIX]);
         if (result.kind === "compacted") {
             this.logs.store.warn("Watch history compacted; reading all keys.", { revision: this.revision });
@@ -173,6 +196,7 @@
             return false;
         }
         this.recordSuccess();
+        this.recordConfirmed(startedAt, "store");
         this.isPartial ||= feedOnly;
         this.history.add(result.value.changes, result.value.revision, this.clock());
         this.apply(result.value);
@@ -209,6 +233,20 @@
         return { kind: "done", value: { changes, revision } };
     }
 
+    private recordConfirmed(readAt: number, source: string): void {
+        const now = this.clock();
+        const ageMs = this.changesAgeMs(now);
+        if (ageMs > this.changeDeadlineMs() && this.revision !== undefined) {
+            this.logs.store.warn("Changes were read late.", {
+                source,
+                changesAgeMs: Math.round(ageMs),
+                nowAgeMs: Math.round(now - readAt),
+                deadlineMs: this.changeDeadlineMs(),
+            });
+        }
+        this.confirmedAt = Math.max(this.confirmedAt, readAt);
+    }
+
     private recordFailure(failure: StoreFailure): void {
         this.failures++;
         if (this.failingSince === undefined) {
@@ -231,3 +269,9 @@
         }
     }
 }
+
+function sleep(durationMs: number): Promise<void> {
+    return new Promise((resolve) => {
+        setTimeout(resolve, durationMs);
+    });
+}
