--- a/packages/router/src/gateway/peer-change-feed.test.ts
+++ b/packages/router/src/gateway/peer-change-feed.test.ts
@@ -75,6 +75,51 @@
         });
     });
 
+    describe("a router that has read some prefixes further than others", () => {
+        // Guards against incident DRAIN: an endpoint that was removed came back from a router that had read less.
+        it("does not apply an earlier change of a key again that another router relays", async () => {
+            const removal: StoreChange = { key: "b/1", revision: 7, item: undefined };
+            const relayed: ChangeFeedResponse = {
+                revision: 6,
+                ageMs: 0,
+                changes: [{ key: "b/1", revision: 5, value: "" }],
+            };
+            const store = {
+                list: async () => ({ kind: "done", value: { items: [], revision: 4 } }),
+                changes: async (prefix: string) => ({
+                    kind: "done",
+                    value: prefix === "a/"
+                        ? { changes: [], revision: 4 }
+                        : { changes: [{ ...changeAt(5), key: "b/1" }, removal], revision: 7 },
+                }),
+            } as unknown as MetadataStore;
+            const applied: number[] = [];
+            let calls = 0;
+            const peers = {
+                call: async () => {
+                    calls++;
+                    if (calls > 2) {
+                        follower.stop();
+                    }
+                    return ok(calls === 2 ? relayed : {});
+                },
+            } as unknown as PeerCalls;
+            let now = 0;
+            const follower = new StoreFollower(
+                store,
+                { onReplaced: () => undefined, onChanged: ({ revision }) => applied.push(revision) },
+                createGatewayLogs({ level: "error" }),
+                () => (now += 500),
+                () => 10,
+                () => new PeerChangeFeed(peers, () => ["peer"], () => (now += 5_000)),
+                new ChangeHistory([""], () => 0),
+                ["a/", "b/"],
+            );
+            await follower.run();
+            expect(applied).toEqual([5, 7]);
+        });
+    });
+
     describe("a router that no peer relays changes to", () => {
         it("reads only the feed prefixes from the store, and misses nothing between them", async () => {
             const watches: [string, number][] = [];
@@ -121,6 +166,17 @@
             expect(call.mock.calls.map(([address]: unknown[]) => address)).toEqual(["near", "far"]);
         });
 
+        // Guards against incident DRAIN: the age of changes did not include the way back from a router that is slow.
+        it("counts the way back of a response in the age of its changes", async () => {
+            let now = 0;
+            const call = async () => {
+                now = 700;
+                return ok({ revision: 8, ageMs: 100, changes: [] });
+            };
+            const feed = new PeerChangeFeed({ call } as unknown as PeerCalls, () => ["near"], () => now);
+            expect(await feed.changes(5, 400, 2_000)).toMatchObject({ readAt: -100 });
+        });
+
         it("gets none when no router relays them", async () => {
             expect(await new PeerChangeFeed(peersAnswering({}), () => [], () => 0).changes(5, 400, 800))
                 .toBeUndefined();
