Read the news of endpoints apart from large values of the store

Cause: a router got all changes in one response.

- Changes that routers relay carry values up to 8 KB.
Larger ones are fetched apart, deflated, from other routers or else from the store; one fetch a key, which a newer configuration does not interrupt.
- A router that reads the store by itself applies each prefix as it is read, endpoints first, and does not wait for a slow one.
- Changes that a source repeats do not undo newer ones of the same key: a removed endpoint came back from a router that had read less.
- Of several large values of a key only the newest is kept for others.

Why it works: the time until an endpoint's change is read no longer depends on the size of what else has changed.

'reads only the feed prefixes ...' expected both prefixes to be read again from the lower of their revisions; now each goes on where it was read to. The test checks that, and that nothing is applied twice.

--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -25,6 +25,7 @@
 import { createGatewayMetrics, type GatewayMetrics } from "./gateway-metrics.js";
 import type { GatewaySettings } from "./gateway-settings.js";
 import { Ingress } from "./ingress.js";
+import { LARGE_VALUE_METHOD, LargeValues } from "./large-values.js";
 import { LIMIT_PREFIX, LimitReports } from "./limit-reports.js";
 import { LOAD_SAMPLE_INTERVAL_MS, LoadMonitor } from "./load-monitor.js";
 import { createGatewayLogs, type GatewayLogs } from "./log-sink.js";
@@ -141,14 +142,11 @@
             () => this.registry.serving.length,
             Math.random,
         );
-        const changeFeed = new PeerChangeFeed(
-            this.peers,
-            () => changeSources(this.registry.storeWatchers, self),
-            this.clock,
-        );
+        const sources = (): string[] => changeSources(this.registry.storeWatchers, self);
+        const changeFeed = new PeerChangeFeed(this.peers, sources, this.clock);
         // Token records and spending checkpoints are left out: they make up most changes, and a write conflict
         // returns the newest record.
-        const feedPrefixes = [dialect.configurationKey, dialect.endpointPrefix, SHARED_PREFIX];
+        const feedPrefixes = [dialect.endpointPrefix, SHARED_PREFIX, dialect.configurationKey];
         const changeHistory = new ChangeHistory(feedPrefixes, this.clock);
         this.peerServer = new JSONRPCServer({
             errorListener: (detail) => this.logs.fleet.warn("JSON-RPC call of another router failed.", { detail }),
@@ -160,6 +158,7 @@
             return {};
         });
         this.peerServer.addMethod(CHANGE_FEED_METHOD, (parameters) => changeHistory.respond(parameters));
+        this.peerServer.addMethod(LARGE_VALUE_METHOD, (parameters) => changeHistory.respondLargeValue(parameters));
         this.follower = new StoreFollower(
             store,
             {
@@ -172,6 +171,7 @@
             () => this.registry.isStoreWatcher && !this.follower.isFailing ? undefined : changeFeed,
             changeHistory,
             feedPrefixes,
+            new LargeValues(this.peers, sources, store, this.logs),
         );
         this.context = this.createContext(domain);
         this.ingress = new Ingress(this);
--- /dev/null
+++ b/packages/router/src/gateway/large-values.ts
@@ -0,0 +1,99 @@
+import { inflateRawSync } from "node:zlib";
+import { z } from "zod";
+import type { GatewayLogs } from "./log-sink.js";
+import type { MetadataStore, StoredItem } from "./metadata-store.js";
+import type { PeerCalls } from "./peer-calls.js";
+
+/** JSON-RPC method by which a router requests a large value of the store from another one. */
+export const LARGE_VALUE_METHOD = "value";
+
+/** Time in ms within which another router begins to respond. */
+const RESPONSE_TIMEOUT_MS = 400;
+/** Pause in ms after no source had the value. */
+const RETRY_MS = 250;
+/** Maximum bytes of a value. */
+const MAX_VALUE_BYTES = 64 * 1024 * 1024;
+
+const responseSchema = z.object({
+    revision: z.number().optional(),
+    /** Deflated, in Base64; undefined if the router does not have this revision or a newer one. */
+    deflated: z.string().optional(),
+});
+
+/**
+ * Fetches large values from other routers, or else from the store, apart from the changes of other keys, which must
+ * not wait for them on a slow link.
+ */
+export class LargeValues {
+    /** Revision of each key that is being fetched. */
+    private readonly wanted = new Map<string, number>();
+    private stopped = false;
+
+    constructor(
+        private readonly peers: PeerCalls,
+        /** Peer addresses of the routers that watch the store, in the order to call them. */
+        private readonly sources: () => readonly string[],
+        private readonly store: MetadataStore,
+        private readonly logs: GatewayLogs,
+    ) {}
+
+    /** Fetches the value of a key at a revision or a newer one, and passes it on; one fetch runs for each key. */
+    fetch(key: string, revision: number, onValue: (item: StoredItem) => void): void {
+        const isRunning = this.wanted.has(key);
+        this.wanted.set(key, Math.max(revision, this.wanted.get(key) ?? 0));
+        if (!isRunning) {
+            void this.run(key, onValue);
+        }
+    }
+
+    /** Stops after the calls in progress. */
+    stop(): void {
+        this.stopped = true;
+    }
+
+    private async run(key: string, onValue: (item: StoredItem) => void): Promise<void> {
+        while (!this.stopped && this.wanted.has(key)) {
+            const item = await this.fromPeers(key) ?? await this.fromStore(key);
+            if (item === undefined) {
+                await new Promise((resolve) => {
+                    setTimeout(resolve, RETRY_MS);
+                });
+            }
+            else {
+                if (item.revision >= this.wanted.get(key)!) {
+                    this.wanted.delete(key);
+                }
+                onValue(item);
+            }
+        }
+    }
+
+    private async fromPeers(key: string): Promise<StoredItem | undefined> {
+        const parameters = { key, revision: this.wanted.get(key) };
+        for (const source of this.sources()) {
+            const response = await this.peers.call(source, LARGE_VALUE_METHOD, parameters, RESPONSE_TIMEOUT_MS);
+            const parsed = responseSchema.safeParse(response.unwrapOr(undefined));
+            const { revision, deflated } = parsed.data ?? {};
+            if (revision !== undefined && deflated !== undefined) {
+                const bytes = Buffer.from(deflated, "base64");
+                return { key, revision, value: inflateRawSync(bytes, { maxOutputLength: MAX_VALUE_BYTES }) };
+            }
+        }
+        return undefined;
+    }
+
+    private async fromStore(key: string): Promise<StoredItem | undefined> {
+        const result = await this.store.list(key);
+        const item = result.kind === "done" ? result.value.items.find((listed) => listed.key === key) : undefined;
+        if (item === undefined) {
+            this.logs.store.warn("Large value not available from other routers or the store; retrying.", {
+                key,
+                result: result.kind,
+            });
+            if (result.kind === "done") {
+                this.wanted.delete(key);
+            }
+        }
+        return item;
+    }
+}
--- a/packages/router/src/gateway/mocks/fake-following-fleet.ts
+++ b/packages/router/src/gateway/mocks/fake-following-fleet.ts
@@ -21,6 +21,7 @@
 import { memberOf } from "@gooseberrybend/core/mocks";
 import { err, ok, type Result } from "neverthrow";
 import { EndpointRegistrations } from "../endpoint-registrations.js";
+import { LargeValues } from "../large-values.js";
 import { createGatewayLogs } from "../log-sink.js";
 import type { MetadataStore, StoredItem } from "../metadata-store.js";
 import type { PeerCalls, PeerFailure } from "../peer-calls.js";
@@ -254,6 +255,7 @@
             () => isWatcher && !follower.isFailing ? undefined : feed,
             history,
             [PREFIX],
+            new LargeValues(calls, () => [], store, logs),
         );
         const router: FollowingRouter = {
             member,
--- a/packages/router/src/gateway/peer-calls.ts
+++ b/packages/router/src/gateway/peer-calls.ts
@@ -1,9 +1,12 @@
 import { JSONRPCClient } from "json-rpc-2.0";
 import { err, ok, type Result } from "neverthrow";
-import { Agent, request } from "undici";
+import { Agent } from "undici";
+import { requestText } from "./request-text.js";
 
 /** Timeout in ms of connecting to another router; a connection between failure domains takes a few ms. */
 const CONNECT_TIMEOUT_MS = 300;
+/** Longest pause in ms in a response of another router. */
+const STALL_TIMEOUT_MS = 1_000;
 
 /** Why a call to another router has no response. */
 export type PeerFailure = { readonly kind: "no-answer"; readonly detail: string; };
@@ -12,7 +15,7 @@
 export class PeerCalls {
     private readonly agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, pipelining: 1 });
 
-    /** Calls a method of the router at an address. */
+    /** Calls a method of the router at an address. The response must begin within `timeoutMs`. */
     async call(
         address: string,
         method: string,
@@ -20,14 +23,15 @@
         timeoutMs: number,
     ): Promise<Result<unknown, PeerFailure>> {
         const client: JSONRPCClient = new JSONRPCClient(async (payload) => {
-            const response = await request(`http://${address}/peer`, {
+            const { text } = await requestText(`http://${address}/peer`, {
                 method: "POST",
                 body: JSON.stringify(payload),
                 headers: { "content-type": "application/json" },
-                signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
+                timeoutMs,
+                stallMs: STALL_TIMEOUT_MS,
                 dispatcher: this.agent,
             });
-            client.receive(await response.body.json() as never);
+            client.receive(JSON.parse(text) as never);
         });
         try {
             return ok(await client.request(method, parameters) as unknown);
--- a/packages/router/src/gateway/peer-change-feed.test.ts
+++ b/packages/router/src/gateway/peer-change-feed.test.ts
@@ -1,5 +1,6 @@
 import { ok } from "neverthrow";
 import { describe, expect, it, vi } from "vitest";
+import { LargeValues } from "./large-values.js";
 import { createGatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoreChange } from "./metadata-store.js";
 import type { PeerCalls } from "./peer-calls.js";
@@ -13,6 +14,9 @@
     return { key, revision, item: { key, revision, value: Buffer.from("{}") } };
 }
 
+const logs = createGatewayLogs({ level: "error" });
+const noLargeValues = new LargeValues({} as PeerCalls, () => [], {} as MetadataStore, logs);
+
 describe("change feed between routers", () => {
     describe("a router that relays changes", () => {
         it("responds with the changes after a revision, or at the end of the wait", async () => {
@@ -62,12 +66,13 @@
                         }
                     },
                 },
-                createGatewayLogs({ level: "error" }),
+                logs,
                 () => performance.now(),
                 () => CHANGE_DEADLINE_MS,
                 () => feed,
                 history,
                 ["key-"],
+                noLargeValues,
             );
             await follower.run();
             const keys = (await history.respond({ after: 5, waitMs: 10 })).changes.map(({ key }) => key);
@@ -108,12 +113,13 @@
             const follower = new StoreFollower(
                 store,
                 { onReplaced: () => undefined, onChanged: ({ revision }) => applied.push(revision) },
-                createGatewayLogs({ level: "error" }),
+                logs,
                 () => (now += 500),
                 () => 10,
                 () => new PeerChangeFeed(peers, () => ["peer"], () => (now += 5_000)),
                 new ChangeHistory([""], () => 0),
                 ["a/", "b/"],
+                noLargeValues,
             );
             await follower.run();
             expect(applied).toEqual([5, 7]);
@@ -123,10 +129,14 @@
     describe("a router that no peer relays changes to", () => {
         it("reads only the feed prefixes from the store, and misses nothing between them", async () => {
             const watches: [string, number][] = [];
+            const applied: number[] = [];
             const store = {
                 list: async () => ({ kind: "done", value: { items: [], revision: 5 } }),
                 changes: async (prefix: string, after: number) => {
                     watches.push([prefix, after]);
+                    if (watches.length === 4) {
+                        follower.stop();
+                    }
                     const revision = prefix === "a/" ? 7 : 9;
                     const changes = prefix === "a/" || after >= 9 ? [] : [changeAt(9)];
                     return { kind: "done", value: { changes, revision } };
@@ -136,21 +146,19 @@
                 store,
                 {
                     onReplaced: () => undefined,
-                    onChanged: () => {
-                        if (watches.length === 4) {
-                            follower.stop();
-                        }
-                    },
+                    onChanged: ({ revision }) => applied.push(revision),
                 },
-                createGatewayLogs({ level: "error" }),
+                logs,
                 () => performance.now(),
                 () => CHANGE_DEADLINE_MS,
                 () => new PeerChangeFeed({} as PeerCalls, () => [], () => 0),
                 new ChangeHistory([""], () => 0),
                 ["a/", "b/"],
+                noLargeValues,
             );
             await follower.run();
-            expect(watches).toEqual([["a/", 5], ["b/", 5], ["a/", 7], ["b/", 7]]);
+            expect(watches).toEqual([["a/", 5], ["b/", 5], ["a/", 7], ["b/", 9]]);
+            expect(applied).toEqual([9]);
         });
     });
 
--- a/packages/router/src/gateway/peer-change-feed.ts
+++ b/packages/router/src/gateway/peer-change-feed.ts
@@ -1,5 +1,6 @@
+import { deflateRawSync } from "node:zlib";
 import { z } from "zod";
-import type { StoreChange, StoreChanges } from "./metadata-store.js";
+import type { StoreChange, StoreChanges, StoredItem } from "./metadata-store.js";
 import { PausedPeers, type PeerCalls } from "./peer-calls.js";
 
 /** JSON-RPC method by which a router requests changes of the store from another one. */
@@ -11,10 +12,18 @@
 const PEER_PAUSE_MS = 2_000;
 /** Maximum time in ms that a router holds a request for changes open. */
 const MAX_WAIT_MS = 2_000;
+/** Size in bytes above which a value is fetched apart from the changes, so that these do not wait for it. */
+const LARGE_VALUE_BYTES = 8 * 1024;
 /** Changes that a router retains for others; a router that missed more reads the store. */
 const MAX_RETAINED_CHANGES = 2_000;
 
-const requestSchema = z.object({ after: z.number(), waitMs: z.number().min(0).max(MAX_WAIT_MS) });
+const requestSchema = z.object({
+    after: z.number(),
+    waitMs: z.number().min(0).max(MAX_WAIT_MS),
+    /** Whether the requesting router fetches large values apart. */
+    defersLargeValues: z.boolean().default(false),
+});
+const valueRequestSchema = z.object({ key: z.string(), revision: z.number() });
 const responseSchema = z.object({
     /** Undefined when not all changes after the requested revision are retained. */
     revision: z.number().optional(),
@@ -23,17 +32,33 @@
     changes: z.array(z.object({
         key: z.string(),
         revision: z.number(),
-        /** Base64; undefined for a deleted key. */
+        /** Base64; undefined for a deleted key, and for a value to be fetched apart. */
         value: z.string().optional(),
+        isDeferred: z.boolean().default(false),
     })),
 });
 
 /** Response to a request for changes of the store. */
-export type ChangeFeedResponse = z.infer<typeof responseSchema>;
+export type ChangeFeedResponse = z.input<typeof responseSchema>;
+
+/** Response to a request for a large value; empty if this router does not have it. */
+export type LargeValueResponse = { readonly revision?: number; readonly deflated?: string; };
+
+/** A key whose large value is not among the changes, and the revision of its last change. */
+export type DeferredValue = { readonly key: string; readonly revision: number; };
+
+type RetainedChange = StoreChange & {
+    /** True if the value is not retained here: it was not fetched yet, or a newer one is. */
+    isValueMissing: boolean;
+};
 
 /** Recent changes of the store, retained for the requests of other routers. */
 export class ChangeHistory {
-    private readonly retained: StoreChange[] = [];
+    private readonly retained: RetainedChange[] = [];
+    /** Newest large value of each key. */
+    private readonly largeValues = new Map<string, StoredItem>();
+    /** Their deflated form, once it was requested. */
+    private readonly deflatedValues = new Map<StoredItem, string>();
     /** Revision after which all changes are retained. */
     private retainedAfter: number | undefined;
     private revision = 0;
@@ -54,39 +79,96 @@
         this.lastReadAt = this.now();
     }
 
-    /** Adds changes read from the store at a monotonic time in ms, by this router or by one that relayed them. */
-    add(changes: readonly StoreChange[], revision: number, readAt: number): void {
+    /**
+     * Adds changes read from the store at a monotonic time in ms, by this router or by one that relayed them without
+     * their large values.
+     */
+    add(
+        changes: readonly StoreChange[],
+        revision: number,
+        readAt: number,
+        deferred: readonly DeferredValue[] = [],
+    ): void {
         this.lastReadAt = Math.max(this.lastReadAt, readAt);
         this.revision = revision;
-        const relevant = changes.filter(({ key }) => this.prefixes.some((prefix) => key.startsWith(prefix)));
-        this.retained.push(...relevant);
+        const relevant = [
+            ...changes.map((change) => ({ ...change, isValueMissing: false })),
+            ...deferred.map((value) => ({ ...value, item: undefined, isValueMissing: true })),
+        ].filter(({ key }) => this.prefixes.some((prefix) => key.startsWith(prefix)));
+        relevant.sort((one, other) => one.revision - other.revision);
+        relevant.forEach((change) => this.retain(change));
         if (this.retained.length > MAX_RETAINED_CHANGES) {
             const dropped = this.retained.splice(0, this.retained.length - MAX_RETAINED_CHANGES);
-            this.retainedAfter = dropped.at(-1)!.revision;
+            this.retainedAfter = Math.max(...dropped.map((change) => change.revision));
         }
         if (relevant.length > 0) {
             this.waiters.forEach((wake) => wake());
         }
     }
 
+    /** Adds a large value that was fetched apart from the changes. */
+    addLargeValue(item: StoredItem): void {
+        if ((this.largeValues.get(item.key)?.revision ?? 0) < item.revision) {
+            this.removeLargeValue(item.key, item.revision);
+            this.largeValues.set(item.key, item);
+        }
+    }
+
+    private removeLargeValue(key: string, before: number): void {
+        const existing = this.largeValues.get(key);
+        if (existing !== undefined && existing.revision < before) {
+            this.largeValues.delete(key);
+            this.deflatedValues.delete(existing);
+        }
+    }
+
     /** Handles a request for changes after a revision: responds once there are any, or at the end of the wait. */
     async respond(parameters: unknown): Promise<ChangeFeedResponse> {
-        const { after, waitMs } = requestSchema.parse(parameters);
+        const { after, waitMs, defersLargeValues } = requestSchema.parse(parameters);
         if (!this.hasResponse(after)) {
             await this.nextChange(waitMs);
         }
         const ageMs = this.now() - this.lastReadAt;
-        if (this.retainedAfter === undefined || after < this.retainedAfter) {
+        const missed = this.retained.filter((change) => change.revision > after);
+        const lacksValues = !defersLargeValues && missed.some((change) => change.isValueMissing);
+        if (this.retainedAfter === undefined || after < this.retainedAfter || lacksValues) {
             return { ageMs, changes: [] };
         }
-        const changes = this.retained.filter((change) => change.revision > after)
-            .map(({ key, revision, item }) => ({ key, revision, value: item?.value.toString("base64") }));
+        const changes = missed.map((change) => relayedForm(change, defersLargeValues));
         return { revision: Math.max(after, this.revision), ageMs, changes };
     }
 
+    /** Handles a request for a large value: responds with the newest one, if it is not older than requested. */
+    respondLargeValue(parameters: unknown): LargeValueResponse {
+        const { key, revision } = valueRequestSchema.parse(parameters);
+        const item = this.largeValues.get(key);
+        if (item === undefined || item.revision < revision) {
+            return {};
+        }
+        const deflated = this.deflatedValues.get(item) ?? deflateRawSync(item.value).toString("base64");
+        this.deflatedValues.set(item, deflated);
+        return { revision: item.revision, deflated };
+    }
+
+    // Of several large values of a key, as in a series of configurations, only the newest is kept in memory.
+    private retain(change: RetainedChange): void {
+        if (change.item === undefined || !isLarge(change.item)) {
+            this.removeLargeValue(change.key, change.revision);
+        }
+        else {
+            this.addLargeValue(change.item);
+            for (const [index, earlier] of this.retained.entries()) {
+                if (earlier.key === change.key && earlier.item !== undefined) {
+                    this.retained[index] = { ...earlier, item: undefined, isValueMissing: true };
+                }
+            }
+        }
+        this.retained.push(change);
+    }
+
     private hasResponse(after: number): boolean {
         return this.retainedAfter === undefined || after < this.retainedAfter
-            || (this.retained.at(-1)?.revision ?? 0) > after;
+            || this.retained.some((change) => change.revision > after);
     }
 
     private nextChange(waitMs: number): Promise<void> {
@@ -102,8 +184,25 @@
     }
 }
 
+function isLarge(item: StoredItem): boolean {
+    return item.value.length > LARGE_VALUE_BYTES;
+}
+
+function relayedForm(
+    { key, revision, item, isValueMissing }: RetainedChange,
+    defersLargeValues: boolean,
+): ChangeFeedResponse["changes"][number] {
+    return isValueMissing || (defersLargeValues && item !== undefined && isLarge(item))
+        ? { key, revision, isDeferred: true }
+        : { key, revision, value: item?.value.toString("base64") };
+}
+
 /** Changes relayed by another router, and the monotonic time in ms at which they were read from the store. */
-export type RelayedChanges = StoreChanges & { readonly readAt: number; };
+export type RelayedChanges = StoreChanges & {
+    readonly readAt: number;
+    /** Large values that are not among the changes. */
+    readonly deferred: readonly DeferredValue[];
+};
 
 /** Reads changes of the store from other routers, so that not every router has to read the store. */
 export class PeerChangeFeed {
@@ -131,7 +230,7 @@
         const response = await this.peers.call(
             source,
             CHANGE_FEED_METHOD,
-            { after, waitMs },
+            { after, waitMs, defersLargeValues: true },
             waitMs + RESPONSE_MARGIN_MS,
         );
         const parsed = responseSchema.safeParse(response.unwrapOr(undefined));
@@ -139,9 +238,11 @@
             this.paused.add(source, this.now());
             return undefined;
         }
+        const { changes, revision } = parsed.data;
         return {
-            revision: parsed.data.revision,
-            changes: parsed.data.changes.map(changeOf),
+            revision,
+            changes: changes.filter((change) => !change.isDeferred).map(changeOf),
+            deferred: changes.filter((change) => change.isDeferred),
             readAt: this.now() - parsed.data.ageMs,
         };
     }
--- a/packages/router/src/gateway/store-follower.ts
+++ b/packages/router/src/gateway/store-follower.ts
@@ -1,12 +1,6 @@
+import type { LargeValues } from "./large-values.js";
 import type { GatewayLogs } from "./log-sink.js";
-import type {
-    MetadataStore,
-    StoreChange,
-    StoreChanges,
-    StoredItem,
-    StoreFailure,
-    StoreResult,
-} from "./metadata-store.js";
+import type { MetadataStore, StoreChange, StoredItem, StoreFailure, StoreResult } from "./metadata-store.js";
 import type { ChangeHistory, PeerChangeFeed } from "./peer-change-feed.js";
 
 /** Share of the change deadline that a watch waits; it bounds how long a silent connection goes unnoticed. */
@@ -25,6 +19,9 @@
 const PEER_WAIT_SHARE = 0.2;
 const PEER_MAX_AGE_SHARE = 0.45;
 
+/** Time in ms beyond its wait for which a read of one prefix is awaited; a large value may take longer. */
+const PREFIX_READ_MARGIN_MS = 300;
+
 /** The prefix of all keys. */
 const ALL_KEYS_PREFIX = "";
 
@@ -41,6 +38,12 @@
 /** Follows the store, by watches or by changes that other routers relay. */
 export class StoreFollower {
     private revision: number | undefined;
+    /** Revisions of the keys whose newest change that was applied is newer than `revision`. */
+    private readonly newerRevisions = new Map<string, number>();
+    /** Revision up to which each prefix was read, where that is newer than `revision`. */
+    private readonly prefixRevisions = new Map<string, number>();
+    /** Prefixes whose read takes long. */
+    private readonly readingPrefixes = new Set<string>();
     private stopped = false;
     /** True while changes of keys outside the feed prefixes may have been missed. */
     private isPartial = false;
@@ -66,10 +69,11 @@
         private readonly changeFeed: () => PeerChangeFeed | undefined,
         private readonly history: ChangeHistory,
         /**
-         * Prefixes that are read from the store when no other router relays changes. All other keys together
-         * change too much for small links.
+         * Prefixes that are read from the store when no other router relays changes, the most urgent first. All other
+         * keys together change too much for small links.
          */
         private readonly feedPrefixes: readonly string[],
+        private readonly largeValues: LargeValues,
     ) {}
 
     /** Follows the store until stopped. */
@@ -99,6 +103,7 @@
     /** Stops after the call in progress. */
     stop(): void {
         this.stopped = true;
+        this.largeValues.stop();
     }
 
     // Returns the time in ms from the start of this read to the next one.
@@ -154,16 +159,38 @@
         this.isPartial = true;
         this.recordSuccess();
         this.recordConfirmed(relayed.readAt, "other-router");
-        this.history.add(relayed.changes, relayed.revision, relayed.readAt);
-        this.apply(relayed);
+        const { changes, deferred, revision, readAt } = relayed;
+        this.history.add(changes, revision, readAt, deferred);
+        this.apply(changes);
+        this.recordRevision(revision);
+        for (const value of deferred) {
+            this.largeValues.fetch(value.key, value.revision, (item) => this.applyLargeValue(item));
+        }
         return true;
     }
 
-    private apply({ changes, revision }: StoreChanges): void {
-        this.revision = revision;
+    private applyLargeValue(item: StoredItem): void {
+        this.history.addLargeValue(item);
+        this.listener.onChanged({ key: item.key, revision: item.revision, item }, this.clock());
+    }
+
+    // Sources may repeat changes that were read before: these must not undo newer ones.
+    private apply(changes: readonly StoreChange[]): void {
         const now = this.clock();
         for (const change of changes) {
-            this.listener.onChanged(change, now);
+            const { key, revision } = change;
+            if (revision > Math.max(this.revision ?? 0, this.newerRevisions.get(key) ?? 0)) {
+                this.newerRevisions.set(key, revision);
+                this.listener.onChanged(change, now);
+            }
+        }
+    }
+
+    // Records that all changes up to a revision were applied.
+    private recordRevision(revision: number): void {
+        this.revision = Math.max(revision, this.revision ?? 0);
+        for (const revisions of [this.newerRevisions, this.prefixRevisions]) {
+            revisions.forEach((newer, key) => newer <= this.revision! && revisions.delete(key));
         }
     }
 
@@ -176,16 +203,21 @@
         }
         this.recordSuccess();
         this.recordConfirmed(startedAt, "store");
-        this.revision = result.value.revision;
+        const { items, revision } = result.value;
+        this.newerRevisions.clear();
+        this.prefixRevisions.clear();
+        items.forEach((item) => this.newerRevisions.set(item.key, item.revision));
+        this.revision = undefined;
+        this.recordRevision(revision);
         this.isPartial = false;
-        this.history.restart(result.value.revision);
-        this.listener.onReplaced(result.value.items, result.value.revision, this.clock());
+        this.history.restart(revision);
+        this.listener.onReplaced(items, revision, this.clock());
         return true;
     }
 
     private async readChanges(feedOnly: boolean): Promise<boolean> {
         const startedAt = this.clock();
-        const result = await this.changesWithPrefixes(feedOnly ? this.feedPrefixes : [ALL_KEYS_PREFIX]);
+        const result = feedOnly ? await this.readPrefixes() : await this.readAllChanges();
         if (result.kind === "compacted") {
             this.logs.store.warn("Watch history compacted; reading all keys.", { revision: this.revision });
             this.revision = undefined;
@@ -198,39 +230,63 @@
         this.recordSuccess();
         this.recordConfirmed(startedAt, "store");
         this.isPartial ||= feedOnly;
-        this.history.add(result.value.changes, result.value.revision, this.clock());
-        this.apply(result.value);
         return true;
     }
 
-    // Changes of several prefixes count as read up to the lowest of their revisions; newer ones are read again.
-    private async changesWithPrefixes(prefixes: readonly string[]): Promise<StoreResult<StoreChanges>> {
-        // Nothing is applied before the last watch has ended, so several watches wait for a shorter time each.
-        const waitMs = WATCH_WAIT_SHARE * this.changeDeadlineMs() / prefixes.length;
-        const [firstPrefix, ...otherPrefixes] = prefixes;
-        // With several prefixes, a first call without a wait shows whether the store is available.
-        const firstResult = await this.store.changes(
-            firstPrefix!,
-            this.revision!,
-            otherPrefixes.length === 0 ? waitMs : 0,
-        );
-        const results = firstResult.kind === "done"
-            ? [
-                firstResult,
-                ...await Promise.all(otherPrefixes.map((prefix) => this.store.changes(prefix, this.revision!, waitMs))),
-            ]
-            : [firstResult];
-        const changes: StoreChange[] = [];
-        let revision = Infinity;
-        for (const result of results) {
-            if (result.kind !== "done") {
-                return result;
-            }
-            changes.push(...result.value.changes);
-            revision = Math.min(revision, result.value.revision);
+    private async readAllChanges(): Promise<StoreResult<void>> {
+        const waitMs = WATCH_WAIT_SHARE * this.changeDeadlineMs();
+        const result = await this.store.changes(ALL_KEYS_PREFIX, this.revision!, waitMs);
+        if (result.kind !== "done") {
+            return result;
+        }
+        const { changes, revision } = result.value;
+        this.history.add(changes, revision, this.clock());
+        this.apply(changes);
+        this.recordRevision(revision);
+        return { kind: "done", value: undefined };
+    }
+
+    // Each prefix is applied as soon as it is read. A call without a wait shows first whether the store is available.
+    private async readPrefixes(): Promise<StoreResult<void>> {
+        const waitMs = WATCH_WAIT_SHARE * this.changeDeadlineMs() / this.feedPrefixes.length;
+        const [firstPrefix, ...otherPrefixes] = this.feedPrefixes;
+        const first = await this.readPrefix(firstPrefix!, otherPrefixes.length === 0 ? waitMs : 0);
+        if (first.kind !== "done") {
+            return first;
+        }
+        const others = otherPrefixes.filter((prefix) => !this.readingPrefixes.has(prefix))
+            .map((prefix) => this.readPrefix(prefix, waitMs));
+        const results = await Promise.race([Promise.all(others), sleep(waitMs + PREFIX_READ_MARGIN_MS)]);
+        const failure = results?.find((result) => result.kind !== "done");
+        if (failure !== undefined) {
+            return failure;
+        }
+        const current = this.revision!;
+        const revision = Math.min(...this.feedPrefixes.map((prefix) => this.prefixRevisions.get(prefix) ?? current));
+        this.recordRevision(revision);
+        this.history.add([], revision, this.clock());
+        return { kind: "done", value: undefined };
+    }
+
+    private async readPrefix(prefix: string, waitMs: number): Promise<StoreResult<void>> {
+        const after = Math.max(this.revision!, this.prefixRevisions.get(prefix) ?? 0);
+        const startedAt = this.clock();
+        this.readingPrefixes.add(prefix);
+        const result = await this.store.changes(prefix, after, waitMs);
+        this.readingPrefixes.delete(prefix);
+        if (result.kind !== "done") {
+            this.logs.store.info("Changes of a prefix could not be read from the store.", {
+                prefix,
+                failure: result.kind,
+                tookMs: Math.round(this.clock() - startedAt),
+            });
+            return result;
         }
-        changes.sort((one, other) => one.revision - other.revision);
-        return { kind: "done", value: { changes, revision } };
+        const { changes, revision } = result.value;
+        this.history.add(changes, this.revision ?? 0, -Infinity);
+        this.apply(changes);
+        this.prefixRevisions.set(prefix, revision);
+        return { kind: "done", value: undefined };
     }
 
     private recordConfirmed(readAt: number, source: string): void {
