Keep removed endpoints only after outages in which registrations expire

Any failed call to the store counted as an outage, after which removed endpoints were used for 2 s more.

An outage now counts from the last changes that were read, from the store or another router, and only if registrations can have expired in it: two renewals of an endpoint (endpoints.renewalMs, from the platform's heartbeatMs), 1.4 s for the shortest lease of a router. A single refused call, or the loss of touch of one router that others inform, is none.

The test of registrations that are lost in an outage of 4 s still passes.

--- a/packages/router/src/gateway/endpoint-registrations.ts
+++ b/packages/router/src/gateway/endpoint-registrations.ts
@@ -13,6 +13,14 @@
 /** Maximum number of keys whose invalid registration is remembered as logged. */
 const MAX_LOGGED_FAULTS = 1_000;
 
+/** Renewals that an endpoint misses at least in a store outage before its registration expires. */
+const MISSED_RENEWALS = 2;
+
+/** Returns the shortest time in ms of a store outage in which a registration expires that is renewed at an interval. */
+export function shortestExpiryMs(renewalMs: number): number {
+    return MISSED_RENEWALS * renewalMs;
+}
+
 /** Told of changes in the endpoints that are registered. */
 export type RegistrationListener = {
     /** An endpoint restarted, or has another address or service. */
--- a/packages/router/src/gateway/fleet-registry.ts
+++ b/packages/router/src/gateway/fleet-registry.ts
@@ -11,6 +11,8 @@
 /** Lease lifetime in ms of a router that callers are sent to: short, so that a crashed router is removed soon. */
 const SERVING_LEASE_MS = 2_000;
 const SERVING_RENEWAL_MS = 600;
+/** Shortest time in ms of a store outage in which the registration of a router expires. */
+export const SHORTEST_ROUTER_EXPIRY_MS = SERVING_LEASE_MS - SERVING_RENEWAL_MS;
 /** Lease lifetime in ms of other routers: outlasts most store partitions, which saves registering again. */
 const STANDBY_LEASE_MS = 15_000;
 const STANDBY_RENEWAL_MS = 4_500;
--- a/packages/router/src/gateway/gateway-settings.ts
+++ b/packages/router/src/gateway/gateway-settings.ts
@@ -23,6 +23,10 @@
         /** Minimum lifetime in ms of a lease of the store. */
         shortestLeaseMs: positive.default(1_000),
     }),
+    endpoints: z.object({
+        /** Interval in ms at which endpoints renew their registrations, which expire after three without a renewal. */
+        renewalMs: positive.default(1_200),
+    }).prefault({}),
     bounds: z.object({
         /** Time in ms for which a leaving endpoint still accepts requests. */
         drainMs: positive.default(2_000),
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -19,8 +19,8 @@
 import { CrashReports, SUSPECT_PREFIX } from "./crash-reports.js";
 import type { Dialect } from "./dialect.js";
 import { EndpointConnections } from "./endpoint-connections.js";
-import { EndpointRegistrations } from "./endpoint-registrations.js";
-import { FLEET_PREFIX, FleetRegistry } from "./fleet-registry.js";
+import { EndpointRegistrations, shortestExpiryMs } from "./endpoint-registrations.js";
+import { FLEET_PREFIX, FleetRegistry, SHORTEST_ROUTER_EXPIRY_MS } from "./fleet-registry.js";
 import type { GatewayContext } from "./gateway-context.js";
 import { createGatewayMetrics, type GatewayMetrics } from "./gateway-metrics.js";
 import type { GatewaySettings } from "./gateway-settings.js";
@@ -302,8 +302,8 @@
 
     private replaceAll(items: readonly StoredItem[], revision: number, now: number): void {
         const withPrefix = (prefix: string): StoredItem[] => items.filter((item) => item.key.startsWith(prefix));
-        this.registry.replace(withPrefix(FLEET_PREFIX), this.follower.expiryGraceMs(now));
-        this.registrations.replace(withPrefix(this.dialect.endpointPrefix), this.follower.expiryGraceMs(now), now);
+        this.registry.replace(withPrefix(FLEET_PREFIX), this.follower.expiryGraceMs(SHORTEST_ROUTER_EXPIRY_MS, now));
+        this.registrations.replace(withPrefix(this.dialect.endpointPrefix), this.endpointGraceMs(now), now);
         const configuration = items.find((item) => item.key === this.dialect.configurationKey);
         if (configuration !== undefined) {
             this.putConfiguration(configuration);
@@ -323,7 +323,7 @@
         }
         else if (key.startsWith(this.dialect.endpointPrefix)) {
             if (item === undefined) {
-                this.registrations.remove(key, this.follower.expiryGraceMs(now), now);
+                this.registrations.remove(key, this.endpointGraceMs(now), now);
             }
             else {
                 this.registrations.put(item);
@@ -331,7 +331,7 @@
         }
         else if (key.startsWith(FLEET_PREFIX)) {
             if (item === undefined) {
-                this.registry.remove(key, this.follower.expiryGraceMs(now));
+                this.registry.remove(key, this.follower.expiryGraceMs(SHORTEST_ROUTER_EXPIRY_MS, now));
             }
             else {
                 this.registry.put(item);
@@ -361,6 +361,10 @@
         }
     }
 
+    private endpointGraceMs(now: number): number {
+        return this.follower.expiryGraceMs(shortestExpiryMs(this.settings.endpoints.renewalMs), now);
+    }
+
     private putConfiguration(item: StoredItem): void {
         const decoded = this.dialect.readConfiguration(item.value);
         if (decoded.isErr()) {
--- a/packages/router/src/gateway/mocks/fake-following-fleet.ts
+++ b/packages/router/src/gateway/mocks/fake-following-fleet.ts
@@ -41,6 +41,8 @@
 
 /** Time in ms between two changes of keys that other routers do not relay. */
 const UNRELATED_CHANGE_INTERVAL_MS = 40;
+/** Shortest outage in ms in which registrations of endpoints expire. */
+const SHORTEST_EXPIRY_MS = 2_400;
 /** Deadlines after which an endpoint that has left is no longer sampled. */
 const MAX_DELAY_DEADLINES = 3;
 
@@ -235,7 +237,7 @@
                 onReplaced: (items: readonly StoredItem[], revision, now) =>
                     registrations.replace(
                         items.filter(({ key }) => key.startsWith(PREFIX)),
-                        follower.expiryGraceMs(now),
+                        follower.expiryGraceMs(SHORTEST_EXPIRY_MS, now),
                         now,
                     ),
                 onChanged: ({ key, item }, now) => {
@@ -243,7 +245,7 @@
                         return;
                     }
                     if (item === undefined) {
-                        registrations.remove(key, follower.expiryGraceMs(now), now);
+                        registrations.remove(key, follower.expiryGraceMs(SHORTEST_EXPIRY_MS, now), now);
                         return;
                     }
                     registrations.put(item);
--- a/packages/router/src/gateway/store-follower.ts
+++ b/packages/router/src/gateway/store-follower.ts
@@ -57,6 +57,8 @@
     private confirmedAt = -Infinity;
     /** Time at which the store was available again after its last outage. */
     private restoredAt = -Infinity;
+    /** Time in ms for which no changes could be read in that outage, from the store or another router. */
+    private outageMs = 0;
 
     constructor(
         private readonly store: MetadataStore,
@@ -90,9 +92,12 @@
         return now - this.confirmedAt;
     }
 
-    /** Returns the time in ms for which registrations that expired in a store outage may still be renewed. */
-    expiryGraceMs(now: number): number {
-        return Math.max(0, this.restoredAt + EXPIRY_GRACE_MS - now);
+    /**
+     * Returns the time in ms for which registrations that expired in a store outage may still be renewed. There are
+     * none if the outage was shorter than the time in which they expire: a removal then means that the owner has left.
+     */
+    expiryGraceMs(shortestExpiryMs: number, now: number): number {
+        return this.outageMs < shortestExpiryMs ? 0 : Math.max(0, this.restoredAt + EXPIRY_GRACE_MS - now);
     }
 
     /** Whether the last read failed. */
@@ -318,8 +323,10 @@
         this.failures = 0;
         if (this.failingSince !== undefined) {
             this.restoredAt = this.clock();
+            this.outageMs = this.changesAgeMs(this.restoredAt);
             this.logs.store.info("Store available again.", {
                 afterMs: Math.round(this.restoredAt - this.failingSince),
+                changesAgeMs: Math.round(this.outageMs),
             });
             this.failingSince = undefined;
         }
