Keep the deadline of changes in one place

Nobody added them up, or knew at a send how old the router's view was.

- Each router knows the age of its view, end to end: a response counts from when the source read the store, including both ways of the calls.
Waits follow this age.
A watcher whose watch takes long asks other routers; the watch goes on.
History that is gone and a changed role no longer cut a router off from relayed changes.
- An outage that other routers did not have is no outage of the store, so that removals take effect at once after it.

The model loses at most two routers at the same time, as deployments declare.

'rejects changes that are too old' now finds the next router within one call; it checks the ages at the limit and the order.

--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -1,4 +1,5 @@
 export * from "./attempts.js";
+export * from "./change-deadline.js";
 export * from "./crash-evidence.js";
 export * from "./drain.js";
 export * from "./endpoint-availability.js";
--- a/packages/router/src/gateway/mocks/fake-following-fleet.ts
+++ b/packages/router/src/gateway/mocks/fake-following-fleet.ts
@@ -56,6 +56,8 @@
     "slow": [500, 4_000],
     "refused": [50, 900],
 };
+/** Routers that are lost at the same time, at most; a deployment is declared to bear as many. */
+const MAX_LOST_ROUTERS = 2;
 /** Range in ms by which a slow router responds later. */
 const SLOW_MS = [100, 1_500] as const;
 
@@ -138,6 +140,10 @@
     /** Disturbs one of the given routers by one of the given faults. */
     disturbAny(names: readonly string[], faults: readonly RouterFault[]): void {
         const fault = randomElement(this.random, faults)!;
+        const lost = [...this.routers.values()].filter(({ storeAccess }) => storeAccess === "silent");
+        if (lost.length >= MAX_LOST_ROUTERS && (fault === "dark" || fault === "no-store")) {
+            return;
+        }
         const slowMs = fault === "slow" ? this.between(SLOW_MS) : 0;
         this.disturb(randomElement(this.random, names)!, fault, this.between(FAULT_MS[fault]), slowMs);
     }
@@ -210,7 +216,7 @@
     }
 
     private createRouter(member: FleetMember): FollowingRouter {
-        const logs = createGatewayLogs({ level: "error" });
+        const logs = createGatewayLogs({ level: process.env["TEST_LOG_LEVEL"] === "info" ? "info" : "error" });
         const clock = (): number => Date.now();
         const table = createEndpointTable();
         const registrations = new EndpointRegistrations(
@@ -254,7 +260,8 @@
             logs,
             clock,
             () => this.options.deadlineMs,
-            () => isWatcher && !follower.isFailing ? undefined : feed,
+            feed,
+            () => isWatcher,
             history,
             [PREFIX],
             new LargeValues(calls, () => [], store, logs),
--- a/packages/router/src/gateway/peer-change-feed.test.ts
+++ b/packages/router/src/gateway/peer-change-feed.test.ts
@@ -1,3 +1,4 @@
+import { divideDeadline } from "@gooseberrybend/core/dispatch";
 import { ok } from "neverthrow";
 import { describe, expect, it, vi } from "vitest";
 import { LargeValues } from "./large-values.js";
@@ -25,7 +26,13 @@
             const answer = history.respond({ after: 5, waitMs: 1_000 });
             history.add([changeAt(7)], 8, 0);
             expect(await answer).toMatchObject({ revision: 8, changes: [{ key: "key-7", revision: 7 }] });
-            expect(await history.respond({ after: 8, waitMs: 10 })).toEqual({ revision: 8, ageMs: 0, changes: [] });
+            expect(await history.respond({ after: 8, waitMs: 10 })).toEqual({
+                revision: 8,
+                ageMs: 0,
+                heldMs: 0,
+                outage: { endedAgoMs: 0, durationMs: 0 },
+                changes: [],
+            });
         });
 
         it("returns no revision to a router that missed more than it retains", async () => {
@@ -69,7 +76,8 @@
                 logs,
                 () => performance.now(),
                 () => CHANGE_DEADLINE_MS,
-                () => feed,
+                feed,
+                () => false,
                 history,
                 ["key-"],
                 noLargeValues,
@@ -116,7 +124,8 @@
                 logs,
                 () => (now += 500),
                 () => 10,
-                () => new PeerChangeFeed(peers, () => ["peer"], () => (now += 5_000)),
+                new PeerChangeFeed(peers, () => ["peer"], () => (now += 5_000)),
+                () => false,
                 new ChangeHistory([""], () => 0),
                 ["a/", "b/"],
                 noLargeValues,
@@ -151,7 +160,8 @@
                 logs,
                 () => performance.now(),
                 () => CHANGE_DEADLINE_MS,
-                () => new PeerChangeFeed({} as PeerCalls, () => [], () => 0),
+                new PeerChangeFeed({} as PeerCalls, () => [], () => 0),
+                () => false,
                 new ChangeHistory([""], () => 0),
                 ["a/", "b/"],
                 noLargeValues,
@@ -166,27 +176,44 @@
         const peersAnswering = (answer: object): PeerCalls =>
             ({ call: async () => ok(answer) }) as unknown as PeerCalls;
 
-        it("rejects changes that are too old, and queries another router next", async () => {
-            const call = vi.fn(async () => ok({ revision: 8, ageMs: 900, changes: [] }));
+        it("rejects changes that are too old, and queries another router", async () => {
+            const call = vi.fn(async (address: string) =>
+                ok({ revision: 8, ageMs: address === "near" ? 901 : 899, heldMs: 0, changes: [] })
+            );
             const feed = new PeerChangeFeed({ call } as unknown as PeerCalls, () => ["near", "far"], () => 0);
-            expect(await feed.changes(5, 400, 800)).toBeUndefined();
-            expect(await feed.changes(5, 400, 1_000)).toMatchObject({ revision: 8 });
+            expect(await feed.changes(5, 400, divideDeadline(2_000))).toMatchObject({ revision: 8, readAt: -899 });
             expect(call.mock.calls.map(([address]: unknown[]) => address)).toEqual(["near", "far"]);
         });
 
+        // Guards against incident DRAIN: sources that were silent were waited for one after the other.
+        it("queries another router as well when one does not respond in time", async () => {
+            const silent = new Promise(() => undefined);
+            const call = vi.fn(async (address: string) =>
+                address === "near" ? await silent : ok({ revision: 8, ageMs: 0, heldMs: 0, changes: [] })
+            );
+            const feed = new PeerChangeFeed({ call } as unknown as PeerCalls, () => ["near", "far"], () => 0);
+            const startedAt = performance.now();
+            expect(await feed.changes(5, 100, divideDeadline(2_000))).toMatchObject({ revision: 8 });
+            expect(performance.now() - startedAt).toBeLessThan(400);
+            await feed.changes(8, 100, divideDeadline(2_000));
+            expect(call.mock.calls.map(([address]: unknown[]) => address)).toEqual(["near", "far", "far"]);
+        });
+
         // Guards against incident DRAIN: the age of changes did not include the way back from a router that is slow.
         it("counts the way back of a response in the age of its changes", async () => {
             let now = 0;
             const call = async () => {
                 now = 700;
-                return ok({ revision: 8, ageMs: 100, changes: [] });
+                return ok({ revision: 8, ageMs: 100, heldMs: 0, changes: [] });
             };
             const feed = new PeerChangeFeed({ call } as unknown as PeerCalls, () => ["near"], () => now);
-            expect(await feed.changes(5, 400, 2_000)).toMatchObject({ readAt: -100 });
+            expect(await feed.changes(5, 400, divideDeadline(3_000))).toMatchObject({ readAt: -100 });
         });
 
         it("gets none when no router relays them", async () => {
-            expect(await new PeerChangeFeed(peersAnswering({}), () => [], () => 0).changes(5, 400, 800))
+            expect(
+                await new PeerChangeFeed(peersAnswering({}), () => [], () => 0).changes(5, 400, divideDeadline(2_000)),
+            )
                 .toBeUndefined();
         });
     });
--- a/packages/router/src/gateway/peer-change-feed.ts
+++ b/packages/router/src/gateway/peer-change-feed.ts
@@ -1,13 +1,15 @@
+import type { ChangeDeadline } from "@gooseberrybend/core/dispatch";
 import { deflateRawSync } from "node:zlib";
 import { z } from "zod";
+import { firstResult } from "./first-result.js";
 import type { StoreChange, StoreChanges, StoredItem } from "./metadata-store.js";
 import { PausedPeers, type PeerCalls } from "./peer-calls.js";
 
 /** JSON-RPC method by which a router requests changes of the store from another one. */
 export const CHANGE_FEED_METHOD = "news";
 
-/** Time in ms that a response may take beyond the requested wait; it may contain a whole configuration. */
-const RESPONSE_MARGIN_MS = 400;
+/** Maximum number of routers that are asked for the same changes. */
+const MAX_SOURCES = 3;
 /** Time in ms for which a router that relayed no changes is not called again. */
 const PEER_PAUSE_MS = 2_000;
 /** Maximum time in ms that a router holds a request for changes open. */
@@ -29,6 +31,10 @@
     revision: z.number().optional(),
     /** Time in ms since the relayed state was read from the store. */
     ageMs: z.number(),
+    /** Time in ms for which the router held the request. */
+    heldMs: z.number().optional(),
+    /** Last time for which the router could read no changes. */
+    outage: z.object({ endedAgoMs: z.number(), durationMs: z.number() }).optional(),
     changes: z.array(z.object({
         key: z.string(),
         revision: z.number(),
@@ -52,6 +58,9 @@
     isValueMissing: boolean;
 };
 
+/** A time in ms for which no changes of the store could be read, and the monotonic time in ms of its end. */
+export type Outage = { readonly endedAt: number; readonly durationMs: number; };
+
 /** Recent changes of the store, retained for the requests of other routers. */
 export class ChangeHistory {
     private readonly retained: RetainedChange[] = [];
@@ -64,6 +73,8 @@
     private revision = 0;
     private lastReadAt = -Infinity;
     private readonly waiters = new Set<() => void>();
+    /** Last outage of this router. */
+    outage: Outage = { endedAt: 0, durationMs: 0 };
 
     constructor(
         /** Prefixes of the keys whose changes other routers need. */
@@ -90,11 +101,11 @@
         deferred: readonly DeferredValue[] = [],
     ): void {
         this.lastReadAt = Math.max(this.lastReadAt, readAt);
-        this.revision = revision;
+        this.revision = Math.max(revision, this.revision);
         const relevant = [
             ...changes.map((change) => ({ ...change, isValueMissing: false })),
             ...deferred.map((value) => ({ ...value, item: undefined, isValueMissing: true })),
-        ].filter(({ key }) => this.prefixes.some((prefix) => key.startsWith(prefix)));
+        ].filter((change) => this.prefixes.some((prefix) => change.key.startsWith(prefix)) && !this.isRetained(change));
         relevant.sort((one, other) => one.revision - other.revision);
         relevant.forEach((change) => this.retain(change));
         if (this.retained.length > MAX_RETAINED_CHANGES) {
@@ -125,17 +136,21 @@
     /** Handles a request for changes after a revision: responds once there are any, or at the end of the wait. */
     async respond(parameters: unknown): Promise<ChangeFeedResponse> {
         const { after, waitMs, defersLargeValues } = requestSchema.parse(parameters);
+        const receivedAt = this.now();
         if (!this.hasResponse(after)) {
             await this.nextChange(waitMs);
         }
+        const heldMs = this.now() - receivedAt;
         const ageMs = this.now() - this.lastReadAt;
+        const { endedAt, durationMs } = this.outage;
+        const outage = { endedAgoMs: this.now() - endedAt, durationMs };
         const missed = this.retained.filter((change) => change.revision > after);
         const lacksValues = !defersLargeValues && missed.some((change) => change.isValueMissing);
         if (this.retainedAfter === undefined || after < this.retainedAfter || lacksValues) {
-            return { ageMs, changes: [] };
+            return { ageMs, heldMs, outage, changes: [] };
         }
         const changes = missed.map((change) => relayedForm(change, defersLargeValues));
-        return { revision: Math.max(after, this.revision), ageMs, changes };
+        return { revision: Math.max(after, this.revision), ageMs, heldMs, outage, changes };
     }
 
     /** Handles a request for a large value: responds with the newest one, if it is not older than requested. */
@@ -166,6 +181,10 @@
         this.retained.push(change);
     }
 
+    private isRetained({ key, revision }: DeferredValue): boolean {
+        return this.retained.some((change) => change.revision === revision && change.key === key);
+    }
+
     private hasResponse(after: number): boolean {
         return this.retainedAfter === undefined || after < this.retainedAfter
             || this.retained.some((change) => change.revision > after);
@@ -202,11 +221,15 @@
     readonly readAt: number;
     /** Large values that are not among the changes. */
     readonly deferred: readonly DeferredValue[];
+    /** Last outage of that router. */
+    readonly outage: Outage | undefined;
 };
 
 /** Reads changes of the store from other routers, so that not every router has to read the store. */
 export class PeerChangeFeed {
     private readonly paused = new PausedPeers(PEER_PAUSE_MS);
+    /** Last outage that each router reported, and the time of its report. */
+    private readonly reports = new Map<string, { readonly at: number; readonly outage: Outage; }>();
 
     constructor(
         private readonly peers: PeerCalls,
@@ -220,32 +243,90 @@
         this.paused.clear();
     }
 
-    /** Requests the changes after a revision from one router. Returns undefined if it has none or they are too old. */
-    async changes(after: number, waitMs: number, maxAgeMs: number): Promise<RelayedChanges | undefined> {
-        const now = this.now();
-        const source = this.sources().find((address) => !this.paused.has(address, now));
-        if (source === undefined) {
+    /**
+     * Requests the changes after a revision, from a second and a third router if the one before does not respond in
+     * time or its changes are too old. Returns undefined if none relays them.
+     */
+    changes(after: number, waitMs: number, deadline: ChangeDeadline): Promise<RelayedChanges | undefined> {
+        const startedAt = this.now();
+        const available = this.sources().filter((address) => !this.paused.has(address, startedAt));
+        const unanswered = new Set<string>();
+        const attempts = available.slice(0, MAX_SOURCES).map((source, index) => async () => {
+            unanswered.forEach((slower) => this.paused.add(slower, this.now()));
+            unanswered.add(source);
+            const relayed = await this.request(source, after, index === 0 ? waitMs : 0, deadline);
+            unanswered.delete(source);
+            if (relayed === undefined) {
+                this.paused.add(source, this.now());
+            }
+            return relayed;
+        });
+        return firstResult(attempts, {
+            firstDelayMs: waitMs + deadline.hedgeDelayMs,
+            nextDelayMs: deadline.hedgeDelayMs,
+            giveUpMs: waitMs + deadline.relayMarginMs,
+        });
+    }
+
+    private async request(
+        source: string,
+        after: number,
+        waitMs: number,
+        { relayMarginMs, maxRelayedAgeMs }: ChangeDeadline,
+    ): Promise<RelayedChanges | undefined> {
+        const parameters = { after, waitMs, defersLargeValues: true };
+        const sentAt = this.now();
+        const response = await this.peers.call(source, CHANGE_FEED_METHOD, parameters, waitMs + relayMarginMs);
+        const parsed = responseSchema.safeParse(response.unwrapOr(undefined));
+        if (!parsed.success) {
             return undefined;
         }
-        const response = await this.peers.call(
-            source,
-            CHANGE_FEED_METHOD,
-            { after, waitMs, defersLargeValues: true },
-            waitMs + RESPONSE_MARGIN_MS,
-        );
-        const parsed = responseSchema.safeParse(response.unwrapOr(undefined));
-        if (!parsed.success || parsed.data.revision === undefined || parsed.data.ageMs > maxAgeMs) {
-            this.paused.add(source, this.now());
+        const { changes, revision, ageMs, heldMs } = parsed.data;
+        const now = this.now();
+        // Either way of the call may be slow. Routers of earlier versions do not report how long they held it.
+        const readAt = (heldMs === undefined ? now : Math.min(now, sentAt + heldMs)) - ageMs;
+        const isTooOld = now - readAt > maxRelayedAgeMs;
+        const outage = isTooOld ? { endedAt: now, durationMs: ageMs } : outageOf(parsed.data, now);
+        if (outage !== undefined) {
+            this.reports.set(source, { at: now, outage });
+        }
+        if (revision === undefined || isTooOld) {
             return undefined;
         }
-        const { changes, revision } = parsed.data;
         return {
             revision,
             changes: changes.filter((change) => !change.isDeferred).map(changeOf),
             deferred: changes.filter((change) => change.isDeferred),
-            readAt: this.now() - parsed.data.ageMs,
+            readAt,
+            outage,
         };
     }
+
+    /**
+     * Returns the shortest outage that other routers have reported since a time, one without any duration if none has
+     * reported, and undefined if there are no other routers.
+     */
+    reportedOutage(since: number): Outage | undefined {
+        const sources = this.sources();
+        if (sources.length === 0) {
+            return undefined;
+        }
+        const reports = sources.map((source) => this.reports.get(source))
+            .filter((report) => report !== undefined && report.at >= since)
+            .map((report) => report!.outage);
+        const none = { endedAt: since, durationMs: 0 };
+        return reports.length === 0 ? none : reports.reduce(shorterOutage);
+    }
+}
+
+function shorterOutage(one: Outage, other: Outage): Outage {
+    return one.durationMs < other.durationMs ? one : other;
+}
+
+function outageOf({ outage }: ChangeFeedResponse, now: number): Outage | undefined {
+    return outage === undefined
+        ? undefined
+        : { endedAt: now - outage.endedAgoMs, durationMs: outage.durationMs };
 }
 
 function changeOf({ key, revision, value }: ChangeFeedResponse["changes"][number]): StoreChange {
--- a/packages/router/src/gateway/store-follower.ts
+++ b/packages/router/src/gateway/store-follower.ts
@@ -1,26 +1,11 @@
+import { type ChangeDeadline, divideDeadline, relayWaitMs, retryPauseMs } from "@gooseberrybend/core/dispatch";
 import type { LargeValues } from "./large-values.js";
 import type { GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoreChange, StoredItem, StoreFailure, StoreResult } from "./metadata-store.js";
-import type { ChangeHistory, PeerChangeFeed } from "./peer-change-feed.js";
+import type { ChangeHistory, Outage, PeerChangeFeed } from "./peer-change-feed.js";
 
-/** Share of the change deadline that a watch waits; it bounds how long a silent connection goes unnoticed. */
-const WATCH_WAIT_SHARE = 0.2;
-/** Share of the change deadline between the starts of two watches: changes are batched, as each call has a cost. */
-const WATCH_INTERVAL_SHARE = 0.2;
-/** Pause in ms after a failed call, doubled with each one in a row; failed calls have a cost too. */
-const MIN_RETRY_MS = 500;
-/** Longest such pause in ms: including a call, a router is up to date within 3 s of the end of a partition. */
-const MAX_RETRY_MS = 1_200;
 /** Minimum interval in ms between two requests to other routers. */
 const PEER_POLL_INTERVAL_MS = 100;
-/** Share of the change deadline for which a router waits, after a partition, for other routers to be up to date. */
-const PEERS_ONLY_SHARE = 0.3;
-/** Shares of the change deadline that a request to another router may wait, and that its changes may be old. */
-const PEER_WAIT_SHARE = 0.2;
-const PEER_MAX_AGE_SHARE = 0.45;
-
-/** Time in ms beyond its wait for which a read of one prefix is awaited; a large value may take longer. */
-const PREFIX_READ_MARGIN_MS = 300;
 
 /** The prefix of all keys. */
 const ALL_KEYS_PREFIX = "";
@@ -42,6 +27,10 @@
     private readonly newerRevisions = new Map<string, number>();
     /** Revision up to which each prefix was read, where that is newer than `revision`. */
     private readonly prefixRevisions = new Map<string, number>();
+    /** Read of all changes that takes long. */
+    private watch: Promise<StoreResult<void>> | undefined;
+    /** True if the changes after `revision` are no longer to be had from the store. */
+    private isHistoryGone = false;
     /** Prefixes whose read takes long. */
     private readonly readingPrefixes = new Set<string>();
     private stopped = false;
@@ -55,10 +44,6 @@
     private peersOnlyUntil = -Infinity;
     /** Time before which no change is missing; a router starts without any. */
     private confirmedAt = -Infinity;
-    /** Time at which the store was available again after its last outage. */
-    private restoredAt = -Infinity;
-    /** Time in ms for which no changes could be read in that outage, from the store or another router. */
-    private outageMs = 0;
 
     constructor(
         private readonly store: MetadataStore,
@@ -67,8 +52,9 @@
         private readonly clock: () => number,
         /** Time in ms within which the router must act on a change. */
         private readonly changeDeadlineMs: () => number,
-        /** Returns the feed of other routers; undefined while this router reads the store itself. */
-        private readonly changeFeed: () => PeerChangeFeed | undefined,
+        private readonly changeFeed: PeerChangeFeed,
+        /** Whether this router reads the store for others. */
+        private readonly isWatcher: () => boolean,
         private readonly history: ChangeHistory,
         /**
          * Prefixes that are read from the store when no other router relays changes, the most urgent first. All other
@@ -97,7 +83,8 @@
      * none if the outage was shorter than the time in which they expire: a removal then means that the owner has left.
      */
     expiryGraceMs(shortestExpiryMs: number, now: number): number {
-        return this.outageMs < shortestExpiryMs ? 0 : Math.max(0, this.restoredAt + EXPIRY_GRACE_MS - now);
+        const { endedAt, durationMs } = this.history.outage;
+        return durationMs < shortestExpiryMs ? 0 : Math.max(0, endedAt + EXPIRY_GRACE_MS - now);
     }
 
     /** Whether the last read failed. */
@@ -111,51 +98,41 @@
         this.largeValues.stop();
     }
 
+    private get deadline(): ChangeDeadline {
+        return divideDeadline(this.changeDeadlineMs());
+    }
+
     // Returns the time in ms from the start of this read to the next one.
     private async readNext(): Promise<number> {
-        const feed = this.revision === undefined ? undefined : this.changeFeed();
-        if (feed !== undefined && await this.readFromPeer(feed)) {
-            return PEER_POLL_INTERVAL_MS;
+        const needsAll = this.isHistoryGone || (this.isPartial && this.isWatcher());
+        if (this.revision === undefined || (needsAll && !this.isFailing)) {
+            return this.pauseAfter(await this.readAll());
         }
-        if (feed !== undefined && this.isFailing && !await this.probeStore(feed)) {
-            return this.retryMs();
+        if (this.isWatcher() && !this.isFailing && await this.readStore(() => this.readAllChanges())) {
+            return this.deadline.watchIntervalMs;
         }
-        if (feed !== undefined && this.clock() < this.peersOnlyUntil) {
-            feed.clearPauses();
+        if (await this.readFromPeers()) {
             return PEER_POLL_INTERVAL_MS;
         }
-        if (feed === undefined && this.isPartial) {
-            this.revision = undefined;
+        if (this.clock() < this.peersOnlyUntil) {
+            this.changeFeed.clearPauses();
+            return PEER_POLL_INTERVAL_MS;
         }
-        const succeeded = this.revision === undefined
-            ? await this.readAll()
-            : await this.readChanges(feed !== undefined);
-        return succeeded ? WATCH_INTERVAL_SHARE * this.changeDeadlineMs() : this.retryMs();
+        return this.pauseAfter(await this.readStore(() => this.readPrefixes()));
     }
 
-    private retryMs(): number {
-        return Math.min(MAX_RETRY_MS, MIN_RETRY_MS * 2 ** (this.failures - 1));
+    private pauseAfter(succeeded: boolean): number {
+        return succeeded
+            ? this.deadline.watchIntervalMs
+            : retryPauseMs(this.deadline, this.failures, this.changesAgeMs(this.clock()));
     }
 
-    // One small call shows whether the store is available. Then peers are called again: most were partitioned as well.
-    private async probeStore(feed: PeerChangeFeed): Promise<boolean> {
-        const result = await this.store.changes(this.feedPrefixes[0]!, this.revision!, 0);
-        if (result.kind !== "done" && result.kind !== "compacted") {
-            this.recordFailure(result);
-            return false;
-        }
-        this.recordSuccess();
-        feed.clearPauses();
-        this.peersOnlyUntil = this.clock() + PEERS_ONLY_SHARE * this.changeDeadlineMs();
-        return true;
-    }
-
-    private async readFromPeer(feed: PeerChangeFeed): Promise<boolean> {
-        const waitMs = PEER_WAIT_SHARE * this.changeDeadlineMs();
+    private async readFromPeers(): Promise<boolean> {
         const startedAt = this.clock();
-        const relayed = await feed.changes(this.revision!, waitMs, PEER_MAX_AGE_SHARE * this.changeDeadlineMs());
+        const waitMs = relayWaitMs(this.deadline, this.changesAgeMs(startedAt));
+        const relayed = await this.changeFeed.changes(this.revision!, waitMs, this.deadline);
         if (relayed === undefined) {
-            this.logs.store.info("Another router relayed no changes in time.", {
+            this.logs.store.info("No other router relayed changes in time.", {
                 tookMs: Math.round(this.clock() - startedAt),
                 changesAgeMs: Math.round(this.changesAgeMs(this.clock())),
             });
@@ -163,6 +140,7 @@
         }
         this.isPartial = true;
         this.recordSuccess();
+        this.limitOutage(relayed.outage);
         this.recordConfirmed(relayed.readAt, "other-router");
         const { changes, deferred, revision, readAt } = relayed;
         this.history.add(changes, revision, readAt, deferred);
@@ -215,37 +193,53 @@
         this.revision = undefined;
         this.recordRevision(revision);
         this.isPartial = false;
+        this.isHistoryGone = false;
         this.history.restart(revision);
         this.listener.onReplaced(items, revision, this.clock());
         return true;
     }
 
-    private async readChanges(feedOnly: boolean): Promise<boolean> {
-        const startedAt = this.clock();
-        const result = feedOnly ? await this.readPrefixes() : await this.readAllChanges();
+    private async readStore(read: () => Promise<StoreResult<void>>): Promise<boolean> {
+        const result = await read();
         if (result.kind === "compacted") {
             this.logs.store.warn("Watch history compacted; reading all keys.", { revision: this.revision });
-            this.revision = undefined;
+            this.isHistoryGone = true;
             return this.readAll();
         }
         if (result.kind !== "done") {
             this.recordFailure(result);
             return false;
         }
-        this.recordSuccess();
-        this.recordConfirmed(startedAt, "store");
-        this.isPartial ||= feedOnly;
         return true;
     }
 
+    // A read that takes long goes on: it may be of a large value on a slow link.
     private async readAllChanges(): Promise<StoreResult<void>> {
-        const waitMs = WATCH_WAIT_SHARE * this.changeDeadlineMs();
+        const { watchWaitMs, storeMarginMs } = this.deadline;
+        this.watch ??= this.watchAllKeys(watchWaitMs).finally(() => {
+            this.watch = undefined;
+        });
+        const limitMs = watchWaitMs + storeMarginMs;
+        const detail = `no response within ${limitMs} ms`;
+        return Promise.race([
+            this.watch,
+            sleep(limitMs).then((): StoreFailure => ({ kind: "unanswered", detail })),
+        ]);
+    }
+
+    private async watchAllKeys(waitMs: number): Promise<StoreResult<void>> {
+        const startedAt = this.clock();
         const result = await this.store.changes(ALL_KEYS_PREFIX, this.revision!, waitMs);
         if (result.kind !== "done") {
             return result;
         }
         const { changes, revision } = result.value;
-        this.history.add(changes, revision, this.clock());
+        // Without changes, the store responded at the end of the wait.
+        const now = this.clock();
+        const readAt = changes.length === 0 ? Math.min(now, startedAt + waitMs) : startedAt;
+        this.recordSuccess();
+        this.recordConfirmed(readAt, "store");
+        this.history.add(changes, revision, readAt);
         this.apply(changes);
         this.recordRevision(revision);
         return { kind: "done", value: undefined };
@@ -253,23 +247,52 @@
 
     // Each prefix is applied as soon as it is read. A call without a wait shows first whether the store is available.
     private async readPrefixes(): Promise<StoreResult<void>> {
-        const waitMs = WATCH_WAIT_SHARE * this.changeDeadlineMs() / this.feedPrefixes.length;
+        const { totalMs, watchWaitMs, storeMarginMs } = this.deadline;
+        const startedAt = this.clock();
+        const isLate = this.changesAgeMs(startedAt) > totalMs;
+        const isAfterOutage = isLate && this.isFailing;
         const [firstPrefix, ...otherPrefixes] = this.feedPrefixes;
-        const first = await this.readPrefix(firstPrefix!, otherPrefixes.length === 0 ? waitMs : 0);
+        if (isAfterOutage) {
+            return this.readAfterOutage(firstPrefix!);
+        }
+        const first = await this.readPrefix(firstPrefix!, 0);
         if (first.kind !== "done") {
             return first;
         }
+        const waitMs = isLate ? 0 : watchWaitMs / this.feedPrefixes.length;
         const others = otherPrefixes.filter((prefix) => !this.readingPrefixes.has(prefix))
             .map((prefix) => this.readPrefix(prefix, waitMs));
-        const results = await Promise.race([Promise.all(others), sleep(waitMs + PREFIX_READ_MARGIN_MS)]);
+        const results = await Promise.race([Promise.all(others), sleep(waitMs + storeMarginMs)]);
         const failure = results?.find((result) => result.kind !== "done");
         if (failure !== undefined) {
             return failure;
         }
         const current = this.revision!;
         const revision = Math.min(...this.feedPrefixes.map((prefix) => this.prefixRevisions.get(prefix) ?? current));
+        this.isPartial = true;
+        this.recordConfirmed(startedAt, "store");
         this.recordRevision(revision);
-        this.history.add([], revision, this.clock());
+        this.history.add([], revision, startedAt);
+        return { kind: "done", value: undefined };
+    }
+
+    // One small call shows whether the store is available. A router that was not partitioned from it, or that is up to
+    // date again, then relays the changes; the others need not all read the store.
+    private async readAfterOutage(prefix: string): Promise<StoreResult<void>> {
+        const result = await this.store.changes(prefix, this.revision!, 0);
+        if (result.kind !== "done") {
+            return result;
+        }
+        const outageBegan = this.confirmedAt;
+        this.recordSuccess();
+        this.changeFeed.clearPauses();
+        if (await this.readFromPeers()) {
+            return { kind: "done", value: undefined };
+        }
+        this.limitOutage(this.changeFeed.reportedOutage(outageBegan));
+        if (!this.isWatcher()) {
+            this.peersOnlyUntil = this.clock() + this.deadline.peersOnlyMs;
+        }
         return { kind: "done", value: undefined };
     }
 
@@ -288,6 +311,7 @@
             return result;
         }
         const { changes, revision } = result.value;
+        this.recordSuccess();
         this.history.add(changes, this.revision ?? 0, -Infinity);
         this.apply(changes);
         this.prefixRevisions.set(prefix, revision);
@@ -308,6 +332,17 @@
         this.confirmedAt = Math.max(this.confirmedAt, readAt);
     }
 
+    // An outage of this router alone is none of the store: registrations did not expire in it.
+    private limitOutage(outage: Outage | undefined): void {
+        const { endedAt, durationMs } = this.history.outage;
+        if (outage !== undefined) {
+            this.history.outage = {
+                endedAt: Math.min(endedAt, outage.endedAt),
+                durationMs: Math.min(durationMs, outage.durationMs),
+            };
+        }
+    }
+
     private recordFailure(failure: StoreFailure): void {
         this.failures++;
         if (this.failingSince === undefined) {
@@ -322,11 +357,11 @@
     private recordSuccess(): void {
         this.failures = 0;
         if (this.failingSince !== undefined) {
-            this.restoredAt = this.clock();
-            this.outageMs = this.changesAgeMs(this.restoredAt);
+            const now = this.clock();
+            this.history.outage = { endedAt: now, durationMs: this.changesAgeMs(now) };
             this.logs.store.info("Store available again.", {
-                afterMs: Math.round(this.restoredAt - this.failingSince),
-                changesAgeMs: Math.round(this.outageMs),
+                afterMs: Math.round(now - this.failingSince),
+                changesAgeMs: Math.round(this.history.outage.durationMs),
             });
             this.failingSince = undefined;
         }
