--- a/packages/core/src/dispatch/endpoint-availability.ts
+++ b/packages/core/src/dispatch/endpoint-availability.ts
@@ -24,6 +24,11 @@
     return !row.entry.leaving && !row.announcedLeaving && row.backoffUntil <= now;
 }
 
+/** Returns whether an endpoint that was chosen earlier is still registered and accepts new requests. */
+export function stillAcceptsRequests(table: EndpointTable, row: EndpointState, now: number): boolean {
+    return table.rows.get(row.entry.id) === row && acceptsRequests(row, now);
+}
+
 /** Returns the time in ms until an endpoint of a service accepts requests; 0 unless all that stay are in back-off. */
 export function remainingBackoffMs(table: EndpointTable, service: ServiceName, now: number): number {
     const remaining = stayingEndpoints(table, service);
--- a/packages/router/src/gateway/endpoint-send.ts
+++ b/packages/router/src/gateway/endpoint-send.ts
@@ -1,6 +1,13 @@
-import type { EndpointState, HeadVerdict, ResponseEnd, TrackedSend } from "@gooseberrybend/core/dispatch";
+import type {
+    EndpointState,
+    HeadVerdict,
+    ResponseEnd,
+    ServiceDeclaration,
+    TrackedSend,
+} from "@gooseberrybend/core/dispatch";
 import type { Dispatcher } from "undici";
 import type { EndpointFields } from "./dialect.js";
+import type { GatewayContext } from "./gateway-context.js";
 
 /** One send to an endpoint, and its state so far. */
 export type Send = {
@@ -56,3 +63,35 @@
         trackedSend: undefined,
     };
 }
+
+/** Why a send could not begin. Nothing was sent. */
+export type DispatchFault = {
+    /** The endpoint's address can't be connected to, or the request is not valid HTTP. */
+    readonly cause: "unreachable" | "bad-request";
+    readonly detail: string;
+};
+
+/** Queues a send for a connection to its endpoint. Returns a fault if it can't be queued. */
+export function dispatchSend(
+    context: GatewayContext,
+    service: ServiceDeclaration,
+    send: Send,
+    options: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+): DispatchFault | undefined {
+    let connections: Dispatcher;
+    try {
+        connections = context.connectionsOf(send.row.entry, service);
+    }
+    catch (error) {
+        return { cause: "unreachable", detail: (error as Error).message };
+    }
+    try {
+        // The HTTP client validates header names and values before it sends anything.
+        connections.dispatch(options, handler);
+        return undefined;
+    }
+    catch (error) {
+        return { cause: "bad-request", detail: (error as Error).message };
+    }
+}
--- a/packages/router/src/gateway/exchange-log.ts
+++ b/packages/router/src/gateway/exchange-log.ts
@@ -31,6 +31,11 @@
         this.context.logs.endpoints.warn("Could not connect to the endpoint.", { ...this.figures(send), code });
     }
 
+    /** Logs that an endpoint that was chosen no longer accepts requests when the send is about to begin. */
+    left(send: Send): void {
+        this.context.logs.endpoints.info("Endpoint stopped accepting requests before the send.", this.figures(send));
+    }
+
     /** Logs that a response is not forwarded. */
     rejected(send: Send, reason: string): void {
         this.context.logs.requests.warn(`Response rejected: ${reason}.`, {
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -10,13 +10,14 @@
     recordSend,
     returnDelayMs,
     type SendFailure,
+    stillAcceptsRequests,
 } from "@gooseberrybend/core/dispatch";
 import type { Dispatcher } from "undici";
 import type { AdmittedRequest } from "./admitted-request.js";
 import { CallerAnswer } from "./caller-answer.js";
 import { REFUSED_CODE } from "./connection-check.js";
 import { observeReuse } from "./connection-use.js";
-import { createSend, type Send } from "./endpoint-send.js";
+import { createSend, dispatchSend, type Send } from "./endpoint-send.js";
 import { EventSplitter } from "./event-splitter.js";
 import { ExchangeLog } from "./exchange-log.js";
 import type { GatewayContext } from "./gateway-context.js";
@@ -58,12 +59,8 @@
         this.tokenClaim = new TokenClaim(context, admitted);
         this.answer = new CallerAnswer(admitted.response);
         this.splitter = new EventSplitter(fields.resumeAfter);
-        this.log = new ExchangeLog(
-            context,
-            admitted,
-            this.splitter,
-            () => ({ sends: this.sends, mayHaveRun: this.mayHaveRun }),
-        );
+        const progress = () => ({ sends: this.sends, mayHaveRun: this.mayHaveRun });
+        this.log = new ExchangeLog(context, admitted, this.splitter, progress);
         this.query = placementQueryOf(context, admitted, this.tried);
     }
 
@@ -121,14 +118,13 @@
         logPlacement(this.context, this.admitted, row, this.sends + 1, now);
         setTimeout(this.guarded(() => this.handleConnectTimeout(send), send), CONNECT_TIMEOUT_MS);
         recordSend(this.context.endpoints, row, this.query, this.context.random, now);
-        try {
-            this.context.connectionsOf(row.entry, this.admitted.service)
-                .dispatch(options, this.handlerOf(send));
-        }
-        catch (error) {
-            // The HTTP client validates header names and values before it sends anything.
-            this.endSend(send, false);
-            this.refuse("bad-request", undefined, { detail: (error as Error).message });
+        const fault = dispatchSend(this.context, this.admitted.service, send, options, this.handlerOf(send));
+        if (fault !== undefined) {
+            this.endSend(send, fault.cause === "unreachable", false);
+            if (fault.cause === "unreachable") {
+                return this.recordUnreachable(send, fault.detail, now);
+            }
+            this.refuse("bad-request", undefined, { detail: fault.detail });
         }
     }
 
@@ -145,8 +141,14 @@
     private startSend(send: Send, controller: Dispatcher.DispatchController): void {
         send.controller = controller;
         if (send.ended || this.isFinished) {
+            return this.abort(send);
+        }
+        // It may have left, or asked for no requests, while the request waited for a connection.
+        if (!stillAcceptsRequests(this.context.endpoints, send.row, this.context.clock())) {
+            this.endSend(send, false);
             this.abort(send);
-            return;
+            this.log.left(send);
+            return this.handleFailure(send, "unreachable");
         }
         send.requestStarted = true;
         observeReuse((isReused) => {
@@ -199,12 +201,9 @@
             return;
         }
         this.context.observeFirstByte(this.admitted, this.context.clock());
-        const headers = this.context.dialect.responseHeaders(send.headers);
-        this.answer.sendHead(
-            send.status,
-            this.admitted.route.resumable ? withoutContentLength(headers) : headers,
-            send.framing,
-        );
+        const allHeaders = this.context.dialect.responseHeaders(send.headers);
+        const headers = this.admitted.route.resumable ? withoutContentLength(allHeaders) : allHeaders;
+        this.answer.sendHead(send.status, headers, send.framing);
     }
 
     private receiveData(send: Send, chunk: Buffer): void {
