--- a/packages/router/src/gateway/endpoint-registrations.ts
+++ b/packages/router/src/gateway/endpoint-registrations.ts
@@ -53,13 +53,11 @@
 
     /** Applies one registration; an invalid one names no endpoint. */
     put(item: StoredItem): void {
-        const decoded = this.dialect.readEndpoint(item.key, item.value);
-        if (decoded.isErr()) {
-            this.logFault(item.key, decoded.error.message);
+        const entry = this.decode(item);
+        if (entry === undefined) {
             this.drop(this.idOf(item.key), "unreadable");
             return;
         }
-        const entry = decoded.value;
         const existing = this.table.rows.get(entry.id);
         const isChanged = existing === undefined || existing.entry.leaving !== entry.leaving
             || existing.entry.startedAt !== entry.startedAt;
@@ -102,6 +100,20 @@
         }, graceMs).unref();
     }
 
+    private decode({ key, value }: StoredItem): EndpointEntry | undefined {
+        try {
+            const decoded = this.dialect.readEndpoint(key, value);
+            if (decoded.isOk()) {
+                return decoded.value;
+            }
+            this.logFault(key, decoded.error.message);
+        }
+        catch (error) {
+            this.logFault(key, (error as Error).message);
+        }
+        return undefined;
+    }
+
     private drop(id: EndpointId, reason: string): void {
         const row = removeEndpoint(this.table, id);
         if (row !== undefined) {
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -306,15 +306,26 @@
         this.registry.replace(withPrefix(FLEET_PREFIX), this.follower.expiryGraceMs(SHORTEST_ROUTER_EXPIRY_MS, now));
         this.registrations.replace(withPrefix(this.dialect.endpointPrefix), this.endpointGraceMs(now), now);
         const configuration = items.find((item) => item.key === this.dialect.configurationKey);
-        if (configuration !== undefined) {
-            this.putConfiguration(configuration);
-        }
-        this.suspects.applyItems(withPrefix(SUSPECT_PREFIX));
-        withPrefix(LIMIT_PREFIX).forEach((item) => this.limitReports.apply(item));
-        withPrefix(CHECKPOINT_PREFIX).forEach((item) => this.prepaid.applyCheckpoints(item));
+        const others = [SUSPECT_PREFIX, LIMIT_PREFIX, CHECKPOINT_PREFIX].flatMap(withPrefix);
+        [...configuration === undefined ? [] : [configuration], ...others].forEach((item) => this.applyItem(item, now));
         this.prepaid.replaceRecords(withPrefix(PREPAID_PREFIX), revision);
     }
 
+    // An item that can't be applied must not keep the router from reading the others.
+    private applyItem(item: StoredItem, now: number): void {
+        const { key, revision } = item;
+        try {
+            this.applyChange({ key, revision, item }, now);
+        }
+        catch (error) {
+            this.logs.store.error("Item of the store could not be applied.", {
+                key,
+                revision,
+                detail: (error as Error).message,
+            });
+        }
+    }
+
     private applyChange(change: StoreChange, now: number): void {
         const { key, item } = change;
         if (key === this.dialect.configurationKey) {
--- a/packages/router/src/gateway/store-follower.ts
+++ b/packages/router/src/gateway/store-follower.ts
@@ -154,7 +154,21 @@
 
     private applyLargeValue(item: StoredItem): void {
         this.history.addLargeValue(item);
-        this.listener.onChanged({ key: item.key, revision: item.revision, item }, this.clock());
+        this.notify({ key: item.key, revision: item.revision, item }, this.clock());
+    }
+
+    // A change that can't be applied must not keep the router from following the others.
+    private notify(change: StoreChange, now: number): void {
+        try {
+            this.listener.onChanged(change, now);
+        }
+        catch (error) {
+            this.logs.store.error("Change of the store could not be applied.", {
+                key: change.key,
+                revision: change.revision,
+                detail: (error as Error).message,
+            });
+        }
     }
 
     // Sources may repeat changes that were read before: these must not undo newer ones.
@@ -164,7 +178,7 @@
             const { key, revision } = change;
             if (revision > Math.max(this.revision ?? 0, this.newerRevisions.get(key) ?? 0)) {
                 this.newerRevisions.set(key, revision);
-                this.listener.onChanged(change, now);
+                this.notify(change, now);
             }
         }
     }
