--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -123,8 +123,10 @@
             return;
         }
         const { drain } = this.gateway;
-        const longestMs = Math.min(route.timeoutMs, fields.callerTimeoutMs ?? Infinity);
-        if (drain !== undefined && !acceptsWhileDraining(drain, longestMs, arrivedAt)) {
+        const now = context.clock();
+        // The time that its body took to arrive has passed.
+        const longestMs = arrivedAt + Math.min(route.timeoutMs, fields.callerTimeoutMs ?? Infinity) - now;
+        if (drain !== undefined && !acceptsWhileDraining(drain, longestMs, now)) {
             this.refuse(fields, response, "draining", retryAfterMs(context.random()), {
                 route: route.name,
                 longestMs,
