Tell outages of the store by how long other routers have read it

A router reported the length of its last outage. One that failed at its start reported Infinity, which JSON turns into null: its responses were rejected as long as it ran. One that started in an outage reported none, so that others dropped endpoints whose registrations had expired.

Routers now report since when they have read changes without a gap longer than the deadline.

Failed calls before the deadline are tried again after 0.1, 0.2 and 0.3 of it, not each 0.05: in an outage each router made up to 16 calls before its pauses grew.

--- a/packages/core/src/dispatch/change-deadline.ts
+++ b/packages/core/src/dispatch/change-deadline.ts
@@ -24,8 +24,8 @@
     readonly peersOnlyMs: number;
 };
 
-/** Longest pause between two reads of a router whose view of the store is still younger than the deadline. */
-const URGENT_RETRY_SHARE = 0.05;
+/** Pause after a failed call while the deadline can be kept, multiplied by the failed calls in a row. */
+const URGENT_RETRY_SHARE = 0.1;
 /** Pause after a failed call once the deadline has passed, doubled with each one in a row; failed calls have a cost. */
 const MIN_RETRY_MS = 500;
 /** Longest such pause: including a call, a router is up to date within 3 s of the end of a partition. */
@@ -54,5 +54,5 @@
 /** Returns the pause after a number of failed reads in a row, by the age of this router's view of the store. */
 export function retryPauseMs({ totalMs }: ChangeDeadline, failures: number, ageMs: number): number {
     const pauseMs = Math.min(MAX_RETRY_MS, MIN_RETRY_MS * 2 ** (failures - 1));
-    return ageMs < totalMs ? Math.min(pauseMs, URGENT_RETRY_SHARE * totalMs) : pauseMs;
+    return ageMs < totalMs ? Math.min(pauseMs, URGENT_RETRY_SHARE * totalMs * failures) : pauseMs;
 }
--- a/packages/router/src/gateway/peer-change-feed.ts
+++ b/packages/router/src/gateway/peer-change-feed.ts
@@ -33,8 +33,8 @@
     ageMs: z.number(),
     /** Time in ms for which the router held the request. */
     heldMs: z.number().optional(),
-    /** Last time for which the router could read no changes. */
-    outage: z.object({ endedAgoMs: z.number(), durationMs: z.number() }).optional(),
+    /** Time in ms for which the router has read changes without an outage. */
+    readingForMs: z.number().optional(),
     changes: z.array(z.object({
         key: z.string(),
         revision: z.number(),
@@ -58,9 +58,6 @@
     isValueMissing: boolean;
 };
 
-/** A time in ms for which no changes of the store could be read, and the monotonic time in ms of its end. */
-export type Outage = { readonly endedAt: number; readonly durationMs: number; };
-
 /** Recent changes of the store, retained for the requests of other routers. */
 export class ChangeHistory {
     private readonly retained: RetainedChange[] = [];
@@ -73,8 +70,8 @@
     private revision = 0;
     private lastReadAt = -Infinity;
     private readonly waiters = new Set<() => void>();
-    /** Last outage of this router. */
-    outage: Outage = { endedAt: 0, durationMs: 0 };
+    /** Time since which this router has read changes without an outage. */
+    readingSince = Infinity;
 
     constructor(
         /** Prefixes of the keys whose changes other routers need. */
@@ -142,15 +139,14 @@
         }
         const heldMs = this.now() - receivedAt;
         const ageMs = this.now() - this.lastReadAt;
-        const { endedAt, durationMs } = this.outage;
-        const outage = { endedAgoMs: this.now() - endedAt, durationMs };
+        const readingForMs = Math.max(0, this.now() - this.readingSince);
         const missed = this.retained.filter((change) => change.revision > after);
         const lacksValues = !defersLargeValues && missed.some((change) => change.isValueMissing);
         if (this.retainedAfter === undefined || after < this.retainedAfter || lacksValues) {
-            return { ageMs, heldMs, outage, changes: [] };
+            return { ageMs, heldMs, readingForMs, changes: [] };
         }
         const changes = missed.map((change) => relayedForm(change, defersLargeValues));
-        return { revision: Math.max(after, this.revision), ageMs, heldMs, outage, changes };
+        return { revision: Math.max(after, this.revision), ageMs, heldMs, readingForMs, changes };
     }
 
     /** Handles a request for a large value: responds with the newest one, if it is not older than requested. */
@@ -221,15 +217,17 @@
     readonly readAt: number;
     /** Large values that are not among the changes. */
     readonly deferred: readonly DeferredValue[];
-    /** Last outage of that router. */
-    readonly outage: Outage | undefined;
+    /** Time since which that router has read changes without an outage; undefined if it does not report it. */
+    readonly readingSince: number | undefined;
 };
 
 /** Reads changes of the store from other routers, so that not every router has to read the store. */
 export class PeerChangeFeed {
     private readonly paused = new PausedPeers(PEER_PAUSE_MS);
-    /** Last outage that each router reported, and the time of its report. */
-    private readonly reports = new Map<string, { readonly at: number; readonly outage: Outage; }>();
+    /** Time since which each router has read changes, and the time of its report. */
+    private readonly reports = new Map<string, { readonly at: number; readonly readingSince: number; }>();
+    /** Latest time at which another router read changes of the store, even if it could not relay them. */
+    storeAvailableAt = -Infinity;
 
     constructor(
         private readonly peers: PeerCalls,
@@ -285,11 +283,11 @@
         const now = this.now();
         // Either way of the call may be slow. Routers of earlier versions do not report how long they held it.
         const readAt = (heldMs === undefined ? now : Math.min(now, sentAt + heldMs)) - ageMs;
+        this.storeAvailableAt = Math.max(this.storeAvailableAt, readAt);
         const isTooOld = now - readAt > maxRelayedAgeMs;
-        const outage = isTooOld ? { endedAt: now, durationMs: ageMs } : outageOf(parsed.data, now);
-        if (outage !== undefined) {
-            this.reports.set(source, { at: now, outage });
-        }
+        const { readingForMs } = parsed.data;
+        const readingSince = isTooOld || readingForMs === undefined ? undefined : now - readingForMs;
+        this.reports.set(source, { at: now, readingSince: readingSince ?? now });
         if (revision === undefined || isTooOld) {
             return undefined;
         }
@@ -298,37 +296,24 @@
             changes: changes.filter((change) => !change.isDeferred).map(changeOf),
             deferred: changes.filter((change) => change.isDeferred),
             readAt,
-            outage,
+            readingSince,
         };
     }
 
     /**
-     * Returns the shortest outage that other routers have reported since a time, one without any duration if none has
-     * reported, and undefined if there are no other routers.
+     * Returns the earliest time since which another router has read changes, by the reports since a time: -Infinity
+     * if there are none, and undefined if there are no other routers.
      */
-    reportedOutage(since: number): Outage | undefined {
+    reportedReadingSince(since: number): number | undefined {
         const sources = this.sources();
         if (sources.length === 0) {
             return undefined;
         }
-        const reports = sources.map((source) => this.reports.get(source))
-            .filter((report) => report !== undefined && report.at >= since)
-            .map((report) => report!.outage);
-        const none = { endedAt: since, durationMs: 0 };
-        return reports.length === 0 ? none : reports.reduce(shorterOutage);
+        const reports = sources.flatMap((source) => this.reports.get(source) ?? []).filter(({ at }) => at >= since);
+        return reports.length === 0 ? -Infinity : Math.min(...reports.map(({ readingSince }) => readingSince));
     }
 }
 
-function shorterOutage(one: Outage, other: Outage): Outage {
-    return one.durationMs < other.durationMs ? one : other;
-}
-
-function outageOf({ outage }: ChangeFeedResponse, now: number): Outage | undefined {
-    return outage === undefined
-        ? undefined
-        : { endedAt: now - outage.endedAgoMs, durationMs: outage.durationMs };
-}
-
 function changeOf({ key, revision, value }: ChangeFeedResponse["changes"][number]): StoreChange {
     const item = value === undefined ? undefined : { key, revision, value: Buffer.from(value, "base64") };
     return { key, revision, item };
--- a/packages/router/src/gateway/store-follower.ts
+++ b/packages/router/src/gateway/store-follower.ts
@@ -2,7 +2,7 @@
 import type { LargeValues } from "./large-values.js";
 import type { GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoreChange, StoredItem, StoreFailure, StoreResult } from "./metadata-store.js";
-import type { ChangeHistory, Outage, PeerChangeFeed } from "./peer-change-feed.js";
+import type { ChangeHistory, PeerChangeFeed } from "./peer-change-feed.js";
 
 /** Minimum interval in ms between two requests to other routers. */
 const PEER_POLL_INTERVAL_MS = 100;
@@ -13,6 +13,9 @@
 /** Time in ms after a store outage within which expired registrations may be renewed. */
 const EXPIRY_GRACE_MS = 2_000;
 
+/** A time in which no changes could be read. Monotonic times in ms. */
+type Outage = { readonly beganAt: number; readonly endedAt: number; };
+
 /** Receives the items of the store and their changes. */
 export type StoreListener = {
     /** Called with all items, at the start or after changes may have been missed. */
@@ -44,6 +47,8 @@
     private peersOnlyUntil = -Infinity;
     /** Time before which no change is missing; a router starts without any. */
     private confirmedAt = -Infinity;
+    /** The last time in which the store was away, as far as this router can tell. */
+    private outage: Outage = { beganAt: 0, endedAt: 0 };
 
     constructor(
         private readonly store: MetadataStore,
@@ -83,8 +88,8 @@
      * none if the outage was shorter than the time in which they expire: a removal then means that the owner has left.
      */
     expiryGraceMs(shortestExpiryMs: number, now: number): number {
-        const { endedAt, durationMs } = this.history.outage;
-        return durationMs < shortestExpiryMs ? 0 : Math.max(0, endedAt + EXPIRY_GRACE_MS - now);
+        const { beganAt, endedAt } = this.outage;
+        return endedAt - beganAt < shortestExpiryMs ? 0 : Math.max(0, endedAt + EXPIRY_GRACE_MS - now);
     }
 
     /** Whether the last read failed. */
@@ -132,15 +137,17 @@
         const waitMs = relayWaitMs(this.deadline, this.changesAgeMs(startedAt));
         const relayed = await this.changeFeed.changes(this.revision!, waitMs, this.deadline);
         if (relayed === undefined) {
-            this.logs.store.info("No other router relayed changes in time.", {
-                tookMs: Math.round(this.clock() - startedAt),
-                changesAgeMs: Math.round(this.changesAgeMs(this.clock())),
-            });
+            if (!this.isFailing) {
+                this.logs.store.info("No other router relayed changes in time.", {
+                    tookMs: Math.round(this.clock() - startedAt),
+                    changesAgeMs: Math.round(this.changesAgeMs(this.clock())),
+                });
+            }
             return false;
         }
         this.isPartial = true;
         this.recordSuccess();
-        this.limitOutage(relayed.outage);
+        this.limitOutage(relayed.readingSince);
         this.recordConfirmed(relayed.readAt, "other-router");
         const { changes, deferred, revision, readAt } = relayed;
         this.history.add(changes, revision, readAt, deferred);
@@ -297,13 +304,13 @@
         if (result.kind !== "done") {
             return result;
         }
-        const outageBegan = this.confirmedAt;
         this.recordSuccess();
+        const askedAt = this.clock();
         this.changeFeed.clearPauses();
         if (await this.readFromPeers()) {
             return { kind: "done", value: undefined };
         }
-        this.limitOutage(this.changeFeed.reportedOutage(outageBegan));
+        this.limitOutage(this.changeFeed.reportedReadingSince(askedAt));
         if (!this.isWatcher()) {
             this.peersOnlyUntil = this.clock() + this.deadline.peersOnlyMs;
         }
@@ -317,11 +324,15 @@
         const result = await this.store.changes(prefix, after, waitMs);
         this.readingPrefixes.delete(prefix);
         if (result.kind !== "done") {
-            this.logs.store.info("Changes of a prefix could not be read from the store.", {
-                prefix,
-                failure: result.kind,
-                tookMs: Math.round(this.clock() - startedAt),
-            });
+            const tookMs = this.clock() - startedAt;
+            if (tookMs > waitMs + this.deadline.storeMarginMs) {
+                // No longer awaited, so that this is the only trace of the failure.
+                this.logs.store.warn("Slow read of changes from the store failed.", {
+                    prefix,
+                    failure: result.kind,
+                    tookMs: Math.round(tookMs),
+                });
+            }
             return result;
         }
         const { changes, revision } = result.value;
@@ -335,7 +346,11 @@
     private recordConfirmed(readAt: number, source: string): void {
         const now = this.clock();
         const ageMs = this.changesAgeMs(now);
-        if (ageMs > this.changeDeadlineMs() && this.revision !== undefined) {
+        const isLate = ageMs > this.changeDeadlineMs();
+        if (isLate) {
+            this.history.readingSince = now;
+        }
+        if (isLate && this.revision !== undefined) {
             this.logs.store.warn("Changes were read late.", {
                 source,
                 changesAgeMs: Math.round(ageMs),
@@ -346,14 +361,12 @@
         this.confirmedAt = Math.max(this.confirmedAt, readAt);
     }
 
-    // An outage of this router alone is none of the store: registrations did not expire in it.
-    private limitOutage(outage: Outage | undefined): void {
-        const { endedAt, durationMs } = this.history.outage;
-        if (outage !== undefined) {
-            this.history.outage = {
-                endedAt: Math.min(endedAt, outage.endedAt),
-                durationMs: Math.min(durationMs, outage.durationMs),
-            };
+    // If another router has read changes since a time, the store was not away after it: an outage of this router alone
+    // is none of the store, and registrations did not expire in it.
+    private limitOutage(readingSince: number | undefined): void {
+        const { beganAt, endedAt } = this.outage;
+        if (readingSince !== undefined) {
+            this.outage = { beganAt, endedAt: Math.min(endedAt, readingSince) };
         }
     }
 
@@ -372,10 +385,10 @@
         this.failures = 0;
         if (this.failingSince !== undefined) {
             const now = this.clock();
-            this.history.outage = { endedAt: now, durationMs: this.changesAgeMs(now) };
+            this.outage = { beganAt: Math.max(this.confirmedAt, this.changeFeed.storeAvailableAt), endedAt: now };
             this.logs.store.info("Store available again.", {
                 afterMs: Math.round(now - this.failingSince),
-                changesAgeMs: Math.round(this.history.outage.durationMs),
+                changesAgeMs: Math.round(this.changesAgeMs(now)),
             });
             this.failingSince = undefined;
         }
