--- a/packages/core/src/mocks/index.ts
+++ b/packages/core/src/mocks/index.ts
@@ -7,3 +7,4 @@
 export type { FleetVerdict } from "./fleet-checker.js";
 export { CoreStrategy, RouterStrategy } from "./router-strategy.js";
 export { type FleetEvent, runSchedule, type Schedule, type ScheduleResult } from "./schedule.js";
+export { seedsOf } from "./seeds.js";
--- a/packages/router/src/gateway/change-deadline.test.ts
+++ b/packages/router/src/gateway/change-deadline.test.ts
@@ -1,3 +1,4 @@
+import { seedsOf } from "@gooseberrybend/core/mocks";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { FakeFollowingFleet, type FakeFollowingFleetOptions, type RouterFault } from "./mocks/fake-following-fleet.js";
 
@@ -13,11 +14,6 @@
     { routers: 195, deadlineMs: 3_000, stabilityMs: 5_000, runMs: 12_000, range: "1-1" },
 ];
 
-function seedsOf(range: string): number[] {
-    const [first, last] = range.split("-").map(Number) as [number, number];
-    return Array.from({ length: last - first + 1 }, (unused, index) => first + index);
-}
-
 // Guards against incident DRAIN: waits, time-outs, ages and graces add up, so that a router uses an endpoint longer
 // than allowed after it has left.
 describe("an endpoint that leaves", () => {
--- a/packages/router/src/gateway/large-values.ts
+++ b/packages/router/src/gateway/large-values.ts
@@ -3,6 +3,7 @@
 import type { GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoredItem } from "./metadata-store.js";
 import type { PeerCalls } from "./peer-calls.js";
+import { sleep } from "./sleep.js";
 
 /** JSON-RPC method by which a router requests a large value of the store from another one. */
 export const LARGE_VALUE_METHOD = "value";
@@ -55,9 +56,7 @@
         while (!this.stopped && this.wanted.has(key)) {
             const item = await this.fromPeers(key) ?? await this.fromStore(key);
             if (item === undefined) {
-                await new Promise((resolve) => {
-                    setTimeout(resolve, RETRY_MS);
-                });
+                await sleep(RETRY_MS);
             }
             else {
                 if (item.revision >= this.wanted.get(key)!) {
--- a/packages/router/src/gateway/mocks/fake-change-store.ts
+++ b/packages/router/src/gateway/mocks/fake-change-store.ts
@@ -1,4 +1,6 @@
 import type { StoreChange, StoreChanges, StoredItem, StoreListing, StoreResult } from "../metadata-store.js";
+import { sleep } from "../sleep.js";
+import { Waiters } from "../waiters.js";
 
 /** How the store handles the calls of a router: normally, with a refusal, or not at all. */
 export type StoreAccess = "well" | "refused" | "silent";
@@ -11,7 +13,7 @@
 export class FakeChangeStore {
     private readonly changes: StoreChange[] = [];
     private readonly items = new Map<string, StoredItem>();
-    private readonly waiters = new Set<() => void>();
+    private readonly waiters = new Waiters();
     /** Calls by routers. */
     calls = 0;
     private revision = 1;
@@ -43,7 +45,7 @@
             this.changes.filter(({ key, revision }) => revision > after && key.startsWith(prefix));
         const deadline = Date.now() + waitMs;
         while (access() === "well" && matching().length === 0 && Date.now() < deadline) {
-            await this.nextChange(deadline - Date.now());
+            await this.waiters.wait(deadline - Date.now());
         }
         return this.respond(access, Math.max(0, deadline - Date.now()), () => ({
             changes: matching(),
@@ -57,41 +59,22 @@
         read: () => Value,
     ): Promise<StoreResult<Value>> {
         this.calls++;
-        await elapse(CALL_MS / 2);
+        await sleep(CALL_MS / 2);
         const value = read();
         switch (access()) {
             case "refused":
                 return { kind: "unavailable", detail: "status 429" };
             case "silent":
-                await elapse(remainingWaitMs + CALL_TIMEOUT_MS);
+                await sleep(remainingWaitMs + CALL_TIMEOUT_MS);
                 return { kind: "unanswered", detail: "timeout" };
             case "well":
-                await elapse(CALL_MS / 2);
+                await sleep(CALL_MS / 2);
                 return { kind: "done", value };
         }
     }
 
     private add(change: StoreChange): void {
         this.changes.push(change);
-        this.waiters.forEach((wake) => wake());
+        this.waiters.wakeAll();
     }
-
-    private nextChange(waitMs: number): Promise<void> {
-        return new Promise((resolve) => {
-            const wake = (): void => {
-                clearTimeout(timer);
-                this.waiters.delete(wake);
-                resolve();
-            };
-            const timer = setTimeout(wake, waitMs);
-            this.waiters.add(wake);
-        });
-    }
-}
-
-/** Resolves after a time in ms. */
-export function elapse(durationMs: number): Promise<void> {
-    return new Promise((resolve) => {
-        setTimeout(resolve, durationMs);
-    });
 }
--- a/packages/router/src/gateway/mocks/fake-following-fleet.ts
+++ b/packages/router/src/gateway/mocks/fake-following-fleet.ts
@@ -26,8 +26,9 @@
 import type { MetadataStore, StoredItem } from "../metadata-store.js";
 import type { PeerCalls, PeerFailure } from "../peer-calls.js";
 import { ChangeHistory, PeerChangeFeed } from "../peer-change-feed.js";
+import { sleep } from "../sleep.js";
 import { StoreFollower } from "../store-follower.js";
-import { elapse, FakeChangeStore, type StoreAccess } from "./fake-change-store.js";
+import { FakeChangeStore, type StoreAccess } from "./fake-change-store.js";
 
 const PREFIX = "endpoints/";
 const DOMAINS = ["a", "b", "c", "d", "e"];
@@ -292,9 +293,9 @@
             timer = setTimeout(() => resolve(err({ kind: "no-answer", detail: "timeout" })), timeoutMs);
         });
         const response = async (): Promise<Result<unknown, PeerFailure>> => {
-            await elapse(this.between(MESSAGE_MS) + source.slowMs / 2 + caller.slowMs / 2);
+            await sleep(this.between(MESSAGE_MS) + source.slowMs / 2 + caller.slowMs / 2);
             const body = JSON.stringify(await source.history.respond(parameters));
-            await elapse(this.between(MESSAGE_MS) + source.slowMs / 2 + caller.slowMs / 2);
+            await sleep(this.between(MESSAGE_MS) + source.slowMs / 2 + caller.slowMs / 2);
             return source.isDark || caller.isDark ? timeout : ok(JSON.parse(body));
         };
         return caller.isDark || source.isDark
--- a/packages/router/src/gateway/peer-change-feed.ts
+++ b/packages/router/src/gateway/peer-change-feed.ts
@@ -4,6 +4,7 @@
 import { firstResult } from "./first-result.js";
 import type { StoreChange, StoreChanges, StoredItem } from "./metadata-store.js";
 import { PausedPeers, type PeerCalls } from "./peer-calls.js";
+import { Waiters } from "./waiters.js";
 
 /** JSON-RPC method by which a router requests changes of the store from another one. */
 export const CHANGE_FEED_METHOD = "news";
@@ -69,7 +70,7 @@
     private retainedAfter: number | undefined;
     private revision = 0;
     private lastReadAt = -Infinity;
-    private readonly waiters = new Set<() => void>();
+    private readonly waiters = new Waiters();
     /** Time since which this router has read changes without an outage. */
     readingSince = Infinity;
 
@@ -110,7 +111,7 @@
             this.retainedAfter = Math.max(...dropped.map((change) => change.revision));
         }
         if (relevant.length > 0) {
-            this.waiters.forEach((wake) => wake());
+            this.waiters.wakeAll();
         }
     }
 
@@ -135,7 +136,7 @@
         const { after, waitMs, defersLargeValues } = requestSchema.parse(parameters);
         const receivedAt = this.now();
         if (!this.hasResponse(after)) {
-            await this.nextChange(waitMs);
+            await this.waiters.wait(waitMs);
         }
         const heldMs = this.now() - receivedAt;
         const ageMs = this.now() - this.lastReadAt;
@@ -185,18 +186,6 @@
         return this.retainedAfter === undefined || after < this.retainedAfter
             || this.retained.some((change) => change.revision > after);
     }
-
-    private nextChange(waitMs: number): Promise<void> {
-        return new Promise((resolve) => {
-            const wake = (): void => {
-                clearTimeout(timer);
-                this.waiters.delete(wake);
-                resolve();
-            };
-            const timer = setTimeout(wake, waitMs);
-            this.waiters.add(wake);
-        });
-    }
 }
 
 function isLarge(item: StoredItem): boolean {
--- a/packages/router/src/gateway/store-follower.ts
+++ b/packages/router/src/gateway/store-follower.ts
@@ -3,6 +3,7 @@
 import type { GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoreChange, StoredItem, StoreFailure, StoreResult } from "./metadata-store.js";
 import type { ChangeHistory, PeerChangeFeed } from "./peer-change-feed.js";
+import { sleep } from "./sleep.js";
 
 /** Minimum interval in ms between two requests to other routers. */
 const PEER_POLL_INTERVAL_MS = 100;
@@ -394,9 +395,3 @@
         }
     }
 }
-
-function sleep(durationMs: number): Promise<void> {
-    return new Promise((resolve) => {
-        setTimeout(resolve, durationMs);
-    });
-}
