--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -71,6 +71,10 @@
         };
         process.on("SIGTERM", stop);
         process.on("SIGINT", stop);
+        process.on("uncaughtException", (error) => {
+            record.line(`could not run: ${error.stack}`);
+            stop();
+        });
     }
 
     async start() {
