--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -3,9 +3,11 @@
 import { fileURLToPath } from "node:url";
 import { MODEL, writeConfiguration } from "../lib/configuration.mjs";
 import { runCase, sleep, trouble } from "../lib/deployment.mjs";
-import { callRaw, startRunner } from "../lib/peers.mjs";
+import { callRaw, sealOf, startRunner } from "../lib/peers.mjs";
 
-const STREAMS = 8;
+const STREAMS = 120;
+/** One in 20 answers of one of the two runners has no length: share .5, x .05. */
+const UNFRAMED_EVERY = 20;
 const EVENTS = 58;
 const EVENT_MS = Number(process.env.EVENT_MS ?? 170);
 const SIGNAL = process.env.SIGNAL ?? "SIGTERM";
@@ -14,6 +16,8 @@
 await runCase(dirname(fileURLToPath(import.meta.url)), async (deployment, record) => {
     writeConfiguration(deployment.store);
     const runners = [];
+    const unframed = new Set();
+    let answers = 0;
     for (const zone of ["zone-a", "zone-b"]) {
         runners.push(
             await startRunner(deployment, {
@@ -21,18 +25,23 @@
                 service: MODEL.name,
                 zone,
                 slots: 64,
-                respond: async ({ request, requestId }) => {
+                respond: async ({ request, response, requestId }) => {
+                    const headers = { "Request-Id": requestId, "Response-Seal": sealOf("o", requestId), "Content-Type": "text/event-stream" };
+                    const isUnframed = zone === "zone-a" && ++answers % UNFRAMED_EVERY === 0;
                     const { socket } = request;
-                    socket.on("error", () => undefined);
-                    socket.write(
-                        `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nResponse-Seal: o.${requestId}\r\n`
-                            + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n",
-                    );
+                    if (isUnframed) {
+                        unframed.add(requestId);
+                        const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+                        socket.write(`HTTP/1.1 200 OK\r\n${lines}Connection: close\r\n\r\n`);
+                    }
+                    else {
+                        response.writeHead(200, headers);
+                    }
                     for (let id = 1; id <= EVENTS && !socket.destroyed; id++) {
                         await sleep(EVENT_MS);
-                        socket.write(event(requestId, id));
+                        (isUnframed ? socket : response).write(event(requestId, id));
                     }
-                    socket.end();
+                    (isUnframed ? socket : response).end();
                 },
             }),
         );
@@ -41,7 +50,7 @@
     await deployment.startRouter("front-2", "zone-b");
     await sleep(1000);
     const calls = Array.from({ length: STREAMS }, async (unused, index) => {
-        await sleep(index * 10);
+        await sleep(index * 4);
         return callRaw(router.front, { path: `/note/${index}`, key: "key0", deadlineMs: 12_000, body: `note ${index}` });
     });
     await sleep(1000);
@@ -60,9 +69,9 @@
         wrong += isWrong ? 1 : 0;
         const ran = runners.some(({ runs }) => runs.some((run) => run.requestId === requestId));
         record.line(
-            `${requestId} ran: ${ran} answer: ${status} pieces: ${seen} of ${EVENTS}, in chunks: ${isChunked}, connection: ${how}${isWrong ? "  ORDER" : ""}`,
+            `${requestId} ran: ${ran} without length: ${unframed.has(requestId)} answer: ${status} pieces: ${seen} of ${EVENTS}, in chunks: ${isChunked}, connection: ${how}${isWrong ? "  ORDER" : ""}`,
         );
     }
-    record.line(`streams ${STREAMS}, ended as complete before the last piece ${wrong}`);
+    record.line(`streams ${STREAMS}, without length ${unframed.size}, ended as complete before the last piece ${wrong}`);
     return wrong > 0;
 });
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -6,7 +6,7 @@
 import { freePort, runCase, sleep, trouble } from "../lib/deployment.mjs";
 import { callRaw } from "../lib/peers.mjs";
 
-const STREAMS = 6;
+const STREAMS = 60;
 const EVENTS = 76;
 const EVENT_MS = 40;
 const NOTICE_MS = 2_000;
@@ -15,12 +15,16 @@
 await runCase(directory, async (deployment, record) => {
     writeConfiguration(deployment.store);
     const ran = new Map();
+    const unframed = new Set();
     const startRunner = async (id, zone) => {
         const port = await freePort();
         const child = fork(join(directory, "runner.mjs"), [String(port), id, String(EVENTS), String(EVENT_MS)]);
         deployment.closers.push(() => child.kill("SIGKILL"));
-        child.on("message", ({ requestId, from }) => {
+        child.on("message", ({ requestId, from, isUnframed }) => {
             if (requestId !== undefined) {
+                if (isUnframed) {
+                    unframed.add(requestId);
+                }
                 ran.set(requestId, [...ran.get(requestId) ?? [], `${id} from ${from}`]);
             }
         });
@@ -68,9 +72,9 @@
         const isWrong = looksComplete && seen < EVENTS;
         wrong += isWrong ? 1 : 0;
         record.line(
-            `${requestId} ran: ${ran.get(requestId)?.join(", ")} answer: ${status} pieces: ${seen} of ${EVENTS}, in chunks: ${isChunked}, connection: ${how}${isWrong ? "  ORDER" : ""}`,
+            `${requestId} ran: ${ran.get(requestId)?.join(", ")}${unframed.has(requestId) ? " without length" : ""} answer: ${status} pieces: ${seen} of ${EVENTS}, in chunks: ${isChunked}, connection: ${how}${isWrong ? "  ORDER" : ""}`,
         );
     }
-    record.line(`streams ${STREAMS}, ended as complete before the last piece ${wrong}`);
+    record.line(`streams ${STREAMS}, without length ${unframed.size}, ended as complete before the last piece ${wrong}`);
     return wrong > 0;
 });
--- a/review/3/runner.mjs
+++ b/review/3/runner.mjs
@@ -1,8 +1,11 @@
-// A model runner as a process of its own: its streams have no length and end with their connection.
+// A model runner as a process of its own: one in 20 of its streams has no length and ends with its connection.
 import { createServer } from "node:http";
 
 const [port, id, events, eventMs] = process.argv.slice(2);
 
+const UNFRAMED_EVERY = 20;
+let answers = 0;
+
 process.on("disconnect", () => process.exit());
 
 createServer((request, response) => {
@@ -14,19 +17,25 @@
             return;
         }
         let piece = Number(request.headers["last-event-id"] ?? 0);
-        process.send({ requestId, from: piece });
+        const isUnframed = ++answers % UNFRAMED_EVERY === 0;
+        process.send({ requestId, from: piece, isUnframed });
         const { socket } = request;
         socket.on("error", () => undefined);
-        socket.write(
-            `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nResponse-Seal: c.${requestId}\r\n`
-                + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n",
-        );
+        const headers = { "Request-Id": requestId, "Response-Seal": `c.${requestId}`, "Content-Type": "text/event-stream" };
+        if (isUnframed) {
+            const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+            socket.write(`HTTP/1.1 200 OK\r\n${lines}Connection: close\r\n\r\n`);
+        }
+        else {
+            response.writeHead(200, headers);
+        }
+        const output = isUnframed ? socket : response;
         const timer = setInterval(() => {
             piece++;
-            socket.write(`id: ${piece}\ndata: piece ${piece} of ${requestId}\n\n`);
+            output.write(`id: ${piece}\ndata: piece ${piece} of ${requestId}\n\n`);
             if (piece === Number(events)) {
                 clearInterval(timer);
-                socket.end();
+                output.end();
             }
         }, Number(eventMs));
     });
--- a/review/lib/peers.mjs
+++ b/review/lib/peers.mjs
@@ -110,7 +110,14 @@
             );
         });
         const timer = setTimeout(() => socket.destroy(), deadlineMs);
-        socket.on("data", (chunk) => chunks.push(chunk));
+        socket.on("data", (chunk) => {
+            chunks.push(chunk);
+            // The last chunk of a body ends an answer in chunks; the connection is kept.
+            if (chunk.subarray(-5).toString() === "0\r\n\r\n") {
+                how = "kept";
+                socket.destroy();
+            }
+        });
         socket.on("end", () => (how = "closed"));
         socket.on("error", (error) => (how = error.code));
         socket.on("close", () => {
