--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,48 +1,46 @@
-// A router freezes for a moment while another one borrows prepaid tokens from it.
+// The store comes back from a copy some seconds old.
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import { MODEL, STRIDE, writeConfiguration } from "../lib/configuration.mjs";
 import { runCase, sleep, trouble } from "../lib/deployment.mjs";
 import { call, sealOf, startRunner } from "../lib/peers.mjs";
 
-const GROUPS = 3;
-const GROUP = 12;
-const TENANTS = GROUPS * GROUP;
+const TENANTS = 10;
 const PREPAID = 100_000;
-const LARGE = [49_800, 200];
-/** Length of a freeze, and when the later requests come to the borrower, in ms after the beginning of the freeze. */
-const FREEZE_MS = 1_540;
-const ARRIVALS_MS = [1_350, 1_410, 1_450, 1_480];
+const ZONES = ["zone-a", "zone-b", "zone-c", "zone-d"];
+const ROUTERS = 6;
+const AWAY_MS = 1_000;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (deployment, record) => {
-    writeConfiguration(deployment.store, { tenants: TENANTS, prepaid: PREPAID });
-    for (const zone of ["zone-a", "zone-b", "zone-c", "zone-d"]) {
-        await startRunner(deployment, {
-            id: `i-${zone}`,
-            service: MODEL.name,
-            zone,
-            slots: 64,
-            respond: ({ request, response, requestId }) => {
-                const events = Number(request.headers["token-count"].split(",")[1]) / STRIDE;
-                response.writeHead(200, {
-                    "Request-Id": requestId,
-                    "Response-Seal": sealOf("a", requestId),
-                    "Content-Type": "text/event-stream",
-                });
-                for (let id = 1; id <= events; id++) {
-                    response.write(`id: ${id}\ndata: five tokens of event ${id}\n\n`);
-                }
-                response.end();
-            },
-        });
+    const { store } = deployment;
+    writeConfiguration(store, { tenants: TENANTS, prepaid: PREPAID });
+    const runners = [];
+    for (const zone of ZONES) {
+        runners.push(
+            await startRunner(deployment, {
+                id: `i-${zone}`,
+                service: MODEL.name,
+                zone,
+                slots: 64,
+                respond: ({ request, response, requestId }) => {
+                    const events = Number(request.headers["token-count"].split(",")[1]) / STRIDE;
+                    response.writeHead(200, {
+                        "Request-Id": requestId,
+                        "Response-Seal": sealOf("f", requestId),
+                        "Content-Type": "text/event-stream",
+                    });
+                    for (let id = 1; id <= events; id++) {
+                        response.write(`id: ${id}\ndata: five tokens of event ${id}\n\n`);
+                    }
+                    response.end();
+                },
+            }),
+        );
     }
-    let failures = 0;
-    const lender = await deployment.startRouter("front-1", "zone-a");
-    const borrower = await deployment.startRouter("front-2", "zone-b", {
-        onLine: (line) => (failures += line.includes("Loan request failed") ? 1 : 0),
-    });
-    await deployment.startRouter("front-3", "zone-c");
-    await sleep(4000);
+    const routers = await Promise.all(
+        Array.from({ length: ROUTERS }, (unused, index) => deployment.startRouter(`front-${index + 1}`, ZONES[index % ZONES.length])),
+    );
+    await sleep(5000);
 
     const used = new Array(TENANTS).fill(0);
     const statuses = new Map();
@@ -52,7 +50,7 @@
         const seen = await call(router.front, {
             path: "/note/1",
             key: `key${tenant}`,
-            deadlineMs: 12000,
+            deadlineMs: 12_000,
             body: `note ${++count}`,
             headers: { Model: "m", "Token-Count": `${prompt},${output}`, "Prompt-Prefix": `${(count + 4096).toString(16)}:${prompt}` },
         });
@@ -66,52 +64,46 @@
     };
     const all = Array.from({ length: TENANTS }, (unused, index) => index);
     const report = (text) => {
-        record.line(`${text}: ${[...statuses].map(([name, times]) => `${name} x ${times}`).join(", ")}`);
+        record.line(`${text}: ${[...statuses].sort().map(([name, times]) => `${name} x ${times}`).join(", ")}`);
         statuses.clear();
     };
-
-    for (let group = 0; group < GROUPS; group++) {
-        const tenants = all.slice(group * GROUP, (group + 1) * GROUP);
-        // The lender serves the tenants of the group, and so holds most of their tokens.
-        for (let round = 0; round < 8; round++) {
-            await Promise.all(tenants.map((tenant) => use(lender, tenant, 3800, 200)));
-            await sleep(400);
-        }
-        await sleep(1500);
-        report("requests at front-1");
-        const frozenAt = performance.now();
-        if (trouble) {
-            lender.kill("SIGSTOP");
-            record.line("front-1 freezes");
+    // Each tenant keeps to one router at first.
+    const rounds = async (times) => {
+        for (let round = 0; round < times; round++) {
+            await Promise.all(all.map((tenant) => use(routers[tenant % ROUTERS], tenant, 2900, 100)));
+            await sleep(300);
         }
-        // All tenants come to the borrower, and some of them once more.
-        const calls = [...tenants.map((tenant) => use(borrower, tenant, ...LARGE))];
-        ARRIVALS_MS.forEach((arrivalMs, index) =>
-            calls.push(sleep(arrivalMs).then(() => use(borrower, tenants[index], ...LARGE))));
-        await sleep(FREEZE_MS);
-        if (trouble) {
-            lender.kill("SIGCONT");
-            record.line(`front-1 wakes after ${Math.round(performance.now() - frozenAt)} ms; loan requests that failed at front-2 so far: ${failures}`);
-        }
-        await Promise.all(calls);
-        await sleep(1300);
-        await use(borrower, tenants[0], ...LARGE);
-        await sleep(1500);
-        report("requests at front-2");
+    };
+
+    const copy = store.copy();
+    record.line(`the copy of the store is made, revision ${copy.revision}`);
+    await rounds(14);
+    report("requests after the copy");
+    if (trouble) {
+        record.line(`the store is away, revision ${store.revision}`);
+        store.leave();
+        await sleep(AWAY_MS);
+        store.restore(copy);
+        record.line(`the store is back from the copy, revision ${store.revision}, era ${store.era}`);
+        // What the operator and the runners wrote is written again.
+        writeConfiguration(store, { tenants: TENANTS, prepaid: PREPAID });
+        runners.forEach((runner) => runner.register());
     }
+    await sleep(4000);
 
-    // The tenants use up what they have, at both machines.
-    let open = new Set(all);
+    // The tenants use up what they have, at all machines.
+    const open = new Set(all);
     const refused = new Array(TENANTS).fill(0);
-    for (let round = 0; round < 400 && open.size > 0; round++) {
+    const endAt = performance.now() + 45_000;
+    for (let round = 0; open.size > 0 && performance.now() < endAt; round++) {
         await Promise.all([...open].map(async (tenant) => {
-            const results = await Promise.all([borrower, lender].map((router) => use(router, tenant, 900, 100)));
+            const results = await Promise.all(routers.map((router) => use(router, tenant, 900, 100)));
             refused[tenant] = results.includes(200) ? 0 : refused[tenant] + 1;
-            if (refused[tenant] >= 12) {
+            if (refused[tenant] >= 15) {
                 open.delete(tenant);
             }
         }));
-        await sleep(refused.some((times) => times > 0) ? 150 : 20);
+        await sleep(refused.some((times) => times > 0) ? 300 : 50);
     }
     report("until all is used");
     const over = used.filter((tokens) => tokens > PREPAID);
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,67 +1,63 @@
-// A runner gives notice that it leaves, and is gone two seconds later, in the middle of streams without a length.
-import { fork } from "node:child_process";
-import { dirname, join } from "node:path";
+// A router stops as planned while it forwards streams whose runners state no length. SIGNAL=SIGKILL: it is killed.
+import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import { MODEL, writeConfiguration } from "../lib/configuration.mjs";
-import { freePort, runCase, sleep, trouble } from "../lib/deployment.mjs";
-import { callRaw } from "../lib/peers.mjs";
+import { runCase, sleep, trouble } from "../lib/deployment.mjs";
+import { callRaw, sealOf, startRunner } from "../lib/peers.mjs";
 
-const STREAMS = 60;
-const EVENTS = 76;
-const EVENT_MS = 40;
-const NOTICE_MS = 2_000;
-const directory = dirname(fileURLToPath(import.meta.url));
+const STREAMS = 120;
+/** One in 20 answers of one of the two runners has no length: share .5, x .05. */
+const UNFRAMED_EVERY = 20;
+const EVENTS = 58;
+const EVENT_MS = Number(process.env.EVENT_MS ?? 170);
+const SIGNAL = process.env.SIGNAL ?? "SIGTERM";
+const event = (requestId, id) => `id: ${id}\ndata: piece ${id} of ${requestId}\n\n`;
 
-await runCase(directory, async (deployment, record) => {
+await runCase(dirname(fileURLToPath(import.meta.url)), async (deployment, record) => {
     writeConfiguration(deployment.store);
-    const ran = new Map();
+    const runners = [];
     const unframed = new Set();
-    const startRunner = async (id, zone) => {
-        const port = await freePort();
-        const child = fork(join(directory, "runner.mjs"), [String(port), id, String(EVENTS), String(EVENT_MS)]);
-        deployment.closers.push(() => child.kill("SIGKILL"));
-        child.on("message", ({ requestId, from, isUnframed }) => {
-            if (requestId !== undefined) {
-                if (isUnframed) {
-                    unframed.add(requestId);
-                }
-                ran.set(requestId, [...ran.get(requestId) ?? [], `${id} from ${from}`]);
-            }
-        });
-        await new Promise((done) => child.once("message", done));
-        const born = Date.now();
-        let seq = 0;
-        const register = (state) =>
-            deployment.store.put(`servers/${id}`, {
+    let answers = 0;
+    for (const zone of ["zone-a", "zone-b"]) {
+        runners.push(
+            await startRunner(deployment, {
+                id: `i-${zone}`,
                 service: MODEL.name,
-                address: `127.0.0.1:${port}`,
                 zone,
-                version: 1,
                 slots: 64,
-                state,
-                coldRemainingMs: 0,
-                seq: ++seq,
-                born,
-            });
-        register("ready");
-        return { child, register };
-    };
-    const leaving = await startRunner("i-1", "zone-a");
-    const router = await deployment.startRouter("front-1", "zone-a");
-    await sleep(500);
-    const calls = Array.from({ length: STREAMS }, (unused, index) =>
-        callRaw(router.front, { path: `/note/${index}`, key: "key0", deadlineMs: 12_000, body: `note ${index}` }));
-    await sleep(300);
-    await startRunner("i-2", "zone-b");
-    // NOTICE=0: it is gone without notice, for comparison.
-    if (process.env.NOTICE !== "0") {
-        leaving.register("draining");
-        record.line("i-1 reports draining");
+                respond: async ({ request, response, requestId }) => {
+                    const headers = { "Request-Id": requestId, "Response-Seal": sealOf("o", requestId), "Content-Type": "text/event-stream" };
+                    const isUnframed = zone === "zone-a" && ++answers % UNFRAMED_EVERY === 0;
+                    const { socket } = request;
+                    if (isUnframed) {
+                        unframed.add(requestId);
+                        const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+                        socket.write(`HTTP/1.1 200 OK\r\n${lines}Connection: close\r\n\r\n`);
+                    }
+                    else {
+                        response.writeHead(200, headers);
+                    }
+                    for (let id = 1; id <= EVENTS && !socket.destroyed; id++) {
+                        await sleep(EVENT_MS);
+                        (isUnframed ? socket : response).write(event(requestId, id));
+                    }
+                    (isUnframed ? socket : response).end();
+                },
+            }),
+        );
     }
-    await sleep(NOTICE_MS);
+    const router = await deployment.startRouter("front-1", "zone-a");
+    await deployment.startRouter("front-2", "zone-b");
+    await sleep(1000);
+    const calls = Array.from({ length: STREAMS }, async (unused, index) => {
+        await sleep(index * 4);
+        return callRaw(router.front, { path: `/note/${index}`, key: "key0", deadlineMs: 12_000, body: `note ${index}` });
+    });
+    await sleep(1000);
     if (trouble) {
-        leaving.child.kill("SIGKILL");
-        record.line("i-1 is gone");
+        router.kill(SIGNAL);
+        record.line(`${SIGNAL} to front-1`);
+        void router.exit.then(() => record.line("front-1 has ended"));
     }
     let wrong = 0;
     for (const { requestId, how, head, status, body } of await Promise.all(calls)) {
@@ -71,8 +67,9 @@
         const looksComplete = status === 200 && (isChunked ? /\r\n0\r\n\r\n$/.test(body) : how === "closed");
         const isWrong = looksComplete && seen < EVENTS;
         wrong += isWrong ? 1 : 0;
+        const ran = runners.some(({ runs }) => runs.some((run) => run.requestId === requestId));
         record.line(
-            `${requestId} ran: ${ran.get(requestId)?.join(", ")}${unframed.has(requestId) ? " without length" : ""} answer: ${status} pieces: ${seen} of ${EVENTS}, in chunks: ${isChunked}, connection: ${how}${isWrong ? "  ORDER" : ""}`,
+            `${requestId} ran: ${ran} without length: ${unframed.has(requestId)} answer: ${status} pieces: ${seen} of ${EVENTS}, in chunks: ${isChunked}, connection: ${how}${isWrong ? "  ORDER" : ""}`,
         );
     }
     record.line(`streams ${STREAMS}, without length ${unframed.size}, ended as complete before the last piece ${wrong}`);
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -11,6 +11,9 @@
     leases = new Map();
     nextLease = 1;
     waiting = new Set();
+    /** Rises by one each time the store comes back from a copy. */
+    era = 1;
+    isAway = false;
 
     async listen(port) {
         this.server = createServer((request, response) => void this.receive(request, response));
@@ -44,6 +47,30 @@
         return item === undefined ? undefined : JSON.parse(Buffer.from(item.value, "base64").toString());
     }
 
+    copy() {
+        return {
+            items: new Map(this.items),
+            changes: [...this.changes],
+            revision: this.revision,
+            leases: new Map([...this.leases].map(([lease, state]) => [lease, { ...state }])),
+        };
+    }
+
+    /** Comes back from a copy: what was written since is gone, leases too, and revisions go back. */
+    restore({ items, changes, revision, leases }) {
+        Object.assign(this, { items, changes, revision, leases });
+        leases.forEach((state) => (state.expiresAt = Date.now() + state.ttlMs));
+        this.era++;
+        this.isAway = false;
+    }
+
+    /** Answers no call until it comes back. */
+    leave() {
+        this.isAway = true;
+        this.server.closeAllConnections();
+        this.wake();
+    }
+
     write({ key, value, lease = 0 }, revision) {
         const createdRev = this.items.get(key)?.createdRev ?? revision;
         const item = { key, value, revision, createdRev, lease };
@@ -78,10 +105,14 @@
         for await (const chunk of request) {
             chunks.push(chunk);
         }
+        if (this.isAway) {
+            response.writeHead(503, { "Store-Era": this.era }).end();
+            return;
+        }
         const url = new URL(request.url, "http://store");
         const text = Buffer.concat(chunks).toString();
         const [status, body] = await this.handle(url, text === "" ? {} : JSON.parse(text));
-        response.writeHead(status, { "content-type": "application/json" });
+        response.writeHead(status, { "content-type": "application/json", "Store-Era": this.era });
         response.end(JSON.stringify(body));
     }
 
@@ -130,6 +161,9 @@
         const [prefix, after] = [query.get("prefix"), Number(query.get("after"))];
         const end = Date.now() + Math.min(30_000, Number(query.get("waitMs")));
         for (;;) {
+            if (after > this.revision) {
+                return [410, {}];
+            }
             const events = this.changes.filter(({ key, revision }) => revision > after && key.startsWith(prefix));
             const leftMs = end - Date.now();
             if (events.length > 0 || leftMs <= 0) {
