Log what requests and earlier processes are charged, and the age of the configuration

The logs could not tell tokens that were used up from tokens that a restart had counted as used, nor how old the configuration in force was: a large one counted as known from the moment that its change was, while it was still being fetched. No decision changes.

--- a/packages/core/src/dispatch/prepaid-record.ts
+++ b/packages/core/src/dispatch/prepaid-record.ts
@@ -85,25 +85,56 @@
     return Math.min(Math.max(granted, checkpoint.committed), checkpoint.committed + Math.floor(allowance * share));
 }
 
+/** What is counted as used for the earlier process of a restarted router. */
+export type EarlierUse = {
+    readonly incarnation: Incarnation;
+    /** Tokens counted as used. */
+    readonly counted: number;
+    readonly granted: number;
+    /** Tokens that it has definitely used. */
+    readonly used: number;
+    /** What bounds its use: its checkpoint set, the checkpoint in the record, or only its grant. */
+    readonly basis: "checkpoint-set" | "record" | "grant";
+    /** Tokens committed at the checkpoint, and the time in ms from it until the successor started. */
+    readonly committed?: number | undefined;
+    readonly elapsedMs?: number | undefined;
+};
+
 /**
- * Returns the maximum tokens that a restarted router's earlier incarnation may have used: what its last
- * checkpoint allowed until its successor started, or its whole grant if there is no reliable checkpoint.
+ * Returns the maximum tokens that a restarted router's earlier process may have used: what its last checkpoint allowed
+ * until its successor started, or its whole grant if there is no reliable checkpoint.
  */
-export function lostTokens(
+export function earlierUse(
     account: string,
     holding: PrepaidHolding,
     checkpoints: CheckpointSet | undefined,
     successorStartedAt: number,
-): number {
+): EarlierUse {
     if (checkpoints === undefined || checkpoints.incarnation !== holding.incarnation) {
-        return holding.granted;
+        return wholeGrant(holding);
     }
     const committed = checkpoints.committed[account];
     const newer = checkpoints.sequence > holding.mark.sequence && committed !== undefined;
     const checkpoint = newer ? { sequence: checkpoints.sequence, committed, at: checkpoints.at } : holding.mark;
     const elapsedMs = successorStartedAt - checkpoint.at;
     // The elapsed time is unknown if the wall clock went back.
-    return elapsedMs < 0 ? holding.granted : committedLimit(holding.granted, checkpoint, elapsedMs + AGE_MARGIN_MS);
+    if (elapsedMs < 0) {
+        return { ...wholeGrant(holding), elapsedMs };
+    }
+    return {
+        incarnation: holding.incarnation,
+        counted: committedLimit(holding.granted, checkpoint, elapsedMs + AGE_MARGIN_MS),
+        granted: holding.granted,
+        used: holding.used,
+        basis: newer ? "checkpoint-set" : "record",
+        committed: checkpoint.committed,
+        elapsedMs,
+    };
+}
+
+/** Counts all that an earlier process was granted as used. */
+export function wholeGrant({ incarnation, granted, used }: PrepaidHolding): EarlierUse {
+    return { incarnation, counted: granted, granted, used, basis: "grant" };
 }
 
 /** Returns the tokens that are not granted to any router; negative if the total was lowered below the grants. */
--- a/packages/core/src/dispatch/prepaid.test.ts
+++ b/packages/core/src/dispatch/prepaid.test.ts
@@ -4,8 +4,8 @@
 import { FakePrepaidFleet } from "./mocks/fake-prepaid-fleet.js";
 import {
     committedLimit,
+    earlierUse,
     emptyPrepaidRecord,
-    lostTokens,
     type PrepaidHolder,
     type PrepaidHolding,
 } from "./prepaid-record.js";
@@ -97,18 +97,20 @@
                 at: 900,
                 committed: { [account]: 2_000 },
             };
-            const lost = lostTokens(account, holding, checkpoints, 1_900);
+            const use = earlierUse(account, holding, checkpoints, 1_900);
+            expect(use).toMatchObject({ basis: "checkpoint-set", committed: 2_000, elapsedMs: 1_000, granted: 10_000 });
+            const lost = use.counted;
             expect(lost).toBeGreaterThanOrEqual(committedLimit(10_000, { committed: 2_000 }, 1_000));
             expect(lost).toBeLessThan(5_000);
         });
 
         it("is charged its whole grant if its checkpoints are unknown or the clock went back", () => {
             const holding = holdingOf(10_000, 1_000, 4, 5_000);
-            expect(lostTokens(account, holding, undefined, 5_100)).toBe(10_000);
+            expect(earlierUse(account, holding, undefined, 5_100).counted).toBe(10_000);
             const checkpoints = { incarnation: holding.incarnation, sequence: 3, at: 4_000, committed: {} };
-            expect(lostTokens(account, holding, checkpoints, 4_000)).toBe(10_000);
+            expect(earlierUse(account, holding, checkpoints, 4_000).counted).toBe(10_000);
             const other = { ...checkpoints, incarnation: brand<Incarnation>("other") };
-            expect(lostTokens(account, holding, other, 5_100)).toBe(10_000);
+            expect(earlierUse(account, holding, other, 5_100).counted).toBe(10_000);
         });
 
         it("is charged its whole grant long after its last checkpoint", () => {
--- a/packages/core/src/dispatch/prepaid.ts
+++ b/packages/core/src/dispatch/prepaid.ts
@@ -2,12 +2,14 @@
 import {
     type CheckpointSet,
     committedLimit,
+    type EarlierUse,
+    earlierUse,
     emptyPrepaidRecord,
     freeTokens,
-    lostTokens,
     type PrepaidHolder,
     type PrepaidHolding,
     type PrepaidRecord,
+    wholeGrant,
 } from "./prepaid-record.js";
 import {
     type EarlierRecord,
@@ -94,6 +96,8 @@
     readonly record: PrepaidRecord;
     readonly granted: number;
     readonly mark: LocalCheckpoint;
+    /** What it counts as used for the earlier process of this router. */
+    readonly closed?: EarlierUse | undefined;
 };
 
 /** Time in ms over which demand is averaged; shorter windows are noisy, since request sizes differ widely. */
@@ -364,8 +368,8 @@
     const base = restateRecord(row, holder, standing);
     const { [holder.name]: previous, ...others } = base.holdings;
     const isClosing = previous !== undefined && previous.incarnation !== holder.incarnation;
-    const lost = isClosing ? lostOf(row, previous, predecessor, holder) : 0;
-    const closed = base.closed + lost;
+    const earlier = isClosing ? useOfEarlier(row, previous, predecessor, holder) : undefined;
+    const closed = base.closed + (earlier?.counted ?? 0);
     const taken = Object.values(others).reduce((sum, holding) => sum + holding.granted, closed);
     const committed = row.used + row.reserved;
     const available = Math.max(0, row.total - taken - committed);
@@ -393,19 +397,20 @@
         record: { ...base, closed, holdings: { ...others, [holder.name]: own } },
         granted: own.granted,
         mark: { sequence, committed: own.mark.committed, at: now.monotonic },
+        closed: earlier,
     };
 }
 
 // The checkpoints of an earlier era do not bound what was granted in the time that the store lost.
-function lostOf(
+function useOfEarlier(
     row: PrepaidRow,
     previous: PrepaidHolding,
     predecessor: CheckpointSet | undefined,
     holder: PrepaidHolder,
-): number {
+): EarlierUse {
     return isStatedIn(row.era, previous)
-        ? lostTokens(row.account, previous, predecessor, holder.startedAt)
-        : previous.granted;
+        ? earlierUse(row.account, previous, predecessor, holder.startedAt)
+        : wholeGrant(previous);
 }
 
 /** Records that a write was sent. */
--- a/packages/router/src/gateway/exchange-log.ts
+++ b/packages/router/src/gateway/exchange-log.ts
@@ -84,11 +84,18 @@
     }
 
     /** Logs the end of the request. */
-    ended(send: Send | undefined, outcome: string, firstMs: number | undefined, tookMs: number): void {
+    ended(
+        send: Send | undefined,
+        outcome: string,
+        billedTokens: number | undefined,
+        firstMs: number | undefined,
+        tookMs: number,
+    ): void {
         this.context.logs.requests.info("Request ended.", {
             ...this.figures(send),
             outcome,
             ...this.responseFigures(send),
+            billedTokens,
             firstMs,
             targetMs: this.admitted.route.targetMs,
             timeoutMs: this.admitted.route.timeoutMs,
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -498,6 +498,6 @@
         this.tokenClaim.settleEnd(ran, this.splitter.eventCount);
         const tookMs = Math.round(this.context.clock() - this.admitted.arrivedAt);
         this.context.observeRequestEnd(outcome, tookMs);
-        this.log.ended(send, outcome, this.firstMs, tookMs);
+        this.log.ended(send, outcome, this.tokenClaim.billed, this.firstMs, tookMs);
     }
 }
--- a/packages/router/src/gateway/gateway-context.ts
+++ b/packages/router/src/gateway/gateway-context.ts
@@ -39,6 +39,9 @@
     /** Age in ms of this router's view of the store: it lacks no change that was made before that time. */
     readonly changesAgeMs: (now: number) => number;
     readonly observeChangesAge: (ageMs: number) => void;
+    /** Age in ms of the configuration in force: no change of it that was made before that time is missing. */
+    readonly configurationAgeMs: (now: number) => number;
+    readonly observeConfigurationAge: (ageMs: number) => void;
     readonly connectionsOf: (entry: EndpointEntry, service: ServiceDeclaration) => Dispatcher;
     readonly countRefusal: (cause: RefusalCause) => void;
     readonly countFailedSend: (step: string, failure: SendFailure) => void;
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -68,6 +68,12 @@
             buckets: CHANGES_AGE_BUCKETS_SECONDS,
             registers,
         }),
+        configurationAgeSeconds: new Histogram({
+            name: "gooseberrybend_configuration_age_seconds",
+            help: "Age of the configuration in force at each send.",
+            buckets: CHANGES_AGE_BUCKETS_SECONDS,
+            registers,
+        }),
         requestSeconds: new Histogram({
             name: "gooseberrybend_request_seconds",
             help: "Time from arrival to the end of a request.",
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -288,6 +288,8 @@
             connectionsOf: (entry, service) =>
                 this.connections.poolOf(entry, service.connectionLimit, this.fleetShare()),
             observeChangesAge: (ageMs) => this.metrics.changesAgeSeconds.observe(ageMs / 1_000),
+            configurationAgeMs: (now) => this.configurationAgeMs(now),
+            observeConfigurationAge: (ageMs) => this.metrics.configurationAgeSeconds.observe(ageMs / 1_000),
             countRefusal: (cause) => this.metrics.refusals.inc({ cause }),
             countFailedSend: (next, failure) => this.metrics.failedSends.inc({ next, failure }),
             countCutAnswer: () => this.metrics.cutAnswers.inc(),
@@ -392,7 +394,12 @@
         return this.follower.expiryGraceMs(shortestExpiryMs(this.settings.endpoints.renewalMs), now);
     }
 
+    private configurationAgeMs(now: number): number {
+        return this.follower.valueAgeMs(this.dialect.configurationKey, now);
+    }
+
     private putConfiguration(item: StoredItem): void {
+        const startedAt = this.clock();
         const decoded = this.dialect.readConfiguration(item.value);
         const fault = decoded.isErr() ? decoded.error : findConfigurationFault(decoded.value);
         if (decoded.isErr() || fault !== undefined) {
@@ -407,6 +414,8 @@
         if (this.table !== undefined && configuration.version < this.table.configuration.version) {
             this.logs.configuration.warn("Configuration ignored, as it is older than the one in force.", {
                 version: configuration.version,
+                revision: item.revision,
+                tookMs: Math.round(this.clock() - startedAt),
             });
             return;
         }
@@ -423,6 +432,9 @@
             version: configuration.version,
             revision: item.revision,
             routes: configuration.routes.length,
+            bytes: item.value.length,
+            ageBeforeMs: Math.round(this.configurationAgeMs(startedAt)),
+            tookMs: Math.round(this.clock() - startedAt),
         });
     }
 }
--- a/packages/router/src/gateway/large-values.test.ts
+++ b/packages/router/src/gateway/large-values.test.ts
@@ -65,7 +65,7 @@
                 storeWith([itemAt(3)]),
                 logs,
             );
-            const item = await new Promise<StoredItem>((resolve) => values.fetch("configuration", 3, resolve));
+            const item = await new Promise<StoredItem>((resolve) => values.fetch("configuration", 3, 0, resolve));
             expect(item).toEqual(itemAt(3));
         });
     });
@@ -76,7 +76,7 @@
                 const items: StoredItem[] = [];
                 const values = new LargeValues(peers, () => ["near"], store, logs);
                 revisions.forEach((revision) =>
-                    values.fetch("configuration", revision, (item) => {
+                    values.fetch("configuration", revision, 0, (item) => {
                         items.push(item);
                         if (item.revision >= Math.max(...revisions)) {
                             setTimeout(() => resolve(items), 20);
@@ -91,6 +91,19 @@
             expect(store.list).not.toHaveBeenCalled();
         });
 
+        // Guards against an age of the router's view that leaves out a configuration which is still being fetched.
+        it("counts as old as the view before the oldest change that is missing", async () => {
+            const values = new LargeValues(peersWith(historyWith(itemAt(3))), () => ["near"], storeWith([]), logs);
+            expect(values.missingSince("configuration")).toBeUndefined();
+            await new Promise<StoredItem>((resolve) => {
+                values.fetch("configuration", 3, 100, resolve);
+                values.fetch("configuration", 4, 200, () => undefined);
+                expect(values.missingSince("configuration")).toBe(100);
+                values.stop();
+                resolve(itemAt(3));
+            });
+        });
+
         it("comes from the store if no other router has it", async () => {
             const others: StoreChange["item"][] = [{ ...itemAt(8), key: "configuration-of-others" }];
             const store = storeWith([...others, itemAt(5)] as StoredItem[]);
--- a/packages/router/src/gateway/large-values.ts
+++ b/packages/router/src/gateway/large-values.ts
@@ -21,13 +21,16 @@
     deflated: z.string().optional(),
 });
 
+/** A change of a key whose value is being fetched. Before a monotonic time in ms, no change of the key is missing. */
+type MissingChange = { readonly revision: number; readonly confirmedAt: number; };
+
 /**
  * Fetches large values from other routers, or else from the store, apart from the changes of other keys, which must
  * not wait for them on a slow link.
  */
 export class LargeValues {
-    /** Revision of each key that is being fetched. */
-    private readonly wanted = new Map<string, number>();
+    /** Changes of each key that is being fetched, the oldest first. */
+    private readonly missing = new Map<string, readonly MissingChange[]>();
     private stopped = false;
 
     constructor(
@@ -38,37 +41,55 @@
         private readonly logs: GatewayLogs,
     ) {}
 
-    /** Fetches the value of a key at a revision or a newer one, and passes it on; one fetch runs for each key. */
-    fetch(key: string, revision: number, onValue: (item: StoredItem) => void): void {
-        const isRunning = this.wanted.has(key);
-        this.wanted.set(key, Math.max(revision, this.wanted.get(key) ?? 0));
-        if (!isRunning) {
+    /**
+     * Fetches the value of a key at a revision or a newer one, and passes it on; one fetch runs for each key. No change
+     * of the key that happened before `confirmedAt`, a monotonic time in ms, is missing.
+     */
+    fetch(key: string, revision: number, confirmedAt: number, onValue: (item: StoredItem) => void): void {
+        const missing = this.missing.get(key) ?? [];
+        if (missing.every((change) => change.revision < revision)) {
+            this.missing.set(key, [...missing, { revision, confirmedAt }]);
+        }
+        if (missing.length === 0) {
             void this.run(key, onValue);
         }
     }
 
+    /** Returns the monotonic time in ms before which no change of a key is missing; undefined if none is. */
+    missingSince(key: string): number | undefined {
+        return this.missing.get(key)?.[0]!.confirmedAt;
+    }
+
     /** Stops after the calls in progress. */
     stop(): void {
         this.stopped = true;
     }
 
     private async run(key: string, onValue: (item: StoredItem) => void): Promise<void> {
-        while (!this.stopped && this.wanted.has(key)) {
+        while (!this.stopped && this.missing.has(key)) {
             const item = await this.fromPeers(key) ?? await this.fromStore(key);
             if (item === undefined) {
                 await sleep(RETRY_MS);
             }
             else {
-                if (item.revision >= this.wanted.get(key)!) {
-                    this.wanted.delete(key);
-                }
                 onValue(item);
+                this.recordFetched(item);
             }
         }
     }
 
+    private recordFetched({ key, revision }: StoredItem): void {
+        const later = this.missing.get(key)!.filter((change) => change.revision > revision);
+        if (later.length === 0) {
+            this.missing.delete(key);
+        }
+        else {
+            this.missing.set(key, later);
+        }
+    }
+
     private async fromPeers(key: string): Promise<StoredItem | undefined> {
-        const parameters = { key, revision: this.wanted.get(key) };
+        const parameters = { key, revision: this.missing.get(key)!.at(-1)!.revision };
         for (const source of this.sources()) {
             const response = await this.peers.call(source, LARGE_VALUE_METHOD, parameters, RESPONSE_TIMEOUT_MS);
             const parsed = responseSchema.safeParse(response.unwrapOr(undefined));
@@ -105,7 +126,7 @@
                 result: result.kind,
             });
             if (result.kind === "done") {
-                this.wanted.delete(key);
+                this.missing.delete(key);
             }
         }
         return item;
--- a/packages/router/src/gateway/placement-log.ts
+++ b/packages/router/src/gateway/placement-log.ts
@@ -11,13 +11,16 @@
     now: number,
 ): void {
     const changesAgeMs = context.changesAgeMs(now);
+    const configurationAgeMs = context.configurationAgeMs(now);
     context.observeChangesAge(changesAgeMs);
+    context.observeConfigurationAge(configurationAgeMs);
     context.logs.requests.info("Endpoint chosen for the request.", {
         id: fields.requestId,
         route: route.name,
         account: account?.id,
         attempt,
         configuration: context.configurationVersion(),
+        configurationAgeMs: Math.round(configurationAgeMs),
         changesAgeMs: Math.round(changesAgeMs),
         ...context.suspects.figures(features),
         ...endpointFigures(context.endpoints, row, now),
--- a/packages/router/src/gateway/prepaid-accounts.ts
+++ b/packages/router/src/gateway/prepaid-accounts.ts
@@ -396,7 +396,10 @@
         if (result.kind === "done") {
             this.recordAvailable();
             this.unansweredWrites = undefined;
-            writes.forEach((write) => applyPrepaidRecord(this.rowOf(write), result.value, write.record, this.holder));
+            for (const write of writes) {
+                applyPrepaidRecord(this.rowOf(write), result.value, write.record, this.holder);
+                this.logClosed(write);
+            }
             return "done";
         }
         if (result.kind === "conflict") {
@@ -404,8 +407,14 @@
             this.recordAvailable();
             this.unansweredWrites = undefined;
             result.items.forEach((item) => this.applyRecord(item));
-            writes.filter((write) => !this.isApplied(write))
-                .forEach((write) => recordPrepaidWriteFailed(this.rowOf(write), write));
+            for (const write of writes) {
+                if (this.isApplied(write)) {
+                    this.logClosed(write);
+                }
+                else {
+                    recordPrepaidWriteFailed(this.rowOf(write), write);
+                }
+            }
             return "conflict";
         }
         if (result.kind === "unanswered" || isRetry) {
@@ -419,6 +428,17 @@
         return "failed";
     }
 
+    private logClosed({ account, closed }: PrepaidWrite): void {
+        if (closed !== undefined) {
+            const { total } = this.rows.get(account)!;
+            this.logs.prepaid.info("Tokens of the earlier process of this router counted as used.", {
+                account,
+                total,
+                ...closed,
+            });
+        }
+    }
+
     private rowOf(write: PrepaidWrite): PrepaidRow {
         return this.rows.get(write.account)!;
     }
--- a/packages/router/src/gateway/store-follower.ts
+++ b/packages/router/src/gateway/store-follower.ts
@@ -86,6 +86,11 @@
         return now - this.confirmedAt;
     }
 
+    /** Returns the age in ms of a key's value: no change of it that is older is missing. */
+    valueAgeMs(key: string, now: number): number {
+        return now - Math.min(this.confirmedAt, this.largeValues.missingSince(key) ?? Infinity);
+    }
+
     /**
      * Returns the age in ms of what was read of all keys, also of those that other routers do not relay; undefined if
      * this router does not watch all.
@@ -168,13 +173,14 @@
         this.isPartial = true;
         this.recordSuccess();
         this.limitOutage(relayed.readingSince);
+        const { confirmedAt } = this;
         this.recordConfirmed(relayed.readAt, "other-router");
         const { changes, deferred, revision, readAt } = relayed;
         this.history.add(changes, revision, readAt, deferred);
         this.apply(changes);
         this.recordRevision(revision);
         for (const value of deferred) {
-            this.largeValues.fetch(value.key, value.revision, (item) => this.applyLargeValue(item));
+            this.largeValues.fetch(value.key, value.revision, confirmedAt, (item) => this.applyLargeValue(item));
         }
         return true;
     }
--- a/packages/router/src/gateway/token-claim.ts
+++ b/packages/router/src/gateway/token-claim.ts
@@ -9,6 +9,8 @@
 /** Tokens reserved for one request, from its admission to its end. */
 export class TokenClaim {
     private reserved = 0;
+    /** Tokens that were charged; undefined before the claim is settled, and if none were reserved. */
+    billed: number | undefined;
 
     constructor(private readonly context: GatewayContext, private readonly admitted: AdmittedRequest) {}
 
@@ -59,6 +61,7 @@
         const { account } = this.admitted;
         if (account !== undefined && this.reserved > 0) {
             this.context.prepaid.settle(account.id, this.reserved, used);
+            this.billed = used;
             this.reserved = 0;
         }
     }
