Reproduce accounts that run dry by losses of power

On a virtual clock: six routers, five accounts; five routers lose power for 2 s three times, the store is down for 7.5 s, then all routers lose power for 1.3 s.

--- /dev/null
+++ b/packages/router/src/gateway/mocks/fake-spending-fleet.ts
@@ -0,0 +1,234 @@
+import {
+    type AccountId,
+    brand,
+    createRandom,
+    type Incarnation,
+    type Random,
+    randomBelow,
+    randomFraction,
+} from "@gooseberrybend/core";
+import { err, ok, type Result } from "neverthrow";
+import { createGatewayLogs } from "../log-sink.js";
+import type { MetadataStore, StoreResult, StoreTransaction } from "../metadata-store.js";
+import type { PeerCalls, PeerFailure } from "../peer-calls.js";
+import { PREPAID_PREFIX, PrepaidAccounts } from "../prepaid-accounts.js";
+import { sleep } from "../sleep.js";
+import { CHECKPOINT_PREFIX } from "../spending-checkpoints.js";
+import { FakeMetadataStore } from "./fake-metadata-store.js";
+
+/** Time in ms that a call to the store or to another router takes. */
+const CALL_MS = 4;
+/** Time in ms after which a call to a store that is down counts as unanswered. */
+const STORE_TIMEOUT_MS = 700;
+/** Time in ms from the start of a process until it has read the store. */
+const START_MS = 500;
+/** Time in ms that a request waits for tokens. */
+const TOKEN_WAIT_MS = 200;
+/** Range in ms of the time that a request runs. */
+const RUN_MS = [200, 1_200] as const;
+/** Share of a request's worst case that it uses. */
+const USED_SHARE = 0.95;
+/** Share of an account's total up to which requests are owed an answer. */
+const OWED_SHARE = 0.97;
+
+/** Parameters of a fleet. */
+export type FakeSpendingFleetOptions = {
+    readonly routers: number;
+    readonly accounts: number;
+    /** Tokens of each account. */
+    readonly total: number;
+    /** Average time in ms between two requests of the whole fleet. */
+    readonly requestIntervalMs: number;
+    /** Range of the tokens that a request may use. */
+    readonly requestTokens: readonly [number, number];
+    readonly seed: number;
+};
+
+type SpendingRouter = {
+    readonly name: string;
+    process: RouterProcess | undefined;
+};
+
+/** A process of a router; once it has ended, nothing that it sent arrives any more. */
+type RouterProcess = {
+    readonly accounts: PrepaidAccounts;
+    readonly running: Set<RunningRequest>;
+    isReady: boolean;
+    hasEnded: boolean;
+};
+
+type RunningRequest = { readonly account: AccountId; readonly tokens: number; };
+
+/** Requests since a time that were owed tokens, and how many of them got them. */
+export type SpendingFigures = { readonly owed: number; readonly served: number; };
+
+/** Routers that spend the prepaid tokens of accounts, while they lose power and the store is down. Virtual time. */
+export class FakeSpendingFleet {
+    readonly store = new FakeMetadataStore();
+    /** Tokens used by requests that ended, and all tokens of those that ended with their router, for each account. */
+    readonly used = new Map<AccountId, number>();
+    private readonly routers: SpendingRouter[] = [];
+    private readonly accountIds: readonly AccountId[];
+    private readonly random: Random;
+    private readonly logs = createGatewayLogs({ level: "error" });
+    private requests: { readonly at: number; readonly isServed: boolean; }[] = [];
+    private starts = 0;
+
+    constructor(private readonly options: FakeSpendingFleetOptions) {
+        this.random = createRandom(options.seed);
+        this.accountIds = Array.from({ length: options.accounts }, (unused, index) => brand(`account-${index + 1}`));
+        for (let index = 0; index < options.routers; index++) {
+            const router: SpendingRouter = { name: `router-${index + 1}`, process: undefined };
+            this.routers.push(router);
+            this.start(router);
+        }
+        this.sendRequests();
+    }
+
+    /** Some routers, or all, lose power for a time in ms, and start again. */
+    losePower(share: number, durationMs: number): void {
+        for (const router of this.routers.slice(0, Math.round(share * this.routers.length))) {
+            this.end(router);
+            setTimeout(() => this.start(router), durationMs);
+        }
+    }
+
+    /** Returns the figures of requests since a time in ms. */
+    figuresSince(at: number): SpendingFigures {
+        const owed = this.requests.filter((request) => request.at >= at);
+        return { owed: owed.length, served: owed.filter(({ isServed }) => isServed).length };
+    }
+
+    /** Tokens that requests of an account have used or may still use. */
+    usedTokens(account: AccountId): number {
+        const running = this.routers.flatMap(({ process }) => [...process?.running ?? []]);
+        const reserved = running.filter((request) => request.account === account);
+        return (this.used.get(account) ?? 0) + reserved.reduce((sum, { tokens }) => sum + tokens, 0);
+    }
+
+    /** The largest share of its total that any account has used. */
+    get mostUsedShare(): number {
+        return Math.max(...this.accountIds.map((account) => this.usedTokens(account) / this.options.total));
+    }
+
+    private end(router: SpendingRouter): void {
+        const { process } = router;
+        router.process = undefined;
+        if (process !== undefined) {
+            process.hasEnded = true;
+            process.accounts.stop();
+            process.running.forEach(({ account, tokens }) => this.addUsed(account, tokens));
+        }
+    }
+
+    private addUsed(account: AccountId, tokens: number): void {
+        this.used.set(account, (this.used.get(account) ?? 0) + tokens);
+    }
+
+    private start(router: SpendingRouter): void {
+        const startedAt = Date.now();
+        const incarnation = brand<Incarnation>(`start-${++this.starts}`);
+        const process: RouterProcess = {
+            accounts: new PrepaidAccounts(
+                { transact: (transaction) => this.transact(process, transaction) } as MetadataStore,
+                { name: router.name, incarnation, startedAt },
+                this.logs,
+                () => ({ monotonic: Date.now() - startedAt, wall: Date.now() }),
+                this.peersOf(() => process),
+                (name) => name,
+                () => this.routers.length,
+                () => randomFraction(this.random),
+                () => 0,
+            ),
+            running: new Set(),
+            isReady: false,
+            hasEnded: false,
+        };
+        router.process = process;
+        process.accounts.setTotals(new Map(this.accountIds.map((account) => [account, this.options.total])));
+        void this.read(process);
+    }
+
+    private async read(process: RouterProcess): Promise<void> {
+        await sleep(START_MS);
+        while (this.store.behavior !== "well") {
+            await sleep(STORE_TIMEOUT_MS);
+        }
+        if (process.hasEnded) {
+            return;
+        }
+        const items = [...this.store.items.values()];
+        const withPrefix = (prefix: string) => items.filter(({ key }) => key.startsWith(prefix));
+        withPrefix(CHECKPOINT_PREFIX).forEach((item) => process.accounts.applyCheckpoints(item));
+        process.accounts.replaceRecords(withPrefix(PREPAID_PREFIX), Math.max(0, ...items.map((item) => item.revision)));
+        process.accounts.start();
+        process.isReady = true;
+    }
+
+    private async transact(process: RouterProcess, transaction: StoreTransaction): Promise<StoreResult<number>> {
+        await sleep(CALL_MS / 2);
+        if (process.hasEnded) {
+            return new Promise(() => undefined);
+        }
+        const isDown = this.store.behavior !== "well";
+        const result = await this.store.transact(transaction);
+        await sleep(isDown ? STORE_TIMEOUT_MS : CALL_MS / 2);
+        return process.hasEnded ? new Promise(() => undefined) : result;
+    }
+
+    private peersOf(own: () => RouterProcess): PeerCalls {
+        const call = async (
+            name: string,
+            unusedMethod: string,
+            parameters: object,
+            timeoutMs: number,
+        ): Promise<Result<unknown, PeerFailure>> => {
+            await sleep(CALL_MS / 2);
+            const process = this.routers.find((router) => router.name === name)?.process;
+            if (own().hasEnded || process === undefined || !process.isReady) {
+                await sleep(timeoutMs);
+                return err({ kind: "no-answer", detail: "timeout" });
+            }
+            const loan: unknown = await process.accounts.lend(parameters);
+            await sleep(CALL_MS / 2);
+            return ok(loan);
+        };
+        return { call } as unknown as PeerCalls;
+    }
+
+    private sendRequests(): void {
+        setTimeout(() => {
+            void this.sendRequest();
+            this.sendRequests();
+        }, 2 * this.options.requestIntervalMs * randomFraction(this.random));
+    }
+
+    private async sendRequest(): Promise<void> {
+        const ready = this.routers.flatMap(({ process }) => process?.isReady ? [process] : []);
+        const account = this.accountIds[randomBelow(this.random, this.accountIds.length)]!;
+        const [min, max] = this.options.requestTokens;
+        const tokens = min + randomBelow(this.random, max - min);
+        const isOwed = this.usedTokens(account) + tokens <= OWED_SHARE * this.options.total;
+        const process = ready[randomBelow(this.random, ready.length)];
+        const at = Date.now();
+        const isServed = process !== undefined
+            && await process.accounts.reserve(account, tokens, TOKEN_WAIT_MS) === "reserved";
+        if (isOwed) {
+            this.requests.push({ at, isServed });
+        }
+        if (isServed) {
+            await this.serve(process, { account, tokens });
+        }
+    }
+
+    private async serve(process: RouterProcess, request: RunningRequest): Promise<void> {
+        process.running.add(request);
+        await sleep(RUN_MS[0] + randomBelow(this.random, RUN_MS[1] - RUN_MS[0]));
+        if (!process.hasEnded) {
+            process.running.delete(request);
+            const used = Math.ceil(USED_SHARE * request.tokens);
+            this.addUsed(request.account, used);
+            process.accounts.settle(request.account, request.tokens, used);
+        }
+    }
+}
--- a/packages/router/src/gateway/prepaid-accounts.ts
+++ b/packages/router/src/gateway/prepaid-accounts.ts
@@ -31,12 +31,12 @@
     SHORTAGE_RETURN_MS,
     shouldReturnTokens,
 } from "@gooseberrybend/core/dispatch";
-import { setTimeout as sleep } from "node:timers/promises";
 import { EraView } from "./era-view.js";
 import type { GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoredItem, StoreResult } from "./metadata-store.js";
 import type { PeerCalls } from "./peer-calls.js";
 import { decodeItem, recordSchema } from "./prepaid-formats.js";
+import { sleep } from "./sleep.js";
 import { SpendingCheckpoints } from "./spending-checkpoints.js";
 import { TokenLoans } from "./token-loans.js";
 
