Charge processes that end before their first checkpoint by their record's one

What callers saw: accounts dry after kills in series. A router stored no checkpoint until the tokens of its earlier process were reclaimed in all records, which took up to 4 s of conflicting writes when all routers started together, and for good if the store was away.

The record's own checkpoint bounds a process that never stored a set, as it keeps to that checkpoint until a newer one is known to be stored. Sets are stored from the start; those of earlier processes stay stored with them while a record still has tokens of theirs.

--- a/packages/core/src/dispatch/mocks/fake-prepaid-fleet.ts
+++ b/packages/core/src/dispatch/mocks/fake-prepaid-fleet.ts
@@ -1,12 +1,17 @@
 import { type AccountId, brand, type Incarnation } from "../../types/ids.js";
 import { applyLoan, lendPrepaid } from "../prepaid-loan.js";
-import { type CheckpointSet, emptyPrepaidRecord, type PrepaidHolder, type PrepaidRecord } from "../prepaid-record.js";
+import {
+    type CheckpointSet,
+    emptyPrepaidRecord,
+    type PrepaidHolder,
+    type PrepaidRecord,
+    type StoredCheckpoints,
+} from "../prepaid-record.js";
 import { type EraStanding, settledStanding } from "../prepaid-restatement.js";
 import {
     applyPrepaidRecord,
     createPrepaidRow,
     defaultPrepaidPolicy,
-    hasPredecessor,
     type Instant,
     ownHolding,
     planPrepaidWrite,
@@ -55,11 +60,11 @@
 type Node = {
     holder: PrepaidHolder;
     row: PrepaidRow;
-    predecessor: CheckpointSet | undefined;
+    earlierCheckpoints: readonly CheckpointSet[];
     checkpointSetRevision: number;
     /** Write without a response; sent again unchanged. */
     unansweredWrite: PrepaidWrite | undefined;
-    unansweredCheckpointSet: CheckpointSet | undefined;
+    unansweredCheckpointSet: StoredCheckpoints | undefined;
     open: number[];
     sequence: number;
     standing: EraStanding;
@@ -68,7 +73,7 @@
 type Cell<Value> = { value: Value; revision: number; };
 type Copy = {
     readonly record: Cell<PrepaidRecord>;
-    readonly checkpointSets: readonly Cell<CheckpointSet | undefined>[];
+    readonly checkpointSets: readonly Cell<StoredCheckpoints | undefined>[];
 };
 
 /** The router that reads all records. */
@@ -77,7 +82,7 @@
 /** Simulates routers that spend one account's tokens through one store, on a virtual clock. */
 export class FakePrepaidFleet {
     private record: Cell<PrepaidRecord> = { value: emptyPrepaidRecord, revision: 0 };
-    private checkpointSets: Cell<CheckpointSet | undefined>[] = [];
+    private checkpointSets: Cell<StoredCheckpoints | undefined>[] = [];
     /** States of the store after each write of the record. */
     private readonly copies: Copy[] = [];
     private readonly nodes: Node[] = [];
@@ -174,7 +179,7 @@
         return {
             holder,
             row,
-            predecessor: checkpointSet.value,
+            earlierCheckpoints: earlierOf(checkpointSet.value),
             checkpointSetRevision: checkpointSet.revision,
             unansweredWrite: undefined,
             unansweredCheckpointSet: undefined,
@@ -261,7 +266,7 @@
         const write = node.unansweredWrite ?? planPrepaidWrite(
             node.row,
             node.holder,
-            node.predecessor,
+            node.earlierCheckpoints,
             wanted,
             defaultPrepaidPolicy,
             ++node.sequence,
@@ -333,7 +338,7 @@
 
     private storeCheckpoints(index: number, fate: WriteOutcome): void {
         const node = this.nodes[index]!;
-        if (hasPredecessor(node.row.record, node.holder) || node.row.granted === 0) {
+        if (node.row.granted === 0) {
             return;
         }
         const again = node.unansweredCheckpointSet !== undefined;
@@ -342,6 +347,9 @@
             sequence: ++node.sequence,
             at: this.now,
             committed: { [this.account]: node.row.used + node.row.reserved },
+            earlier: node.earlierCheckpoints.filter(({ incarnation }) =>
+                node.row.record.holdings[node.holder.name]?.incarnation === incarnation
+            ),
         };
         if (!again) {
             recordCheckpointSent(node.row, checkpointSet.sequence, this.now);
@@ -375,6 +383,9 @@
             recordCheckpointStored(node.row, checkpointSet.sequence);
         }
         else {
+            if (stored !== undefined && stored.incarnation !== checkpointSet.incarnation) {
+                node.earlierCheckpoints = earlierOf(stored);
+            }
             recordCheckpointFailed(node.row, checkpointSet.sequence);
         }
     }
@@ -385,3 +396,7 @@
         writes.forEach((apply) => apply());
     }
 }
+
+function earlierOf(stored: StoredCheckpoints | undefined): CheckpointSet[] {
+    return stored === undefined ? [] : [stored, ...stored.earlier ?? []];
+}
--- a/packages/core/src/dispatch/prepaid-record.ts
+++ b/packages/core/src/dispatch/prepaid-record.ts
@@ -61,6 +61,9 @@
     readonly committed: Readonly<Record<string, number>>;
 };
 
+/** The stored checkpoints of a router, with those of earlier processes whose tokens are not all reclaimed. */
+export type StoredCheckpoints = CheckpointSet & { readonly earlier?: readonly CheckpointSet[] | undefined; };
+
 /** The record of an account without grants. */
 export const emptyPrepaidRecord: PrepaidRecord = { closed: 0, holdings: {} };
 
@@ -102,20 +105,18 @@
 
 /**
  * Returns the maximum tokens that a restarted router's earlier process may have used: what its last checkpoint allowed
- * until its successor started, or its whole grant if there is no reliable checkpoint.
+ * until its successor started. A process that stored no checkpoint set is bounded by the checkpoint in the record.
  */
 export function earlierUse(
     account: string,
     holding: PrepaidHolding,
-    checkpoints: CheckpointSet | undefined,
+    checkpointSets: readonly CheckpointSet[],
     successorStartedAt: number,
 ): EarlierUse {
-    if (checkpoints === undefined || checkpoints.incarnation !== holding.incarnation) {
-        return wholeGrant(holding);
-    }
-    const committed = checkpoints.committed[account];
-    const newer = checkpoints.sequence > holding.mark.sequence && committed !== undefined;
-    const checkpoint = newer ? { sequence: checkpoints.sequence, committed, at: checkpoints.at } : holding.mark;
+    const set = checkpointSets.find(({ incarnation }) => incarnation === holding.incarnation);
+    const committed = set?.committed[account];
+    const newer = set !== undefined && set.sequence > holding.mark.sequence && committed !== undefined;
+    const checkpoint = newer ? { committed, at: set.at } : holding.mark;
     const elapsedMs = successorStartedAt - checkpoint.at;
     // The elapsed time is unknown if the wall clock went back.
     if (elapsedMs < 0) {
--- a/packages/core/src/dispatch/prepaid.ts
+++ b/packages/core/src/dispatch/prepaid.ts
@@ -354,7 +354,7 @@
 export function planPrepaidWrite(
     row: PrepaidRow,
     holder: PrepaidHolder,
-    predecessor: CheckpointSet | undefined,
+    earlierCheckpoints: readonly CheckpointSet[],
     requested: number,
     policy: PrepaidPolicy,
     sequence: number,
@@ -368,7 +368,7 @@
     const base = restateRecord(row, holder, standing);
     const { [holder.name]: previous, ...others } = base.holdings;
     const isClosing = previous !== undefined && previous.incarnation !== holder.incarnation;
-    const earlier = isClosing ? useOfEarlier(row, previous, predecessor, holder) : undefined;
+    const earlier = isClosing ? useOfEarlier(row, previous, earlierCheckpoints, holder) : undefined;
     const closed = base.closed + (earlier?.counted ?? 0);
     const taken = Object.values(others).reduce((sum, holding) => sum + holding.granted, closed);
     const committed = row.used + row.reserved;
@@ -405,11 +405,11 @@
 function useOfEarlier(
     row: PrepaidRow,
     previous: PrepaidHolding,
-    predecessor: CheckpointSet | undefined,
+    earlierCheckpoints: readonly CheckpointSet[],
     holder: PrepaidHolder,
 ): EarlierUse {
     return isStatedIn(row.era, previous)
-        ? earlierUse(row.account, previous, predecessor, holder.startedAt)
+        ? earlierUse(row.account, previous, earlierCheckpoints, holder.startedAt)
         : wholeGrant(previous);
 }
 
--- a/packages/router/src/gateway/prepaid-accounts.ts
+++ b/packages/router/src/gateway/prepaid-accounts.ts
@@ -1,4 +1,4 @@
-import type { AccountId } from "@gooseberrybend/core";
+import type { AccountId, Incarnation } from "@gooseberrybend/core";
 import {
     applyPrepaidRecord,
     canGainPrepaid,
@@ -9,7 +9,6 @@
     emptyPrepaidRecord,
     eraOf,
     hasFreeTokens,
-    hasPredecessor,
     type Instant,
     needsPrepaidWrite,
     needsRestatement,
@@ -103,6 +102,7 @@
             logs,
             clock,
             nextSequence: () => ++this.sequence,
+            isUnreclaimed: (incarnation) => this.isUnreclaimed(incarnation),
             recordAvailable: () => this.recordAvailable(),
             recordFailure: (kind, detail) => this.recordFailure(kind, detail),
         });
@@ -366,9 +366,9 @@
 
     private planRow(row: PrepaidRow, requested: number, policy: PrepaidPolicy): PrepaidWrite | undefined {
         const sequence = ++this.sequence;
-        const { predecessor } = this.checkpoints;
+        const { earlier } = this.checkpoints;
         const standing = this.era.standing(this.clock().monotonic);
-        return planPrepaidWrite(row, this.holder, predecessor, requested, policy, sequence, this.clock(), standing);
+        return planPrepaidWrite(row, this.holder, earlier, requested, policy, sequence, this.clock(), standing);
     }
 
     private async write(writes: readonly PrepaidWrite[]): Promise<"done" | "conflict" | "failed"> {
@@ -447,17 +447,21 @@
         return ownHolding(this.rowOf(write).record, this.holder)?.mark.sequence === write.mark.sequence;
     }
 
-    // Checkpoints are written once the tokens of the previous process are reclaimed, as that needs its checkpoints.
     private async writeCheckpoints(): Promise<void> {
         // Without available tokens, a checkpoint has nothing to recover.
         const rows = [...this.rows.values()].filter((row) => row.granted > row.used + row.reserved);
-        const isReclaimed = [...this.rows.values()].every((row) => !hasPredecessor(row.record, this.holder));
         const isPaused = this.clock().monotonic - this.failedAt < IDLE_BACKOFF_MS;
-        if (!isPaused && this.storeRevision !== undefined && isReclaimed && rows.length > 0) {
+        if (!isPaused && this.storeRevision !== undefined && rows.length > 0) {
             await this.checkpoints.write(rows);
         }
     }
 
+    // Records of accounts that are not configured count too: the account may be added again.
+    private isUnreclaimed(incarnation: Incarnation): boolean {
+        const records = [...this.rows.values(), ...this.unconfiguredRecords.values()].map(({ record }) => record);
+        return records.some((record) => record.holdings[this.holder.name]?.incarnation === incarnation);
+    }
+
     private recordAvailable(): void {
         this.failingSince = undefined;
         this.failedAt = -Infinity;
--- a/packages/router/src/gateway/prepaid-formats.ts
+++ b/packages/router/src/gateway/prepaid-formats.ts
@@ -22,13 +22,14 @@
     era: z.number().optional(),
     restated: z.object({ era: z.number(), from: z.number(), isWitnessed: z.boolean() }).optional(),
 });
-/** Format of the stored spending checkpoints of a router. */
-export const checkpointSetSchema = z.object({
+const checkpointSetSchema = z.object({
     incarnation: z.string(),
     sequence: z.number(),
     at: z.number(),
     committed: z.record(z.string(), z.number()),
 });
+/** Format of the stored spending checkpoints of a router. */
+export const storedCheckpointsSchema = checkpointSetSchema.extend({ earlier: z.array(checkpointSetSchema).optional() });
 
 /** Parses a stored item as JSON of a format; an invalid one is logged and ignored. */
 export function decodeItem({ key, value }: StoredItem, schema: z.ZodType, logs: GatewayLogs): unknown {
--- a/packages/router/src/gateway/spending-checkpoints.ts
+++ b/packages/router/src/gateway/spending-checkpoints.ts
@@ -1,4 +1,4 @@
-import type { AccountId } from "@gooseberrybend/core";
+import type { AccountId, Incarnation } from "@gooseberrybend/core";
 import {
     type CheckpointSet,
     type Instant,
@@ -7,10 +7,11 @@
     recordCheckpointFailed,
     recordCheckpointSent,
     recordCheckpointStored,
+    type StoredCheckpoints,
 } from "@gooseberrybend/core/dispatch";
 import type { GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoredItem } from "./metadata-store.js";
-import { checkpointSetSchema, decodeItem } from "./prepaid-formats.js";
+import { decodeItem, storedCheckpointsSchema } from "./prepaid-formats.js";
 
 /** Prefix of the keys of the routers' spending checkpoints. */
 export const CHECKPOINT_PREFIX = "gooseberrybend/marks/";
@@ -22,15 +23,17 @@
     readonly logs: GatewayLogs;
     readonly clock: () => Instant;
     readonly nextSequence: () => number;
+    /** Whether tokens of an earlier process of this router are still to be reclaimed. */
+    readonly isUnreclaimed: (incarnation: Incarnation) => boolean;
     readonly recordAvailable: () => void;
     readonly recordFailure: (kind: string, detail: string) => void;
 };
 
-/** Writes this router's spending checkpoints to the store, and reads those of its previous process. */
+/** Writes this router's spending checkpoints to the store, and reads those of its earlier processes. */
 export class SpendingCheckpoints {
-    /** Last checkpoints of the previous process of this router. */
-    predecessor: CheckpointSet | undefined;
-    private latest: { readonly value: CheckpointSet; answered: boolean; } | undefined;
+    /** Last checkpoints of earlier processes of this router; they stay stored until all their tokens are reclaimed. */
+    earlier: readonly CheckpointSet[] = [];
+    private latest: { readonly value: StoredCheckpoints; answered: boolean; } | undefined;
     private revision = 0;
     private isWriting = false;
 
@@ -47,11 +50,15 @@
         if (checkpoints?.incarnation === holder.incarnation) {
             this.recordStored(checkpoints.sequence);
         }
-        else {
-            this.predecessor = checkpoints;
+        else if (checkpoints !== undefined) {
+            this.recordEarlier(checkpoints);
         }
     }
 
+    private recordEarlier({ earlier = [], ...newest }: StoredCheckpoints): void {
+        this.earlier = [newest, ...earlier];
+    }
+
     /** Writes the checkpoints of rows, or those before that have no response. */
     async write(rows: readonly PrepaidRow[]): Promise<void> {
         if (!this.isWriting) {
@@ -87,6 +94,9 @@
                 this.recordStored(latest.value.sequence);
             }
             else {
+                if (stored !== undefined && stored.incarnation !== this.host.holder.incarnation) {
+                    this.recordEarlier(stored);
+                }
                 this.recordFailed(latest.value.sequence);
             }
         }
@@ -98,17 +108,18 @@
         }
     }
 
-    private decode(item: StoredItem): CheckpointSet | undefined {
-        return decodeItem(item, checkpointSetSchema, this.host.logs) as CheckpointSet | undefined;
+    private decode(item: StoredItem): StoredCheckpoints | undefined {
+        return decodeItem(item, storedCheckpointsSchema, this.host.logs) as StoredCheckpoints | undefined;
     }
 
-    private create(rows: readonly PrepaidRow[]): { value: CheckpointSet; answered: boolean; } {
+    private create(rows: readonly PrepaidRow[]): { value: StoredCheckpoints; answered: boolean; } {
         const sequence = this.host.nextSequence();
         const now = this.host.clock();
         rows.forEach((row) => recordCheckpointSent(row, sequence, now.monotonic));
         const committed = Object.fromEntries(rows.map((row) => [row.account, row.used + row.reserved]));
         const { incarnation } = this.host.holder;
-        return { value: { incarnation, sequence, at: now.wall, committed }, answered: false };
+        this.earlier = this.earlier.filter((set) => this.host.isUnreclaimed(set.incarnation));
+        return { value: { incarnation, sequence, at: now.wall, committed, earlier: this.earlier }, answered: false };
     }
 
     private recordStored(sequence: number): void {
