Count less as used for routers that crash in series

Cause: a successor counts what its earlier process could have used until the successor's start, and that was half of an allowance for 15 s after 2.4 s without power; whole allowances if the last checkpoint dated from before an outage.

Checkpoints state their ramp; those without one keep the old one, and the new one never allows more, so both versions may follow each other. - Tokens that are held but not usable yet are made so by a checkpoint, which meets no write of another router, in place of a write of the record; for loans too. - Checkpoints without a response are settled and followed by new ones at once.

--- a/packages/core/src/dispatch/mocks/fake-prepaid-fleet.ts
+++ b/packages/core/src/dispatch/mocks/fake-prepaid-fleet.ts
@@ -5,6 +5,7 @@
     emptyPrepaidRecord,
     type PrepaidHolder,
     type PrepaidRecord,
+    type RampVersion,
     type StoredCheckpoints,
 } from "../prepaid-record.js";
 import { type EraStanding, settledStanding } from "../prepaid-restatement.js";
@@ -55,7 +56,8 @@
         readonly restarted: readonly number[];
         readonly cut: readonly number[];
     }
-    | { readonly kind: "top-up"; readonly tokens: number; };
+    | { readonly kind: "top-up"; readonly tokens: number; }
+    | { readonly kind: "ramp"; readonly ramp: RampVersion; };
 
 type Node = {
     holder: PrepaidHolder;
@@ -87,6 +89,7 @@
     private readonly copies: Copy[] = [];
     private readonly nodes: Node[] = [];
     private lateWrites: (() => void)[] = [];
+    private policy = defaultPrepaidPolicy;
     private now = 0;
     private revision = 0;
     private starts = 0;
@@ -159,6 +162,9 @@
                 return this.applyLateWrites();
             case "restore":
                 return this.restore(step.back, step.restarted, step.cut);
+            case "ramp":
+                this.policy = { ...this.policy, ramp: step.ramp };
+                return;
             case "top-up":
                 this.total += step.tokens;
                 this.nodes.forEach((node) => node.row.total = this.total);
@@ -268,7 +274,7 @@
             node.holder,
             node.earlierCheckpoints,
             wanted,
-            defaultPrepaidPolicy,
+            this.policy,
             ++node.sequence,
             this.instant(),
             node.standing,
@@ -346,13 +352,20 @@
             incarnation: node.holder.incarnation,
             sequence: ++node.sequence,
             at: this.now,
+            ramp: this.policy.ramp,
             committed: { [this.account]: node.row.used + node.row.reserved },
             earlier: node.earlierCheckpoints.filter(({ incarnation }) =>
                 node.row.record.holdings[node.holder.name]?.incarnation === incarnation
             ),
         };
         if (!again) {
-            recordCheckpointSent(node.row, checkpointSet.sequence, this.now);
+            recordCheckpointSent(
+                node.row,
+                checkpointSet.sequence,
+                checkpointSet.committed[this.account]!,
+                checkpointSet.ramp!,
+                this.now,
+            );
         }
         const { checkpointSetRevision } = node;
         const apply = (): boolean => {
--- a/packages/core/src/dispatch/prepaid-loan.ts
+++ b/packages/core/src/dispatch/prepaid-loan.ts
@@ -25,6 +25,11 @@
     return Math.max(0, tokens - spendableTokens(row, now)) * LOAN_FACTOR;
 }
 
+/** Returns the tokens that the borrower is short of; it asks for more, since the next requests need tokens too. */
+export function missingTokens({ tokens }: LoanRequest): number {
+    return Math.ceil(tokens / LOAN_FACTOR);
+}
+
 /** Returns the other routers that hold tokens of an account according to its record, the largest holder first. */
 export function lendersOf(row: PrepaidRow, holder: PrepaidHolder): string[] {
     return Object.entries(row.record.holdings)
@@ -50,7 +55,7 @@
     }
     const spendable = Math.max(0, spendableTokens(row, now));
     // A waiting request at the borrower has precedence over possible future requests here.
-    const missing = Math.ceil(request.tokens / LOAN_FACTOR);
+    const missing = missingTokens(request);
     const minLoan = missing <= spendable ? missing : 0;
     const lent = Math.min(request.tokens, Math.max(minLoan, Math.floor(spendable * LENT_SHARE)));
     row.used += lent;
--- a/packages/core/src/dispatch/prepaid-record.ts
+++ b/packages/core/src/dispatch/prepaid-record.ts
@@ -8,6 +8,7 @@
     readonly committed: number;
     /** Wall-clock time in ms at the router. */
     readonly at: number;
+    readonly ramp?: RampVersion | undefined;
 };
 
 /** One router's holding of an account's tokens, as stored. Counts are totals since the router started. */
@@ -58,6 +59,7 @@
     readonly incarnation: Incarnation;
     readonly sequence: number;
     readonly at: number;
+    readonly ramp?: RampVersion | undefined;
     readonly committed: Readonly<Record<string, number>>;
 };
 
@@ -67,10 +69,24 @@
 /** The record of an account without grants. */
 export const emptyPrepaidRecord: PrepaidRecord = { closed: 0, holdings: {} };
 
-/** Share of an allowance that is usable right after a checkpoint. */
-const BURST_SHARE = 0.2;
-/** Time in ms after a checkpoint until the rest is usable; store outages last up to 9 s. */
-const RAMP_MS = 9_000;
+/** Version of the way in which an allowance becomes usable after a checkpoint; absent in checkpoints of 0.12.0. */
+export type RampVersion = number;
+
+/** Points in between which the usable share of an allowance grows evenly with the time in ms since the checkpoint. */
+type Ramp = readonly { readonly ms: number; readonly share: number; }[];
+
+/** The ramp for calm times, and of checkpoints that state none: requests go on if the store goes away. */
+export const CALM_RAMP: RampVersion = 1;
+/**
+ * The ramp of a router that has crashed: another crash is likely, and it costs what the ramp allows until the router
+ * is back, mostly within 3 s. Outages of the store last up to 9 s.
+ */
+export const CAUTIOUS_RAMP: RampVersion = 2;
+
+const RAMPS: ReadonlyMap<RampVersion, Ramp> = new Map([
+    [CALM_RAMP, [{ ms: 0, share: 0.2 }, { ms: 7_200, share: 1 }]],
+    [CAUTIOUS_RAMP, [{ ms: 0, share: 0.06 }, { ms: 3_000, share: 0.26 }, { ms: 9_000, share: 1 }]],
+]);
 /** Time in ms added to the age of a crashed router's last checkpoint, for clock granularity. */
 const AGE_MARGIN_MS = 100;
 
@@ -80,14 +96,25 @@
  */
 export function committedLimit(
     granted: number,
-    checkpoint: { readonly committed: number; },
+    checkpoint: { readonly committed: number; readonly ramp?: RampVersion | undefined; },
     elapsedMs: number,
 ): number {
     const allowance = Math.max(0, granted - checkpoint.committed);
-    const share = Math.min(1, BURST_SHARE + Math.max(0, elapsedMs) / RAMP_MS);
+    const share = usableShare(checkpoint.ramp, Math.max(0, elapsedMs));
     return Math.min(Math.max(granted, checkpoint.committed), checkpoint.committed + Math.floor(allowance * share));
 }
 
+// The whole allowance may be in use if a later version of the router wrote the checkpoint.
+function usableShare(version: RampVersion = CALM_RAMP, elapsedMs: number): number {
+    const ramp = RAMPS.get(version) ?? [];
+    const index = ramp.findIndex(({ ms }) => ms > elapsedMs);
+    if (index <= 0) {
+        return 1;
+    }
+    const [from, to] = [ramp[index - 1]!, ramp[index]!];
+    return from.share + (to.share - from.share) * (elapsedMs - from.ms) / (to.ms - from.ms);
+}
+
 /** What is counted as used for the earlier process of a restarted router. */
 export type EarlierUse = {
     readonly incarnation: Incarnation;
@@ -116,7 +143,7 @@
     const set = checkpointSets.find(({ incarnation }) => incarnation === holding.incarnation);
     const committed = set?.committed[account];
     const newer = set !== undefined && set.sequence > holding.mark.sequence && committed !== undefined;
-    const checkpoint = newer ? { committed, at: set.at } : holding.mark;
+    const checkpoint = newer ? { committed, at: set.at, ramp: set.ramp } : holding.mark;
     const elapsedMs = successorStartedAt - checkpoint.at;
     // The elapsed time is unknown if the wall clock went back.
     if (elapsedMs < 0) {
--- a/packages/core/src/dispatch/prepaid.test.ts
+++ b/packages/core/src/dispatch/prepaid.test.ts
@@ -3,6 +3,8 @@
 import { type AccountId, brand, type Incarnation } from "../types/ids.js";
 import { FakePrepaidFleet } from "./mocks/fake-prepaid-fleet.js";
 import {
+    CALM_RAMP,
+    CAUTIOUS_RAMP,
     committedLimit,
     earlierUse,
     emptyPrepaidRecord,
@@ -131,6 +133,29 @@
 
         it("is charged its whole grant long after its last checkpoint", () => {
             expect(committedLimit(10_000, { committed: 1_000 }, 60_000)).toBe(10_000);
+            expect(committedLimit(10_000, { committed: 1_000, ramp: CAUTIOUS_RAMP }, 60_000)).toBe(10_000);
+        });
+
+        // Guards against a new version that counts less as used than an earlier version, still running, could use.
+        it("is charged by the ramp that its checkpoint states", () => {
+            expect(committedLimit(10_000, { committed: 0 }, 0)).toBe(2_000);
+            expect(committedLimit(10_000, { committed: 0 }, 1_800)).toBe(4_000);
+            const limitAfter = (ms: number): number =>
+                committedLimit(10_000, { committed: 0, ramp: CAUTIOUS_RAMP }, ms);
+            expect(limitAfter(0)).toBe(600);
+            expect(limitAfter(1_500)).toBe(1_600);
+            expect(limitAfter(3_000)).toBe(2_600);
+            expect(limitAfter(6_000)).toBe(6_300);
+            expect(committedLimit(10_000, { committed: 0, ramp: CAUTIOUS_RAMP + 1 }, 0)).toBe(10_000);
+        });
+
+        it("never used more by a later version's ramp than successors of 0.12.0 count", () => {
+            fc.assert(
+                fc.property(fc.nat(20_000), fc.nat(20_000), fc.nat(20_000), (granted, committed, ms) => {
+                    const limit = committedLimit(granted, { committed, ramp: CAUTIOUS_RAMP }, ms);
+                    expect(limit).toBeLessThanOrEqual(committedLimit(granted, { committed }, ms));
+                }),
+            );
         });
     });
 
@@ -192,6 +217,13 @@
             { weight: 1, arbitrary: fc.record({ kind: fc.constant("restart" as const), router: fc.nat(2) }) },
             { weight: 1, arbitrary: fc.constant({ kind: "restart-all" as const }) },
             { weight: 1, arbitrary: fc.constant({ kind: "land-late" as const }) },
+            {
+                weight: 1,
+                arbitrary: fc.record({
+                    kind: fc.constant("ramp" as const),
+                    ramp: fc.constantFrom(CALM_RAMP, CAUTIOUS_RAMP),
+                }),
+            },
             {
                 weight: 1,
                 arbitrary: fc.record({
--- a/packages/core/src/dispatch/prepaid.ts
+++ b/packages/core/src/dispatch/prepaid.ts
@@ -1,5 +1,7 @@
 import type { AccountId } from "../types/ids.js";
 import {
+    CALM_RAMP,
+    CAUTIOUS_RAMP,
     type CheckpointSet,
     committedLimit,
     type EarlierUse,
@@ -9,6 +11,7 @@
     type PrepaidHolder,
     type PrepaidHolding,
     type PrepaidRecord,
+    type RampVersion,
     wholeGrant,
 } from "./prepaid-record.js";
 import {
@@ -26,7 +29,12 @@
 type PendingGrant = { readonly revision: number; readonly granted: number; readonly sequence: number; };
 
 /** A spending checkpoint that is or may be stored; its time is monotonic, in ms. */
-type LocalCheckpoint = { readonly sequence: number; readonly committed: number; readonly at: number; };
+type LocalCheckpoint = {
+    readonly sequence: number;
+    readonly committed: number;
+    readonly at: number;
+    readonly ramp: RampVersion;
+};
 
 /** This router's view of an account's tokens. */
 export type PrepaidRow = {
@@ -68,6 +76,8 @@
     readonly allowanceMs: number;
     /** Share of the remaining tokens that routers hold as allowances. */
     readonly heldShare: number;
+    /** How allowances become usable after a checkpoint. */
+    readonly ramp: RampVersion;
 };
 
 /** The default policy of routers. */
@@ -76,6 +86,15 @@
     allowanceMs: 15_000,
     // A part of an allowance is lost if its router crashes; the tokens not held serve restarted routers.
     heldShare: 0.85,
+    ramp: CALM_RAMP,
+};
+
+/** The policy of a router that has crashed, as another crash is likely. */
+export const cautiousPrepaidPolicy: PrepaidPolicy = {
+    ...defaultPrepaidPolicy,
+    // Just longer than the longest outages of the store.
+    allowanceMs: 10_000,
+    ramp: CAUTIOUS_RAMP,
 };
 
 /** The current time on both clocks, in ms. */
@@ -139,7 +158,7 @@
 
 /** Returns the tokens that may be used now, regardless of the outcome of pending writes. */
 export function spendableTokens(row: PrepaidRow, now: number): number {
-    const granted = row.pendingGrants.reduce((lowest, write) => Math.min(lowest, write.granted), row.granted);
+    const granted = lowestGrant(row);
     const limit = row.checkpoints.reduce(
         (lowest, checkpoint) => Math.min(lowest, committedLimit(granted, checkpoint, now - checkpoint.at)),
         granted,
@@ -152,6 +171,11 @@
     return Math.max(0, row.granted - row.used - row.reserved);
 }
 
+// The lower allowance of both outcomes of each pending write.
+function lowestGrant(row: PrepaidRow): number {
+    return row.pendingGrants.reduce((lowest, write) => Math.min(lowest, write.granted), row.granted);
+}
+
 /** Records the tokens that a request requires; the demand rate sizes the allowance. */
 export function recordPrepaidDemand(row: PrepaidRow, tokens: number, now: number): void {
     decayDemand(row, now);
@@ -251,7 +275,7 @@
 
 // The lower allowance of both outcomes of a pending write stays: other routers may have taken what it returned.
 function beginEra(row: PrepaidRow, holder: PrepaidHolder): void {
-    row.granted = row.pendingGrants.reduce((lowest, write) => Math.min(lowest, write.granted), row.granted);
+    row.granted = lowestGrant(row);
     row.pendingGrants = [];
     const { record, era, earlier } = row;
     row.earlier = {
@@ -273,6 +297,12 @@
     return own !== undefined && own.incarnation !== holder.incarnation;
 }
 
+/** Returns whether a record has tokens that an earlier process of this router held when it ended. */
+export function hasCrashedPredecessor(record: PrepaidRecord, holder: PrepaidHolder): boolean {
+    const own = record.holdings[holder.name];
+    return own !== undefined && own.incarnation !== holder.incarnation && own.granted > own.used;
+}
+
 /** Returns whether other routers report a shortage of tokens that this one could return. */
 export function shouldReturnTokens(row: PrepaidRow, holder: PrepaidHolder): boolean {
     const shortage = otherHoldings(row.record, holder).reduce((sum, holding) => sum + holding.lacking, 0);
@@ -286,9 +316,26 @@
     }
 }
 
+/** Returns the tokens that count as committed if waiting requests reserve as many as they can of those they need. */
+export function committedWith(row: PrepaidRow, requested: number): number {
+    const committed = row.used + row.reserved;
+    return committed + Math.min(requested, Math.max(0, lowestGrant(row) - committed));
+}
+
+/** Returns whether the router holds the tokens of a request, but may use them only after another checkpoint. */
+export function isCheckpointMissing(row: PrepaidRow, tokens: number, now: number): boolean {
+    return spendableTokens(row, now) < tokens && lowestGrant(row) - row.used - row.reserved >= tokens;
+}
+
 /** Records that a checkpoint is being written to the store. */
-export function recordCheckpointSent(row: PrepaidRow, sequence: number, now: number): void {
-    row.checkpoints.push({ sequence, committed: row.used + row.reserved, at: now });
+export function recordCheckpointSent(
+    row: PrepaidRow,
+    sequence: number,
+    committed: number,
+    ramp: RampVersion,
+    now: number,
+): void {
+    row.checkpoints.push({ sequence, committed, at: now, ramp });
 }
 
 /** Records that a checkpoint was definitely not stored and never will be. */
@@ -385,7 +432,7 @@
         lacking: Math.max(0, Math.max(requested, row.lacking) - slack),
         rate: Math.round(demandRate(row) * MS_PER_SECOND),
         // Requested tokens count as committed, because the waiting requests use them at once.
-        mark: { sequence, committed: committed + Math.min(slack, requested), at: now.wall },
+        mark: { sequence, committed: committed + Math.min(slack, requested), at: now.wall, ramp: policy.ramp },
         ...(row.era === 0 ? {} : { era: row.era }),
         ...(isClosing
             ? { closes: { incarnation: previous.incarnation, sequence: previous.mark.sequence } }
@@ -396,7 +443,7 @@
         revision: row.revision,
         record: { ...base, closed, holdings: { ...others, [holder.name]: own } },
         granted: own.granted,
-        mark: { sequence, committed: own.mark.committed, at: now.monotonic },
+        mark: { sequence, committed: own.mark.committed, at: now.monotonic, ramp: policy.ramp },
         closed: earlier,
     };
 }
--- a/packages/router/src/gateway/mocks/fake-spending-fleet.ts
+++ b/packages/router/src/gateway/mocks/fake-spending-fleet.ts
@@ -5,6 +5,7 @@
     type Incarnation,
     type Random,
     randomBelow,
+    randomElement,
     randomFraction,
 } from "@gooseberrybend/core";
 import { err, ok, type Result } from "neverthrow";
@@ -22,6 +23,8 @@
 const STORE_TIMEOUT_MS = 700;
 /** Time in ms from the start of a process until it has read the store. */
 const START_MS = 500;
+/** Maximum time in ms until a router notices that the store is back. */
+const MAX_NOTICE_MS = 400;
 /** Time in ms that a request waits for tokens. */
 const TOKEN_WAIT_MS = 200;
 /** Range in ms of the time that a request runs. */
@@ -39,8 +42,8 @@
     readonly total: number;
     /** Average time in ms between two requests of the whole fleet. */
     readonly requestIntervalMs: number;
-    /** Range of the tokens that a request may use. */
-    readonly requestTokens: readonly [number, number];
+    /** Ranges of the tokens that a request may use, of kinds of requests that are equally frequent. */
+    readonly requestTokens: readonly (readonly [number, number])[];
     readonly seed: number;
 };
 
@@ -85,6 +88,23 @@
         this.sendRequests();
     }
 
+    /** The store goes down. */
+    stopStore(): void {
+        this.store.behavior = "unavailable";
+    }
+
+    /** The store is back, as routers notice by their next reads. */
+    restoreStore(): void {
+        this.store.behavior = "well";
+        for (const { process } of this.routers) {
+            setTimeout(() => {
+                if (process?.isReady === true && !process.hasEnded) {
+                    process.accounts.resume();
+                }
+            }, randomBelow(this.random, MAX_NOTICE_MS));
+        }
+    }
+
     /** Some routers, or all, lose power for a time in ms, and start again. */
     losePower(share: number, durationMs: number): void {
         for (const router of this.routers.slice(0, Math.round(share * this.routers.length))) {
@@ -206,7 +226,7 @@
     private async sendRequest(): Promise<void> {
         const ready = this.routers.flatMap(({ process }) => process?.isReady ? [process] : []);
         const account = this.accountIds[randomBelow(this.random, this.accountIds.length)]!;
-        const [min, max] = this.options.requestTokens;
+        const [min, max] = randomElement(this.random, this.options.requestTokens)!;
         const tokens = min + randomBelow(this.random, max - min);
         const isOwed = this.usedTokens(account) + tokens <= OWED_SHARE * this.options.total;
         const process = ready[randomBelow(this.random, ready.length)];
--- a/packages/router/src/gateway/prepaid-accounts.test.ts
+++ b/packages/router/src/gateway/prepaid-accounts.test.ts
@@ -1,6 +1,14 @@
+import { type AccountId, brand, type Incarnation } from "@gooseberrybend/core";
 import { seedsOf } from "@gooseberrybend/core/mocks";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createGatewayLogs } from "./log-sink.js";
+import type { MetadataStore, StoreResult, StoreTransaction } from "./metadata-store.js";
+import { FakeMetadataStore } from "./mocks/fake-metadata-store.js";
 import { FakeSpendingFleet } from "./mocks/fake-spending-fleet.js";
+import type { PeerCalls } from "./peer-calls.js";
+import { PrepaidAccounts } from "./prepaid-accounts.js";
+import { sleep } from "./sleep.js";
+import { CHECKPOINT_PREFIX } from "./spending-checkpoints.js";
 
 /** Time in ms after the power is back from which requests must be served, and the least share of them. */
 const RECOVERY_MS = 12_000;
@@ -13,7 +21,7 @@
         accounts: 5,
         total: 5_000_000,
         requestIntervalMs: 19,
-        requestTokens: [1_000, 15_000],
+        requestTokens: [[1_000, 15_000]],
         seed,
     });
 
@@ -29,6 +37,94 @@
         vi.useRealTimers();
     });
 
+    const account = brand<AccountId>("account-1");
+    const aloneWith = (store: FakeMetadataStore, callMs = 1): PrepaidAccounts => {
+        const transact = async (transaction: StoreTransaction): Promise<StoreResult<number>> => {
+            await sleep(callMs);
+            return store.transact(transaction);
+        };
+        const accounts = new PrepaidAccounts(
+            { transact } as MetadataStore,
+            { name: "router-1", incarnation: brand<Incarnation>("start-1"), startedAt: 0 },
+            createGatewayLogs({ level: "error" }),
+            () => ({ monotonic: Date.now(), wall: Date.now() }),
+            {} as PeerCalls,
+            () => undefined,
+            () => 1,
+            () => 0.5,
+            () => 0,
+        );
+        accounts.setTotals(new Map([[account, 1_000_000]]));
+        accounts.replaceRecords([], 0);
+        return accounts;
+    };
+    const ended = async <Value>(result: Promise<Value>): Promise<Value> => {
+        await vi.advanceTimersByTimeAsync(300);
+        return result;
+    };
+    const storedCheckpoint = (store: FakeMetadataStore): number | undefined =>
+        JSON.parse(store.items.get(`${CHECKPOINT_PREFIX}router-1`)?.value.toString() ?? "{}").committed?.[account];
+
+    describe("that hold the tokens of a request", () => {
+        // Guards against refusals of large requests while most of an allowance is not usable yet.
+        it("make them usable by one checkpoint, without a write of the record", async () => {
+            const store = new FakeMetadataStore();
+            const accounts = aloneWith(store);
+            await ended(accounts.reserve(account, 10_000, 100));
+            accounts.settle(account, 10_000, 0);
+            // After the write that follows the first read.
+            await vi.advanceTimersByTimeAsync(1_000);
+            const row = accounts.rows.get(account)!;
+            const held = row.granted - row.used;
+            const { revision } = row;
+            expect(await ended(accounts.reserve(account, held, 100))).toBe("reserved");
+            expect(storedCheckpoint(store)).toBe(held);
+            expect(row.revision).toBe(revision);
+        });
+
+        it("serve requests that come together, also while a checkpoint is being written", async () => {
+            const accounts = aloneWith(new FakeMetadataStore(), 20);
+            await ended(accounts.reserve(account, 10_000, 200));
+            accounts.settle(account, 10_000, 0);
+            const row = accounts.rows.get(account)!;
+            const part = Math.floor((row.granted - row.used) / 3);
+            const reservations = [];
+            for (let index = 0; index < 3; index++) {
+                reservations.push(accounts.reserve(account, part, 200));
+                await vi.advanceTimersByTimeAsync(5);
+            }
+            expect(await ended(Promise.all(reservations))).toEqual(["reserved", "reserved", "reserved"]);
+        });
+
+        it("lend them as well", async () => {
+            const accounts = aloneWith(new FakeMetadataStore());
+            await ended(accounts.reserve(account, 10_000, 100));
+            accounts.settle(account, 10_000, 0);
+            const row = accounts.rows.get(account)!;
+            const tokens = 2 * (row.granted - row.used);
+            const loan = await ended(accounts.lend({ id: "loan-1", borrower: "start-2", account, tokens }));
+            expect(loan.tokens).toBe(tokens / 2);
+        });
+    });
+
+    // Guards against old checkpoints after an outage, by which whole allowances count as used if the power then fails.
+    describe("whose store comes back", () => {
+        it("store new checkpoints at once, also if those before the outage had no response", async () => {
+            const store = new FakeMetadataStore();
+            const accounts = aloneWith(store);
+            accounts.start();
+            await ended(accounts.reserve(account, 10_000, 100));
+            store.behavior = "late";
+            await vi.advanceTimersByTimeAsync(3_000);
+            accounts.settle(account, 10_000, 9_000);
+            store.behavior = "well";
+            accounts.resume();
+            await vi.advanceTimersByTimeAsync(10);
+            expect(storedCheckpoint(store)).toBe(9_000);
+            accounts.stop();
+        });
+    });
+
     // Guards against accounts that run dry by tokens that are counted as used for routers without power.
     describe("whose routers lose power", () => {
         for (const seed of seedsOf(process.env["SPENDING_SEEDS"] ?? "1-3")) {
@@ -39,9 +135,9 @@
                     fleet.losePower(0.85, 2_000);
                 }
                 await passUntil(27_000);
-                fleet.store.behavior = "unavailable";
+                fleet.stopStore();
                 await passUntil(34_500);
-                fleet.store.behavior = "well";
+                fleet.restoreStore();
                 await passUntil(35_000);
                 fleet.losePower(1, 1_300);
                 await passUntil(36_300 + RECOVERY_MS + 4_000);
--- a/packages/router/src/gateway/prepaid-accounts.ts
+++ b/packages/router/src/gateway/prepaid-accounts.ts
@@ -2,14 +2,17 @@
 import {
     applyPrepaidRecord,
     canGainPrepaid,
+    cautiousPrepaidPolicy,
     checkpointIntervalMs,
     conflictPauseMs,
     createPrepaidRow,
     defaultPrepaidPolicy,
     emptyPrepaidRecord,
     eraOf,
+    hasCrashedPredecessor,
     hasFreeTokens,
     type Instant,
+    isCheckpointMissing,
     needsPrepaidWrite,
     needsRestatement,
     ownHolding,
@@ -50,6 +53,12 @@
 const MAX_CLOSE_WRITES = 8;
 /** Maximum writes in one flush, which goes on after conflicts and while requests wait. */
 const MAX_FLUSH_WRITES = 6;
+/** Time in ms after a crash in which another one is likely, as of an instance that fails or of a series of faults. */
+const CAUTION_MS = 60_000;
+/** Time in ms that a lender waits for a checkpoint; the borrower waits 150 ms for the loan. */
+const LOAN_WAIT_MS = 80;
+/** Maximum writes of checkpoints for one request: one that was under way, and one that covers it. */
+const MAX_CHECKPOINT_WRITES = 2;
 /** Time in ms after a failed write in which requests don't wait for tokens from the store. */
 const REQUEST_BACKOFF_MS = 1_000;
 /** Time in ms after a failed write in which nothing is written that no request waits for. */
@@ -63,12 +72,16 @@
 export class PrepaidAccounts {
     readonly rows = new Map<AccountId, PrepaidRow>();
     private waiters: Waiter[] = [];
+    /** Requests for tokens that this router holds, but may use only after another checkpoint. */
+    private readonly checkpointWaiters = new Set<{ readonly row: PrepaidRow; readonly tokens: number; }>();
     private isFlushing = false;
     private storeRevision: number | undefined;
     private readonly era = new EraView();
     private readonly unconfiguredRecords = new Map<string, { revision: number; record: PrepaidRecord; }>();
     private failedAt = -Infinity;
     private failingSince: number | undefined;
+    /** Time until which this router, which has crashed, keeps what another crash would lose small. */
+    private cautiousUntil = -Infinity;
     private sequence = 0;
     /** Writes without a response; they are resent unchanged until their outcome is known. */
     private unansweredWrites: readonly PrepaidWrite[] | undefined;
@@ -92,16 +105,22 @@
         private readonly random: () => number,
         /** Returns the time in ms since this router read all changes of the store; undefined if it reads only some. */
         private readonly allChangesAgeMs: () => number | undefined,
-        private readonly policy: PrepaidPolicy = defaultPrepaidPolicy,
     ) {
-        const host = { holder, rows: this.rows, addressOf, now: () => clock().monotonic };
-        this.loans = new TokenLoans(host, peers, logs);
+        const loanHost = {
+            holder,
+            rows: this.rows,
+            addressOf,
+            now: () => clock().monotonic,
+            makeUsable: (row: PrepaidRow, tokens: number) => this.makeUsable(row, tokens, LOAN_WAIT_MS, () => false),
+        };
+        this.loans = new TokenLoans(loanHost, peers, logs);
         this.checkpoints = new SpendingCheckpoints(store, {
             holder,
             rows: this.rows,
             logs,
             clock,
             nextSequence: () => ++this.sequence,
+            ramp: (now) => this.policyAt(now).ramp,
             isUnreclaimed: (incarnation) => this.isUnreclaimed(incarnation),
             recordAvailable: () => this.recordAvailable(),
             recordFailure: (kind, detail) => this.recordFailure(kind, detail),
@@ -109,7 +128,7 @@
     }
 
     /** Handles a loan request of another router. */
-    lend(parameters: unknown): { readonly tokens: number; } {
+    lend(parameters: unknown): Promise<{ readonly tokens: number; }> {
         return this.loans.lend(parameters);
     }
 
@@ -118,7 +137,21 @@
         this.repeat(() => reviewIntervalMs(this.holderCount()) * (1 + REVIEW_JITTER * (this.random() - 0.5)), () => {
             this.review();
         });
-        this.repeat(() => checkpointIntervalMs(this.holderCount()), () => void this.writeCheckpoints());
+        const intervalMs = (): number => checkpointIntervalMs(this.holderCount());
+        this.repeat(intervalMs, () => {
+            const now = this.clock().monotonic;
+            // Checkpoints that requests waited for serve as well.
+            if (now - this.checkpoints.sentAt > intervalMs() / 2) {
+                void this.writeCheckpoints();
+            }
+        });
+    }
+
+    /** Ends the pause after failed writes, as the store responds again. */
+    resume(): void {
+        this.recordAvailable();
+        // What the last checkpoints before an outage allow is by far more than what was used.
+        void this.writeCheckpoints();
     }
 
     // The interval is computed for each run, as it depends on the size of the fleet.
@@ -178,6 +211,9 @@
             }
         }
         if (isFirstRead) {
+            if (this.allRecords().some((record) => hasCrashedPredecessor(record, this.holder))) {
+                this.cautiousUntil = this.clock().monotonic + CAUTION_MS;
+            }
             // Random delay: routers that start together, as after a power loss, would conflict on the same records.
             setTimeout(() => void this.flush(), this.random() * reviewIntervalMs(this.holderCount())).unref();
         }
@@ -237,7 +273,9 @@
             return immediate;
         }
         // If the record shows no free tokens, a loan brings them sooner than a write.
-        const sources = hasFreeTokens(row, tokens)
+        const sources = isCheckpointMissing(row, tokens, now)
+            ? [() => this.requestCheckpoint(row, tokens, waitMs), () => this.borrow(row, tokens)]
+            : hasFreeTokens(row, tokens)
             ? [() => this.requestFromStore(row, tokens, waitMs), () => this.borrow(row, tokens)]
             : [() => this.borrow(row, tokens), () => this.requestFromStore(row, tokens, waitMs)];
         for (const source of sources) {
@@ -250,6 +288,35 @@
         return "short";
     }
 
+    // A checkpoint meets no write of other routers, unlike a record.
+    private async requestCheckpoint(row: PrepaidRow, tokens: number, waitMs: number): Promise<Reservation> {
+        let reservation: Reservation = "short";
+        await this.makeUsable(row, tokens, waitMs, () => {
+            reservation = reservePrepaid(row, tokens, this.clock().monotonic);
+            return reservation === "reserved";
+        });
+        return reservation;
+    }
+
+    // Writes checkpoints until the tokens are taken. A write that was under way already may not cover them.
+    private async makeUsable(row: PrepaidRow, tokens: number, waitMs: number, take: () => boolean): Promise<void> {
+        const waiter = { row, tokens };
+        const endsAt = this.clock().monotonic + waitMs;
+        this.checkpointWaiters.add(waiter);
+        for (let attempt = 0; attempt < MAX_CHECKPOINT_WRITES; attempt++) {
+            const now = this.clock().monotonic;
+            const isFailing = now - this.failedAt < REQUEST_BACKOFF_MS;
+            if (isFailing || now >= endsAt || !isCheckpointMissing(row, tokens, now)) {
+                break;
+            }
+            await Promise.race([this.writeCheckpoints(), sleep(endsAt - now)]);
+            if (take()) {
+                break;
+            }
+        }
+        this.checkpointWaiters.delete(waiter);
+    }
+
     private async borrow(row: PrepaidRow, tokens: number): Promise<Reservation> {
         await this.loans.borrow(row, tokens);
         return reservePrepaid(row, tokens, this.clock().monotonic);
@@ -287,7 +354,7 @@
     /** Returns all tokens that are not in use; called on shutdown. */
     async close(): Promise<void> {
         this.stop();
-        const returnPolicy = { ...this.policy, heldShare: 0 };
+        const returnPolicy = { ...this.policyAt(this.clock().monotonic), heldShare: 0 };
         let outcome = "done";
         for (let attempt = 0; attempt < MAX_CLOSE_WRITES; attempt++) {
             const writes = [...this.rows.values()]
@@ -346,15 +413,16 @@
             requestedByRow.set(waiter.row, (requestedByRow.get(waiter.row) ?? 0) + waiter.tokens);
         }
         const now = this.clock().monotonic;
-        const standing = this.era.standing(this.clock().monotonic);
+        const standing = this.era.standing(now);
+        const policy = this.policyAt(now);
         // Waiting requests get a small write of their own: more records would conflict with more writes of others.
         const urgentRows = new Set([...this.unstatedRows(), ...requestedByRow.keys(), ...this.rowsToReturn]);
         this.rowsToReturn.clear();
         const due = urgentRows.size > 0
             ? [...urgentRows]
-            : [...this.rows.values()].filter((row) => needsPrepaidWrite(row, this.policy, this.holder, now, standing));
+            : [...this.rows.values()].filter((row) => needsPrepaidWrite(row, policy, this.holder, now, standing));
         return due.slice(0, MAX_RECORDS_PER_WRITE)
-            .map((row) => this.planRow(row, requestedByRow.get(row) ?? 0, this.policy))
+            .map((row) => this.planRow(row, requestedByRow.get(row) ?? 0, policy))
             .filter((write) => write !== undefined);
     }
 
@@ -367,8 +435,13 @@
     private planRow(row: PrepaidRow, requested: number, policy: PrepaidPolicy): PrepaidWrite | undefined {
         const sequence = ++this.sequence;
         const { earlier } = this.checkpoints;
-        const standing = this.era.standing(this.clock().monotonic);
-        return planPrepaidWrite(row, this.holder, earlier, requested, policy, sequence, this.clock(), standing);
+        const now = this.clock();
+        const standing = this.era.standing(now.monotonic);
+        return planPrepaidWrite(row, this.holder, earlier, requested, policy, sequence, now, standing);
+    }
+
+    private policyAt(now: number): PrepaidPolicy {
+        return now < this.cautiousUntil ? cautiousPrepaidPolicy : defaultPrepaidPolicy;
     }
 
     private async write(writes: readonly PrepaidWrite[]): Promise<"done" | "conflict" | "failed"> {
@@ -452,14 +525,21 @@
         const rows = [...this.rows.values()].filter((row) => row.granted > row.used + row.reserved);
         const isPaused = this.clock().monotonic - this.failedAt < IDLE_BACKOFF_MS;
         if (!isPaused && this.storeRevision !== undefined && rows.length > 0) {
-            await this.checkpoints.write(rows);
+            const requested = new Map<PrepaidRow, number>();
+            for (const { row, tokens } of this.checkpointWaiters) {
+                requested.set(row, (requested.get(row) ?? 0) + tokens);
+            }
+            await this.checkpoints.write(rows, requested);
         }
     }
 
     // Records of accounts that are not configured count too: the account may be added again.
     private isUnreclaimed(incarnation: Incarnation): boolean {
-        const records = [...this.rows.values(), ...this.unconfiguredRecords.values()].map(({ record }) => record);
-        return records.some((record) => record.holdings[this.holder.name]?.incarnation === incarnation);
+        return this.allRecords().some(({ holdings }) => holdings[this.holder.name]?.incarnation === incarnation);
+    }
+
+    private allRecords(): readonly PrepaidRecord[] {
+        return [...this.rows.values(), ...this.unconfiguredRecords.values()].map(({ record }) => record);
     }
 
     private recordAvailable(): void {
--- a/packages/router/src/gateway/prepaid-formats.ts
+++ b/packages/router/src/gateway/prepaid-formats.ts
@@ -2,7 +2,12 @@
 import type { GatewayLogs } from "./log-sink.js";
 import type { StoredItem } from "./metadata-store.js";
 
-const checkpointSchema = z.object({ sequence: z.number(), committed: z.number(), at: z.number() });
+const checkpointSchema = z.object({
+    sequence: z.number(),
+    committed: z.number(),
+    at: z.number(),
+    ramp: z.number().optional(),
+});
 /** Format of the stored token record of an account. */
 export const recordSchema = z.object({
     closed: z.number(),
@@ -26,6 +31,7 @@
     incarnation: z.string(),
     sequence: z.number(),
     at: z.number(),
+    ramp: z.number().optional(),
     committed: z.record(z.string(), z.number()),
 });
 /** Format of the stored spending checkpoints of a router. */
--- a/packages/router/src/gateway/spending-checkpoints.ts
+++ b/packages/router/src/gateway/spending-checkpoints.ts
@@ -1,9 +1,11 @@
 import type { AccountId, Incarnation } from "@gooseberrybend/core";
 import {
     type CheckpointSet,
+    committedWith,
     type Instant,
     type PrepaidHolder,
     type PrepaidRow,
+    type RampVersion,
     recordCheckpointFailed,
     recordCheckpointSent,
     recordCheckpointStored,
@@ -23,19 +25,25 @@
     readonly logs: GatewayLogs;
     readonly clock: () => Instant;
     readonly nextSequence: () => number;
+    readonly ramp: (now: number) => RampVersion;
     /** Whether tokens of an earlier process of this router are still to be reclaimed. */
     readonly isUnreclaimed: (incarnation: Incarnation) => boolean;
     readonly recordAvailable: () => void;
     readonly recordFailure: (kind: string, detail: string) => void;
 };
 
+/** Checkpoints that were sent to the store; without an answer, they may be stored or not. */
+type SentCheckpoints = { readonly value: StoredCheckpoints; answered: boolean; };
+
 /** Writes this router's spending checkpoints to the store, and reads those of its earlier processes. */
 export class SpendingCheckpoints {
     /** Last checkpoints of earlier processes of this router; they stay stored until all their tokens are reclaimed. */
     earlier: readonly CheckpointSet[] = [];
-    private latest: { readonly value: StoredCheckpoints; answered: boolean; } | undefined;
+    private latest: SentCheckpoints | undefined;
+    /** Monotonic time in ms at which the last checkpoints were sent. */
+    sentAt = -Infinity;
     private revision = 0;
-    private isWriting = false;
+    private writing: Promise<void> | undefined;
 
     constructor(private readonly store: MetadataStore, private readonly host: CheckpointHost) {}
 
@@ -59,19 +67,33 @@
         this.earlier = [newest, ...earlier];
     }
 
-    /** Writes the checkpoints of rows, or those before that have no response. */
-    async write(rows: readonly PrepaidRow[]): Promise<void> {
-        if (!this.isWriting) {
-            this.isWriting = true;
-            await this.send(rows);
-            this.isWriting = false;
+    /**
+     * Writes the checkpoints of rows, or those before that have no response. Tokens that waiting requests need count
+     * as committed, as these use them at once. Returns after the write, or the one that is under way.
+     */
+    write(rows: readonly PrepaidRow[], requested: ReadonlyMap<PrepaidRow, number> = new Map()): Promise<void> {
+        this.writing ??= this.settleAndSend(rows, requested).finally(() => {
+            this.writing = undefined;
+        });
+        return this.writing;
+    }
+
+    // Checkpoints that may be stored bound this router, and are old by the time that their outcome is known.
+    private async settleAndSend(
+        rows: readonly PrepaidRow[],
+        requested: ReadonlyMap<PrepaidRow, number>,
+    ): Promise<void> {
+        if (this.latest?.answered === false) {
+            await this.send(this.latest, true);
+        }
+        if (this.latest?.answered !== false) {
+            this.latest = this.create(rows, requested);
+            await this.send(this.latest, false);
         }
     }
 
-    private async send(rows: readonly PrepaidRow[]): Promise<void> {
-        const isRetry = this.latest !== undefined && !this.latest.answered;
-        const latest = isRetry ? this.latest! : this.create(rows);
-        this.latest = latest;
+    private async send(latest: SentCheckpoints, isRetry: boolean): Promise<void> {
+        this.sentAt = this.host.clock().monotonic;
         const key = CHECKPOINT_PREFIX + this.host.holder.name;
         const result = await this.store.transact({
             conditions: new Map([[key, this.revision]]),
@@ -112,14 +134,19 @@
         return decodeItem(item, storedCheckpointsSchema, this.host.logs) as StoredCheckpoints | undefined;
     }
 
-    private create(rows: readonly PrepaidRow[]): { value: StoredCheckpoints; answered: boolean; } {
+    private create(rows: readonly PrepaidRow[], requested: ReadonlyMap<PrepaidRow, number>): SentCheckpoints {
         const sequence = this.host.nextSequence();
         const now = this.host.clock();
-        rows.forEach((row) => recordCheckpointSent(row, sequence, now.monotonic));
-        const committed = Object.fromEntries(rows.map((row) => [row.account, row.used + row.reserved]));
+        const committedOf = (row: PrepaidRow): number => committedWith(row, requested.get(row) ?? 0);
+        const ramp = this.host.ramp(now.monotonic);
+        rows.forEach((row) => recordCheckpointSent(row, sequence, committedOf(row), ramp, now.monotonic));
+        const committed = Object.fromEntries(rows.map((row) => [row.account, committedOf(row)]));
         const { incarnation } = this.host.holder;
         this.earlier = this.earlier.filter((set) => this.host.isUnreclaimed(set.incarnation));
-        return { value: { incarnation, sequence, at: now.wall, committed, earlier: this.earlier }, answered: false };
+        return {
+            value: { incarnation, sequence, at: now.wall, ramp, committed, earlier: this.earlier },
+            answered: false,
+        };
     }
 
     private recordStored(sequence: number): void {
--- a/packages/router/src/gateway/token-loans.test.ts
+++ b/packages/router/src/gateway/token-loans.test.ts
@@ -60,7 +60,13 @@
                 this.call(parameters as LoanRequest),
         };
         this.loans = new TokenLoans(
-            { holder: holderOf("borrower"), rows: this.rows, addressOf: () => "lender:1", now: () => this.now },
+            {
+                holder: holderOf("borrower"),
+                rows: this.rows,
+                addressOf: () => "lender:1",
+                now: () => this.now,
+                makeUsable: async () => undefined,
+            },
             peers as unknown as PeerCalls,
             createGatewayLogs({ level: "error" }),
         );
--- a/packages/router/src/gateway/token-loans.ts
+++ b/packages/router/src/gateway/token-loans.ts
@@ -5,6 +5,7 @@
     lendPrepaid,
     type LoanId,
     type LoanRequest,
+    missingTokens,
     type PrepaidHolder,
     type PrepaidRow,
     tokensToBorrow,
@@ -47,6 +48,8 @@
     readonly addressOf: (router: string) => string | undefined;
     /** Monotonic time in ms. */
     readonly now: () => number;
+    /** Makes tokens usable that this router holds, but may use only after another checkpoint. */
+    readonly makeUsable: (row: PrepaidRow, tokens: number) => Promise<void>;
 };
 
 /** Lends tokens to other routers and borrows from them, without using the store. */
@@ -65,9 +68,12 @@
     ) {}
 
     /** Handles a loan request of another router. */
-    lend(parameters: unknown): { readonly tokens: number; } {
+    async lend(parameters: unknown): Promise<{ readonly tokens: number; }> {
         const request = requestSchema.parse(parameters) as LoanRequest;
         const row = this.host.rows.get(request.account as AccountId);
+        if (row !== undefined && !this.grantedLoans.has(request.id)) {
+            await this.host.makeUsable(row, missingTokens(request));
+        }
         const tokens = row === undefined ? 0 : lendPrepaid(row, this.grantedLoans, request, this.host.now());
         this.logs.prepaid.info("Tokens lent to another router.", { ...request, lent: tokens });
         return { tokens };
@@ -93,11 +99,11 @@
             if (address === undefined || isPaused || !await this.retryUnanswered(lender, address)) {
                 continue;
             }
-            const missingTokens = tokensToBorrow(row, tokens, this.host.now());
-            if (missingTokens === 0) {
+            const wanted = tokensToBorrow(row, tokens, this.host.now());
+            if (wanted === 0) {
                 return;
             }
-            const loan = { row, request: this.requestFor(row, missingTokens), isSent: false };
+            const loan = { row, request: this.requestFor(row, wanted), isSent: false };
             this.openLoansOf(lender).set(loan.request.id, loan);
             await this.requestLoan(lender, address, loan);
         }
