Write checkpoints as soon as the store responds again

After failed writes a router paused its checkpoints for up to 2.5 s, also when its reads already showed that the store was back. The follower now tells the accounts that the store responds.

--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -170,6 +170,7 @@
             {
                 onReplaced: (items, revision, now) => this.replaceAll(items, revision, now),
                 onChanged: (change, now) => this.applyChange(change, now),
+                onAvailable: () => this.prepaid.resume(),
             },
             this.logs,
             this.clock,
--- a/packages/router/src/gateway/mocks/fake-following-fleet.ts
+++ b/packages/router/src/gateway/mocks/fake-following-fleet.ts
@@ -257,6 +257,7 @@
                     }
                     registrations.put(item);
                 },
+                onAvailable: () => undefined,
             },
             logs,
             clock,
--- a/packages/router/src/gateway/peer-change-feed.test.ts
+++ b/packages/router/src/gateway/peer-change-feed.test.ts
@@ -72,6 +72,7 @@
                             follower.stop();
                         }
                     },
+                    onAvailable: () => undefined,
                 },
                 logs,
                 () => performance.now(),
@@ -120,7 +121,11 @@
             let now = 0;
             const follower = new StoreFollower(
                 store,
-                { onReplaced: () => undefined, onChanged: ({ revision }) => applied.push(revision) },
+                {
+                    onReplaced: () => undefined,
+                    onChanged: ({ revision }) => applied.push(revision),
+                    onAvailable: () => undefined,
+                },
                 logs,
                 () => (now += 500),
                 () => 10,
@@ -156,6 +161,7 @@
                 {
                     onReplaced: () => undefined,
                     onChanged: ({ revision }) => applied.push(revision),
+                    onAvailable: () => undefined,
                 },
                 logs,
                 () => performance.now(),
--- a/packages/router/src/gateway/store-follower.ts
+++ b/packages/router/src/gateway/store-follower.ts
@@ -22,6 +22,8 @@
     /** Called with all items, at the start or after changes may have been missed. */
     readonly onReplaced: (items: readonly StoredItem[], revision: number, now: number) => void;
     readonly onChanged: (change: StoreChange, now: number) => void;
+    /** Called when the store responds again after failed reads. */
+    readonly onAvailable: () => void;
 };
 
 /** Follows the store, by watches or by changes that other routers relay. */
@@ -433,6 +435,7 @@
                 changesAgeMs: Math.round(this.changesAgeMs(now)),
             });
             this.failingSince = undefined;
+            this.listener.onAvailable();
         }
     }
 }
