--- a/packages/router/src/gateway/prepaid-accounts.ts
+++ b/packages/router/src/gateway/prepaid-accounts.ts
@@ -33,11 +33,13 @@
     SHORTAGE_RETURN_MS,
     shouldReturnTokens,
 } from "@gooseberrybend/core/dispatch";
+import { CheckpointRequests } from "./checkpoint-requests.js";
 import { EraView } from "./era-view.js";
 import type { GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoredItem, StoreResult } from "./metadata-store.js";
 import type { PeerCalls } from "./peer-calls.js";
 import { decodeItem, recordSchema } from "./prepaid-formats.js";
+import { logEarlierUse } from "./prepaid-log.js";
 import { sleep } from "./sleep.js";
 import { SpendingCheckpoints } from "./spending-checkpoints.js";
 import { TokenLoans } from "./token-loans.js";
@@ -57,8 +59,6 @@
 const CAUTION_MS = 60_000;
 /** Time in ms that a lender waits for a checkpoint; the borrower waits 150 ms for the loan. */
 const LOAN_WAIT_MS = 80;
-/** Maximum writes of checkpoints for one request: one that was under way, and one that covers it. */
-const MAX_CHECKPOINT_WRITES = 2;
 /** Time in ms after a failed write in which requests don't wait for tokens from the store. */
 const REQUEST_BACKOFF_MS = 1_000;
 /** Time in ms after a failed write in which nothing is written that no request waits for. */
@@ -72,8 +72,6 @@
 export class PrepaidAccounts {
     readonly rows = new Map<AccountId, PrepaidRow>();
     private waiters: Waiter[] = [];
-    /** Requests for tokens that this router holds, but may use only after another checkpoint. */
-    private readonly checkpointWaiters = new Set<{ readonly row: PrepaidRow; readonly tokens: number; }>();
     private isFlushing = false;
     private storeRevision: number | undefined;
     private readonly era = new EraView();
@@ -90,6 +88,7 @@
     private readonly timers = new Set<NodeJS.Timeout>();
     private readonly loans: TokenLoans;
     private readonly checkpoints: SpendingCheckpoints;
+    private readonly checkpointRequests: CheckpointRequests;
 
     constructor(
         private readonly store: MetadataStore,
@@ -106,14 +105,22 @@
         /** Returns the time in ms since this router read all changes of the store; undefined if it reads only some. */
         private readonly allChangesAgeMs: () => number | undefined,
     ) {
-        const loanHost = {
-            holder,
-            rows: this.rows,
-            addressOf,
-            now: () => clock().monotonic,
-            makeUsable: (row: PrepaidRow, tokens: number) => this.makeUsable(row, tokens, LOAN_WAIT_MS, () => false),
-        };
-        this.loans = new TokenLoans(loanHost, peers, logs);
+        this.loans = new TokenLoans(
+            {
+                holder,
+                rows: this.rows,
+                addressOf,
+                now: () => clock().monotonic,
+                makeUsable: (row, tokens) => this.checkpointRequests.makeUsable(row, tokens, LOAN_WAIT_MS),
+            },
+            peers,
+            logs,
+        );
+        this.checkpointRequests = new CheckpointRequests(
+            () => this.writeCheckpoints(),
+            () => clock().monotonic - this.failedAt < REQUEST_BACKOFF_MS,
+            () => clock().monotonic,
+        );
         this.checkpoints = new SpendingCheckpoints(store, {
             holder,
             rows: this.rows,
@@ -274,7 +281,7 @@
         }
         // If the record shows no free tokens, a loan brings them sooner than a write.
         const sources = isCheckpointMissing(row, tokens, now)
-            ? [() => this.requestCheckpoint(row, tokens, waitMs), () => this.borrow(row, tokens)]
+            ? [() => this.checkpointRequests.reserve(row, tokens, waitMs), () => this.borrow(row, tokens)]
             : hasFreeTokens(row, tokens)
             ? [() => this.requestFromStore(row, tokens, waitMs), () => this.borrow(row, tokens)]
             : [() => this.borrow(row, tokens), () => this.requestFromStore(row, tokens, waitMs)];
@@ -288,35 +295,6 @@
         return "short";
     }
 
-    // A checkpoint meets no write of other routers, unlike a record.
-    private async requestCheckpoint(row: PrepaidRow, tokens: number, waitMs: number): Promise<Reservation> {
-        let reservation: Reservation = "short";
-        await this.makeUsable(row, tokens, waitMs, () => {
-            reservation = reservePrepaid(row, tokens, this.clock().monotonic);
-            return reservation === "reserved";
-        });
-        return reservation;
-    }
-
-    // Writes checkpoints until the tokens are taken. A write that was under way already may not cover them.
-    private async makeUsable(row: PrepaidRow, tokens: number, waitMs: number, take: () => boolean): Promise<void> {
-        const waiter = { row, tokens };
-        const endsAt = this.clock().monotonic + waitMs;
-        this.checkpointWaiters.add(waiter);
-        for (let attempt = 0; attempt < MAX_CHECKPOINT_WRITES; attempt++) {
-            const now = this.clock().monotonic;
-            const isFailing = now - this.failedAt < REQUEST_BACKOFF_MS;
-            if (isFailing || now >= endsAt || !isCheckpointMissing(row, tokens, now)) {
-                break;
-            }
-            await Promise.race([this.writeCheckpoints(), sleep(endsAt - now)]);
-            if (take()) {
-                break;
-            }
-        }
-        this.checkpointWaiters.delete(waiter);
-    }
-
     private async borrow(row: PrepaidRow, tokens: number): Promise<Reservation> {
         await this.loans.borrow(row, tokens);
         return reservePrepaid(row, tokens, this.clock().monotonic);
@@ -469,10 +447,8 @@
         if (result.kind === "done") {
             this.recordAvailable();
             this.unansweredWrites = undefined;
-            for (const write of writes) {
-                applyPrepaidRecord(this.rowOf(write), result.value, write.record, this.holder);
-                this.logClosed(write);
-            }
+            writes.forEach((write) => applyPrepaidRecord(this.rowOf(write), result.value, write.record, this.holder));
+            writes.forEach((write) => logEarlierUse(this.logs, write));
             return "done";
         }
         if (result.kind === "conflict") {
@@ -482,7 +458,7 @@
             result.items.forEach((item) => this.applyRecord(item));
             for (const write of writes) {
                 if (this.isApplied(write)) {
-                    this.logClosed(write);
+                    logEarlierUse(this.logs, write);
                 }
                 else {
                     recordPrepaidWriteFailed(this.rowOf(write), write);
@@ -501,17 +477,6 @@
         return "failed";
     }
 
-    private logClosed({ account, closed }: PrepaidWrite): void {
-        if (closed !== undefined) {
-            const { total } = this.rows.get(account)!;
-            this.logs.prepaid.info("Tokens of the earlier process of this router counted as used.", {
-                account,
-                total,
-                ...closed,
-            });
-        }
-    }
-
     private rowOf(write: PrepaidWrite): PrepaidRow {
         return this.rows.get(write.account)!;
     }
@@ -525,11 +490,7 @@
         const rows = [...this.rows.values()].filter((row) => row.granted > row.used + row.reserved);
         const isPaused = this.clock().monotonic - this.failedAt < IDLE_BACKOFF_MS;
         if (!isPaused && this.storeRevision !== undefined && rows.length > 0) {
-            const requested = new Map<PrepaidRow, number>();
-            for (const { row, tokens } of this.checkpointWaiters) {
-                requested.set(row, (requested.get(row) ?? 0) + tokens);
-            }
-            await this.checkpoints.write(rows, requested);
+            await this.checkpoints.write(rows, this.checkpointRequests.tokensByRow());
         }
     }
 
