Count the time for which a busy router left a request unread

Cause: the route's time runs from when the request came. The router took its time unread from the last sample of the event loop, at most 1 s, also while the loop had been held for longer. While the sample itself is overdue, the loop has not waited for events since it was due, so what is read now had come before: that time is certain and now counts in full, beside the estimate for the turn before. The time is in a histogram, and the line of each choice of an endpoint tells the time waited.

--- a/packages/router/src/gateway/gateway-context.ts
+++ b/packages/router/src/gateway/gateway-context.ts
@@ -49,6 +49,7 @@
     readonly countResponse: (end: ResponseEnd | "broken") => void;
     readonly countEndpointRefusal: (hasId: boolean, onReusedConnection: boolean) => void;
     readonly countLimitEvent: (event: LimitEvent) => void;
+    readonly observeUnread: (unreadMs: number) => void;
     readonly observeFirstByte: (request: AdmittedRequest, now: number) => void;
     readonly observeRequestEnd: (outcome: string, tookMs: number) => void;
 };
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -74,6 +74,12 @@
             buckets: CHANGES_AGE_BUCKETS_SECONDS,
             registers,
         }),
+        unreadSeconds: new Histogram({
+            name: "gooseberrybend_unread_seconds",
+            help: "Estimated time that requests lay unread at this router.",
+            buckets: REQUEST_BUCKETS_SECONDS,
+            registers,
+        }),
         requestSeconds: new Histogram({
             name: "gooseberrybend_request_seconds",
             help: "Time from arrival to the end of a request.",
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -301,6 +301,7 @@
                     connection: onReusedConnection ? "reused" : "new",
                 }),
             countLimitEvent: (event) => this.metrics.limits.inc({ event }),
+            observeUnread: (unreadMs) => this.metrics.unreadSeconds.observe(unreadMs / 1_000),
             observeFirstByte: (request, now) =>
                 this.metrics.firstByteSeconds.observe((now - request.arrivedAt) / 1_000),
             observeRequestEnd: (outcome, tookMs) => {
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -49,7 +49,7 @@
     readonly context: GatewayContext;
     readonly table: RoutingTable | undefined;
     readonly drain: Drain | undefined;
-    readonly load: Pick<LoadMonitor, "shedShare" | "lagMs">;
+    readonly load: Pick<LoadMonitor, "shedShare" | "unreadMs">;
 };
 
 /** HTTP server for callers. Its limits follow the configuration. */
@@ -103,7 +103,10 @@
     }
 
     private receive(request: IncomingMessage, response: ServerResponse): void {
-        const arrivedAt = this.gateway.context.clock() - this.gateway.load.lagMs;
+        const now = this.gateway.context.clock();
+        const unreadMs = this.gateway.load.unreadMs(now);
+        const arrivedAt = now - unreadMs;
+        this.gateway.context.observeUnread(unreadMs);
         this.openRequests++;
         this.arriving.set(request, response);
         const { socket } = request;
--- a/packages/router/src/gateway/load-monitor.ts
+++ b/packages/router/src/gateway/load-monitor.ts
@@ -4,15 +4,15 @@
 
 /** Interval in ms over which the event loop utilization is measured. */
 export const LOAD_SAMPLE_INTERVAL_MS = 500;
-/** Maximum time in ms that a request is assumed to have waited unread; callers give up after that. */
+/** Maximum time in ms that a request is assumed to have waited in the turn of the event loop before the current one. */
 const MAX_LAG_MS = 1_000;
 
 /** Measures the load of this router, and derives the share of requests to refuse. */
 export class LoadMonitor {
     /** Share of new requests that are refused because this router is overloaded. */
     shedShare = 0;
-    /** Estimated time in ms that requests wait before they are read. */
-    lagMs = 0;
+    /** Estimated time in ms that requests waited in the last turn of the event loop in which the sample was late. */
+    private lastLagMs = 0;
     private highLoad: HighLoadState = { strained: false, since: -Infinity };
     private previousSample: EventLoopUtilization = performance.eventLoopUtilization();
     private measuredAt: number | undefined;
@@ -24,12 +24,21 @@
         return this.highLoad.strained;
     }
 
+    /**
+     * Returns the estimated time in ms that a request which is read now has lain unread. While the sample is overdue,
+     * the event loop has not waited for events since it was due, so the request came before that for certain.
+     */
+    unreadMs(now: number): number {
+        const overdueMs = now - (this.measuredAt ?? now) - LOAD_SAMPLE_INTERVAL_MS;
+        return this.lastLagMs + Math.max(0, overdueMs);
+    }
+
     /** Takes the next sample; to be called every `LOAD_SAMPLE_INTERVAL_MS`. */
     measure(hasOtherServingRouters: boolean, now: number): void {
         const sample = performance.eventLoopUtilization();
         const { utilization } = performance.eventLoopUtilization(sample, this.previousSample);
         this.previousSample = sample;
-        this.lagMs = Math.min(MAX_LAG_MS, Math.max(0, now - (this.measuredAt ?? now) - LOAD_SAMPLE_INTERVAL_MS));
+        this.lastLagMs = Math.min(MAX_LAG_MS, Math.max(0, now - (this.measuredAt ?? now) - LOAD_SAMPLE_INTERVAL_MS));
         this.measuredAt = now;
         this.highLoad = nextHighLoadState(this.highLoad, utilization, now);
         // Without other routers, a late response is the best that callers can get.
--- a/packages/router/src/gateway/placement-log.ts
+++ b/packages/router/src/gateway/placement-log.ts
@@ -5,7 +5,7 @@
 /** Logs the endpoint that was chosen for an attempt to serve a request, and what decided it. */
 export function logPlacement(
     context: GatewayContext,
-    { fields, route, account, features }: AdmittedRequest,
+    { fields, route, account, features, arrivedAt }: AdmittedRequest,
     row: EndpointState,
     attempt: number,
     now: number,
@@ -19,6 +19,7 @@
         route: route.name,
         account: account?.id,
         attempt,
+        waitedMs: Math.round(now - arrivedAt),
         configuration: context.configurationVersion(),
         configurationAgeMs: Math.round(configurationAgeMs),
         changesAgeMs: Math.round(changesAgeMs),
