--- a/packages/router/src/gateway/prepaid-accounts.ts
+++ b/packages/router/src/gateway/prepaid-accounts.ts
@@ -142,7 +142,9 @@
     /** Starts the periodic work. */
     start(): void {
         this.repeat(() => reviewIntervalMs(this.holderCount()) * (1 + REVIEW_JITTER * (this.random() - 0.5)), () => {
-            this.review();
+            if (this.clock().monotonic - this.failedAt >= IDLE_BACKOFF_MS) {
+                void this.flush();
+            }
         });
         const intervalMs = (): number => checkpointIntervalMs(this.holderCount());
         this.repeat(intervalMs, () => {
@@ -279,8 +281,13 @@
         if (immediate !== "short") {
             return immediate;
         }
+        const holdsTokens = isCheckpointMissing(row, tokens, now);
+        if (holdsTokens && this.needsWrite(row, now)) {
+            // The request need not wait for a larger allowance, but the next ones, or an outage, may.
+            void this.flush();
+        }
         // If the record shows no free tokens, a loan brings them sooner than a write.
-        const sources = isCheckpointMissing(row, tokens, now)
+        const sources = holdsTokens
             ? [() => this.checkpointRequests.reserve(row, tokens, waitMs), () => this.borrow(row, tokens)]
             : hasFreeTokens(row, tokens)
             ? [() => this.requestFromStore(row, tokens, waitMs), () => this.borrow(row, tokens)]
@@ -356,12 +363,6 @@
         }
     }
 
-    private review(): void {
-        if (this.clock().monotonic - this.failedAt >= IDLE_BACKOFF_MS) {
-            void this.flush();
-        }
-    }
-
     private async flush(): Promise<void> {
         if (this.isFlushing || this.storeRevision === undefined) {
             return;
@@ -391,19 +392,21 @@
             requestedByRow.set(waiter.row, (requestedByRow.get(waiter.row) ?? 0) + waiter.tokens);
         }
         const now = this.clock().monotonic;
-        const standing = this.era.standing(now);
-        const policy = this.policyAt(now);
         // Waiting requests get a small write of their own: more records would conflict with more writes of others.
         const urgentRows = new Set([...this.unstatedRows(), ...requestedByRow.keys(), ...this.rowsToReturn]);
         this.rowsToReturn.clear();
         const due = urgentRows.size > 0
             ? [...urgentRows]
-            : [...this.rows.values()].filter((row) => needsPrepaidWrite(row, policy, this.holder, now, standing));
+            : [...this.rows.values()].filter((row) => this.needsWrite(row, now));
         return due.slice(0, MAX_RECORDS_PER_WRITE)
-            .map((row) => this.planRow(row, requestedByRow.get(row) ?? 0, policy))
+            .map((row) => this.planRow(row, requestedByRow.get(row) ?? 0, this.policyAt(now)))
             .filter((write) => write !== undefined);
     }
 
+    private needsWrite(row: PrepaidRow, now: number): boolean {
+        return needsPrepaidWrite(row, this.policyAt(now), this.holder, now, this.era.standing(now));
+    }
+
     // Rows whose record lacks something that this router knows of earlier eras of the store.
     private unstatedRows(): readonly PrepaidRow[] {
         const standing = this.era.standing(this.clock().monotonic);
