Move callers away from small routers in reserve, and list routers by their capacity

Callers move within 2 s from a router that reports that it is not ready to another one that is ready, without a failed request in between.

A small router in reserve therefore reports that it is not ready while its callers load it, and closes their connections with each response. Small routers that are listed beside large ones are listed as rarely as their capacity asks. Routers with a lease of 15 s are no longer listed once a choice remains without them, as they stay registered after they were killed. Switched on by callers.minCapacityShare; equal fleets are served as before.

--- a/packages/core/src/dispatch/fleet.test.ts
+++ b/packages/core/src/dispatch/fleet.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from "vitest";
+import { createRandom, randomFraction } from "../support/random.js";
 import {
     addressesForCaller,
     changeSources,
@@ -159,7 +160,32 @@
 
     describe("a response to a caller", () => {
         it("names at most 64 addresses", () => {
-            expect(addressesForCaller(equalFleet(200), () => 0.5)).toHaveLength(64);
+            expect(addressesForCaller(equalFleet(200), 0, () => 0.5)).toHaveLength(64);
+        });
+
+        // Guards against callers sent to routers that were killed: chosen ones with a long lease stay registered.
+        it("names only routers with a short lease, or all until a choice remains", () => {
+            const fleetWith = (shortLeases: number): FleetMember[] =>
+                equalFleet(5).map((member, index) => ({ ...member, hasShortLease: index < shortLeases }));
+            const named = addressesForCaller(fleetWith(3), 0, Math.random);
+            expect(named.sort()).toEqual(["router-0:1", "router-1:1", "router-2:1"]);
+            expect(addressesForCaller(fleetWith(2), 0, Math.random)).toHaveLength(5);
+            expect(addressesForCaller(fleetWith(1).slice(0, 2), 0, Math.random)).toHaveLength(2);
+        });
+
+        // Guards against small routers that get as many callers as large ones once both are listed.
+        it("names small routers as rarely as their capacity asks, among large ones only", () => {
+            const generator = createRandom(7);
+            const random = (): number => randomFraction(generator);
+            const count = (fleet: FleetMember[], minCapacityShare: number): number => {
+                const answers = Array.from({ length: 400 }, () => addressesForCaller(fleet, minCapacityShare, random));
+                return answers.flat().filter((address) => address.startsWith("small")).length / answers.length;
+            };
+            expect(count(unequalFleet(), 0)).toBeCloseTo(56, 0);
+            expect(count(unequalFleet(), 0.25)).toBeGreaterThan(2);
+            expect(count(unequalFleet(), 0.25)).toBeLessThan(4);
+            const smallFleet = unequalFleet().filter(({ name }) => name.startsWith("small"));
+            expect(count(smallFleet, 0.25)).toBe(60);
         });
     });
 });
--- a/packages/core/src/dispatch/fleet.ts
+++ b/packages/core/src/dispatch/fleet.ts
@@ -1,5 +1,5 @@
 import { rendezvousFirst, rendezvousOrder } from "../support/rendezvous.js";
-import type { FleetMember } from "./types.js";
+import type { FleetMember, InstanceCapacity } from "./types.js";
 
 /** Maximum number of router addresses in one response. */
 const MAX_ADDRESSES = 64;
@@ -38,16 +38,31 @@
     return rendezvousFirst(key, members.map(({ name }) => name));
 }
 
-// The weight of a router is its scarcest resource relative to the maximum in the fleet. The order breaks ties.
+// The weight of a router is its capacity relative to the maximum in the fleet. The order breaks ties.
 function candidatesOf(members: readonly FleetMember[]): Candidate[] {
-    const maxCores = Math.max(...members.map((member) => member.capacity.cores));
-    const maxMbps = Math.max(...members.map((member) => member.capacity.linkMbps));
+    const maximum = maxCapacity(members);
     return orderedFor("serving", members).map((member) => ({
         member,
-        weight: Math.min(member.capacity.cores / maxCores, member.capacity.linkMbps / maxMbps),
+        weight: scarcestShare(member.capacity, maximum),
     }));
 }
 
+/** Returns the scarcest resource of an instance relative to the maximum among some routers. */
+export function relativeCapacity(capacity: InstanceCapacity, members: readonly FleetMember[]): number {
+    return scarcestShare(capacity, maxCapacity(members));
+}
+
+function maxCapacity(members: readonly FleetMember[]): InstanceCapacity {
+    return {
+        cores: Math.max(...members.map((member) => member.capacity.cores)),
+        linkMbps: Math.max(...members.map((member) => member.capacity.linkMbps)),
+    };
+}
+
+function scarcestShare(capacity: InstanceCapacity, maximum: InstanceCapacity): number {
+    return Math.min(capacity.cores / maximum.cores, capacity.linkMbps / maximum.linkMbps);
+}
+
 function orderedFor(key: string, members: readonly FleetMember[]): FleetMember[] {
     const byName = new Map(members.map((member) => [member.name, member]));
     return rendezvousOrder(key, byName.keys()).map((name) => byName.get(name)!);
@@ -120,9 +135,25 @@
     return strained === before.strained ? before : { strained, since: now };
 }
 
-/** Returns router addresses in random order, at most MAX_ADDRESSES. */
-export function addressesForCaller(serving: readonly FleetMember[], random: () => number): string[] {
-    return serving
+/**
+ * Returns router addresses in random order, at most MAX_ADDRESSES. Routers with a long lease are left out as soon as
+ * a choice remains without them, as they stay registered for long after they were killed. Callers pick one address at random, so a router whose capacity relative to the largest is below
+ * `minCapacityShare` is listed with a probability of that size; each would else get as many callers as a large one.
+ */
+export function addressesForCaller(
+    serving: readonly FleetMember[],
+    minCapacityShare: number,
+    random: () => number,
+): string[] {
+    const current = serving.filter((member) => member.hasShortLease);
+    const candidates = current.length >= Math.min(MIN_SERVING_ROUTERS, serving.length) ? current : serving;
+    const maximum = maxCapacity(candidates);
+    const isListed = ({ capacity }: FleetMember): boolean => {
+        const share = scarcestShare(capacity, maximum);
+        return share >= minCapacityShare || random() < share;
+    };
+    const listed = candidates.filter(isListed);
+    return (listed.length > 0 ? listed : candidates)
         .map((member) => ({ member, order: random() }))
         .sort((one, other) => one.order - other.order)
         .slice(0, MAX_ADDRESSES)
--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -16,6 +16,7 @@
 export * from "./prepaid.js";
 export * from "./prompt-parts.js";
 export * from "./request-digest.js";
+export * from "./reserve-readiness.js";
 export * from "./response-verdict.js";
 export * from "./retry-quota.js";
 export * from "./routing.js";
--- a/packages/core/src/dispatch/mocks/fleet-members.ts
+++ b/packages/core/src/dispatch/mocks/fleet-members.ts
@@ -11,6 +11,7 @@
         domain: brand<FailureDomain>(domain),
         capacity: { cores: 1, linkMbps: 100 },
         strained: false,
+        hasShortLease: true,
         ...changes,
     };
 }
--- a/packages/core/src/dispatch/types.ts
+++ b/packages/core/src/dispatch/types.ts
@@ -121,4 +121,6 @@
     readonly capacity: InstanceCapacity;
     /** True while the router is under high load. */
     readonly strained: boolean;
+    /** True if its registration expires soon after it has ended, so that callers can be sent to it. */
+    readonly hasShortLease: boolean;
 };
--- a/packages/router/src/gateway/fleet-registry.test.ts
+++ b/packages/router/src/gateway/fleet-registry.test.ts
@@ -102,12 +102,14 @@
             expect(grantLease).toHaveBeenCalledTimes(1);
             expect(grantLease.mock.calls[0]![0]).toBeGreaterThanOrEqual(15_000);
             expect(renewLease.mock.calls.length).toBeLessThanOrEqual(7);
+            expect(registry.members.get(FLEET_PREFIX + "router-1")?.hasShortLease).toBe(false);
         });
 
         it("gets a short lease once callers are sent to this router", async () => {
             registry.start();
             await advanceTime(6_000);
             expect(grantLease.mock.calls.map(([lifetimeMs]) => lifetimeMs)).toEqual([15_000, 2_000]);
+            expect(registry.serving.find(({ name }) => name === "router-1")?.hasShortLease).toBe(true);
             renewLease.mockClear();
             await advanceTime(6_000);
             expect(renewLease.mock.calls.length).toBeGreaterThanOrEqual(9);
--- a/packages/router/src/gateway/fleet-registry.ts
+++ b/packages/router/src/gateway/fleet-registry.ts
@@ -27,6 +27,8 @@
     domain: z.string(),
     capacity: z.object({ cores: z.number(), linkMbps: z.number() }),
     strained: z.boolean(),
+    // Earlier releases do not state it.
+    hasShortLease: z.boolean().default(true),
 });
 
 /** Registers this router in the store, and tracks the registrations of the others. */
@@ -237,11 +239,12 @@
 
     private async register(lease: number): Promise<void> {
         const key = FLEET_PREFIX + this.self.name;
-        const member = this.self;
+        const { self } = this;
+        const member = { ...self, hasShortLease: this.isLeaseShort };
         const put = { key, value: JSON.stringify(member), lease };
         const written = await this.store.transact({ conditions: new Map(), puts: [put], deletes: [] });
         if (written.kind === "done") {
-            this.isOutdated = this.self !== member;
+            this.isOutdated = this.self !== self;
             this.registeredAt = Math.min(this.registeredAt, this.clock());
             this.setMember(key, member);
             this.logs.fleet.info("This router is registered in the store.", { address: member.address, lease });
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -55,6 +55,7 @@
         ]),
         configurationVersion: gauge("configuration_version", "Version of the configuration in force."),
         endpoints: gauge("endpoints", "Endpoints that are known."),
+        movesCallers: gauge("moves_callers", "1 while the router is not ready so that callers move to others, else 0."),
         members: gauge("fleet_members", "Routers that are known."),
         firstByteSeconds: new Histogram({
             name: "gooseberrybend_first_byte_seconds",
--- a/packages/router/src/gateway/gateway-settings.ts
+++ b/packages/router/src/gateway/gateway-settings.ts
@@ -42,6 +42,13 @@
         /** Maximum time in ms that a caller may use an address. */
         addressLifetimeMs: positive.default(5_000),
     }).prefault({}),
+    callers: z.object({
+        /**
+         * Capacity relative to the largest router that callers are sent to below which a router counts as small: it is
+         * listed to callers less often, and moves callers away that stay with it while it is in reserve. 0 for never.
+         */
+        minCapacityShare: z.number().min(0).max(1).default(0),
+    }).prefault({}),
     /** Capacity of this instance; callers are directed to the larger instances. */
     instance: z.object({
         /** Share of a processor core that the router may use. */
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -7,8 +7,12 @@
     type Drain,
     eraOf,
     findConfigurationFault,
+    type FleetMember,
     fleetShareOf,
+    INITIAL_RESERVE_READINESS,
     type InstanceCapacity,
+    isReserveReady,
+    nextReserveReadiness,
     ownerOf,
     type RoutingTable,
     updateSharers,
@@ -60,6 +64,10 @@
     table: RoutingTable | undefined;
     /** Set once the router drains. */
     drain: Drain | undefined;
+    /** True while this router is in reserve and reports that it is not ready because of callers that stay with it. */
+    movesCallersAway = false;
+    private reserveReadiness = INITIAL_RESERVE_READINESS;
+    private readonly self: FleetMember;
     private readonly endpoints = createEndpointTable();
     private readonly connections = new EndpointConnections();
     private readonly peers = new PeerCalls();
@@ -88,7 +96,7 @@
         this.load = new LoadMonitor(this.logs);
         const incarnation = brand<Incarnation>(randomBytes(9).toString("base64url"));
         const domain = brand<FailureDomain>(settings.domain);
-        const self = {
+        this.self = {
             name: settings.name,
             incarnation,
             address: settings.listen.callers,
@@ -96,8 +104,9 @@
             domain,
             capacity: capacityOf(settings),
             strained: false,
+            hasShortLease: false,
         };
-        this.registry = new FleetRegistry(store, self, settings.store.shortestLeaseMs, this.logs, this.clock);
+        this.registry = new FleetRegistry(store, this.self, settings.store.shortestLeaseMs, this.logs, this.clock);
         const countSuspectEvent = (event: SuspectEvent): void => this.metrics.suspects.inc({ event });
         const reportClock = { monotonic: this.clock, wall: () => Date.now() };
         const crashNotifier = new CrashNotifier(this.peers, () => this.registry.otherPeerAddresses, this.logs);
@@ -148,7 +157,7 @@
             Math.random,
             () => this.follower.allChangesAgeMs(this.clock()),
         );
-        const sources = (): string[] => changeSources(this.registry.storeWatchers, self);
+        const sources = (): string[] => changeSources(this.registry.storeWatchers, this.self);
         const changeFeed = new PeerChangeFeed(this.peers, sources, this.clock);
         // Token records and spending checkpoints are left out: they make up most changes, and a write conflict
         // returns the newest record.
@@ -185,9 +194,13 @@
         this.ingress = new Ingress(this);
     }
 
-    /** Whether this router can serve callers: it is not draining, and has a configuration and endpoints. */
+    /**
+     * Whether this router can serve callers: it is not draining, does not move them away, and has a configuration and
+     * endpoints.
+     */
     get ready(): boolean {
-        return this.drain === undefined && this.table !== undefined && this.endpoints.rows.size > 0;
+        return this.drain === undefined && !this.movesCallersAway && this.table !== undefined
+            && this.endpoints.rows.size > 0;
     }
 
     /** Starts following the store and the periodic work. */
@@ -230,7 +243,7 @@
         if (serving.length === 0) {
             return undefined;
         }
-        const addresses = addressesForCaller(serving, Math.random);
+        const addresses = addressesForCaller(serving, this.settings.callers.minCapacityShare, Math.random);
         const lifetimeMs = Math.min(ADDRESS_LIFETIME_MS, this.settings.bounds.addressLifetimeMs);
         return this.dialect.addressBody(addresses, lifetimeMs);
     }
@@ -260,6 +273,29 @@
         this.registry.publishHighLoad(this.load.isUnderHighLoad);
         const serving = this.registry.serving.map((member) => member.name);
         updateSharers(this.endpoints.limits, this.settings.name, serving, this.registry.members.size, this.clock());
+        this.updateReserveReadiness(this.clock());
+    }
+
+    private updateReserveReadiness(now: number): void {
+        const before = this.reserveReadiness;
+        this.reserveReadiness = nextReserveReadiness(before, {
+            self: this.self,
+            serving: this.registry.serving,
+            minCapacityShare: this.settings.callers.minCapacityShare,
+            utilization: this.load.utilization,
+        }, now);
+        const isReady = isReserveReady(this.reserveReadiness, now);
+        if (isReady !== this.movesCallersAway) {
+            return;
+        }
+        this.movesCallersAway = !isReady;
+        this.metrics.movesCallers.set(isReady ? 0 : 1);
+        this.logs.fleet.info(
+            isReady
+                ? "Router in reserve reports that it is ready again."
+                : "Router in reserve is under load; reporting that it is not ready, so that callers move to others.",
+            { utilization: this.load.utilization, serving: this.registry.serving.length },
+        );
     }
 
     // One router would be enough; the few that follow the store only repeat each other's work.
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -49,6 +49,7 @@
     readonly context: GatewayContext;
     readonly table: RoutingTable | undefined;
     readonly drain: Drain | undefined;
+    readonly movesCallersAway: boolean;
     readonly load: Pick<LoadMonitor, "shedShare" | "unreadMs">;
 };
 
@@ -116,7 +117,7 @@
             this.arriving.delete(request);
         });
         response.on("error", () => undefined);
-        if (this.gateway.drain !== undefined) {
+        if (this.gateway.drain !== undefined || this.gateway.movesCallersAway) {
             response.shouldKeepAlive = false;
         }
         const limit = this.gateway.table?.configuration.limits.bodyBytes ?? INITIAL_MAX_BODY_BYTES;
--- a/packages/router/src/gateway/load-monitor.ts
+++ b/packages/router/src/gateway/load-monitor.ts
@@ -11,6 +11,8 @@
 export class LoadMonitor {
     /** Share of new requests that are refused because this router is overloaded. */
     shedShare = 0;
+    /** CPU utilization in the last interval, from 0 to 1. */
+    utilization = 0;
     /** Estimated time in ms that requests waited in the last turn of the event loop in which the sample was late. */
     private lastLagMs = 0;
     private highLoad: HighLoadState = { strained: false, since: -Infinity };
@@ -38,6 +40,7 @@
         const sample = performance.eventLoopUtilization();
         const { utilization } = performance.eventLoopUtilization(sample, this.previousSample);
         this.previousSample = sample;
+        this.utilization = utilization;
         this.lastLagMs = Math.min(MAX_LAG_MS, Math.max(0, now - (this.measuredAt ?? now) - LOAD_SAMPLE_INTERVAL_MS));
         this.measuredAt = now;
         this.highLoad = nextHighLoadState(this.highLoad, utilization, now);
