Limit requests to cold endpoints

Cause: an endpoint that has just started crashes at the rate of a warm one, and every router sent at once what it would send to a warm endpoint.

Change: a cold endpoint has the limit of its service (coldPerS) until the time ends that its registration or a response states, or coldStartS after the next contact if this router found it unreachable, silent or crashed. The limit is divided among routers like one that endpoints state, without trials and bursts; requests queued before an endpoint became cold go elsewhere. Without coldPerS nothing changes.

--- a/packages/core/src/dispatch/endpoint-availability.ts
+++ b/packages/core/src/dispatch/endpoint-availability.ts
@@ -1,4 +1,5 @@
-import { limitOf, takeReturnSlot } from "./endpoint-limits.js";
+import { turnedCold } from "./cold-endpoints.js";
+import { limitInForce, takeReturnSlot } from "./endpoint-limits.js";
 import type { EndpointState, EndpointTable } from "./endpoint-table.js";
 import type { ServiceName } from "./types.js";
 
@@ -24,9 +25,14 @@
     return !row.entry.leaving && !row.announcedLeaving && row.backoffUntil <= now;
 }
 
-/** Returns whether an endpoint that was chosen earlier is still registered and accepts new requests. */
-export function stillAcceptsRequests(table: EndpointTable, row: EndpointState, now: number): boolean {
-    return table.rows.get(row.entry.id) === row && acceptsRequests(row, now);
+/**
+ * Returns whether an endpoint that was chosen at a time in ms is still registered, accepts new requests, and has not
+ * become cold since.
+ */
+export function stillAcceptsRequests(table: EndpointTable, row: EndpointState, chosenAt: number, now: number): boolean {
+    return table.rows.get(row.entry.id) === row
+        && acceptsRequests(row, now)
+        && !turnedCold(table.limits.cold, row.entry, chosenAt, now);
 }
 
 /** Returns the time in ms until an endpoint of a service accepts requests; 0 unless all that stay are in back-off. */
@@ -35,21 +41,21 @@
     return remaining.length === 0 ? 0 : Math.max(0, Math.min(...remaining.map((row) => row.backoffUntil)) - now);
 }
 
-/** Returns whether all endpoints of a service that stay state request limits. */
-export function isServiceLimited(table: EndpointTable, service: ServiceName): boolean {
+/** Returns whether all endpoints of a service that stay state request limits or are cold. */
+export function isServiceLimited(table: EndpointTable, service: ServiceName, now: number): boolean {
     const remaining = stayingEndpoints(table, service);
     return remaining.length > 0
-        && remaining.every((row) => limitOf(table.limits, row.entry)?.perSecond !== undefined);
+        && remaining.every((row) => limitInForce(table.limits, row.entry, now) !== undefined);
 }
 
 /** Returns the time in ms after which a caller should return whose request no endpoint accepts. */
 export function returnDelayMs(table: EndpointTable, service: ServiceName, now: number): number {
     const backoffMs = remainingBackoffMs(table, service, now);
-    if (!isServiceLimited(table, service)) {
+    if (!isServiceLimited(table, service, now)) {
         return backoffMs;
     }
     const perSecond = stayingEndpoints(table, service)
-        .reduce((sum, row) => sum + limitOf(table.limits, row.entry)!.perSecond!, 0);
+        .reduce((sum, row) => sum + limitInForce(table.limits, row.entry, now)!, 0);
     return Math.max(backoffMs, takeReturnSlot(table.limits, service, perSecond, now));
 }
 
--- a/packages/core/src/dispatch/endpoint-health.ts
+++ b/packages/core/src/dispatch/endpoint-health.ts
@@ -1,3 +1,4 @@
+import { recordContact, recordLostContact } from "./cold-endpoints.js";
 import { limitFigures } from "./endpoint-limits.js";
 import type { EndpointState, EndpointTable, ServicePace } from "./endpoint-table.js";
 
@@ -12,6 +13,8 @@
 const MAX_CONNECT_BACKOFF_MS = 4_000;
 /** Time in ms without a byte from an endpoint with unanswered requests after which it is avoided. */
 export const MAX_SILENCE_MS = 1_500;
+/** Time in ms for which a send may wait for its connection. */
+const MAX_CONNECT_MS = 200;
 
 /** Records the outcome of a request at an endpoint. */
 export function recordOutcome(row: EndpointState, failed: boolean, now: number): void {
@@ -45,8 +48,9 @@
     row.slowness += (bounded - row.slowness) * SLOWNESS_WEIGHT;
 }
 
-/** Records a failed connection attempt and starts the back-off. */
-export function recordConnectFailure(row: EndpointState, now: number): void {
+/** Records a failed connection attempt and starts the back-off. The endpoint may restart meanwhile. */
+export function recordConnectFailure(table: EndpointTable, row: EndpointState, now: number): void {
+    recordLostContact(table.limits.cold, row.entry, now);
     const backoff = Math.min(MAX_CONNECT_BACKOFF_MS, CONNECT_BACKOFF_MS * 2 ** row.connectFailures);
     row.connectFailures++;
     row.unreachableUntil = now + backoff;
@@ -64,6 +68,20 @@
     return row.unansweredSince !== undefined && now - row.unansweredSince > MAX_SILENCE_MS;
 }
 
+/** Records that bytes of the response to a request arrived whose own bytes left at a time in ms. */
+export function recordHeard(table: EndpointTable, row: EndpointState, sentAt: number, now: number): void {
+    noteSilence(table, row, now);
+    recordContact(table.limits.cold, row.entry, sentAt, now);
+    recordResponseBytes(row);
+}
+
+/** Records that an endpoint has lost contact if it is silent; it may have restarted under its id. */
+export function noteSilence(table: EndpointTable, row: EndpointState, now: number): void {
+    if (isSilent(row, now)) {
+        recordLostContact(table.limits.cold, row.entry, now, row.unansweredSince! + MAX_CONNECT_MS);
+    }
+}
+
 /** Returns the values on which the choice of an endpoint was based. */
 export function endpointFigures(
     table: EndpointTable,
--- a/packages/core/src/dispatch/endpoint-limits.test.ts
+++ b/packages/core/src/dispatch/endpoint-limits.test.ts
@@ -57,6 +57,21 @@
 ];
 const cases = sizes.flatMap((size) => [0, 0.2, 2, 50].map((perSecond) => ({ ...size, perSecond })));
 
+/** Cuts one of the first routers off from the store, or restarts it, every second until a time in ms. */
+function disturb(fleet: FakeLimitedFleet, routers: number, seed: number, until: number): void {
+    const random = createRandom(seed);
+    for (let at = 2_000; at < until; at += 1_000) {
+        fleet.runUntil(at);
+        const router = randomElement(random, fleet.routers.slice(0, routers))!;
+        if (randomBelow(random, 2) === 0) {
+            fleet.cut(router, 1_000 + randomBelow(random, 9_000));
+        }
+        else {
+            fleet.restart(router, 500 + randomBelow(random, 6_000));
+        }
+    }
+}
+
 /** Limits of a router that knows its fleet and has learned a limit at 0 ms. */
 function limitsOf(perSecond: number, fleet: readonly string[] = ["router-0"]): EndpointLimits {
     const limits = createEndpointLimits();
@@ -99,17 +114,7 @@
             ({ perSecond, ...size }) => {
                 for (let seed = 1; seed <= 5; seed++) {
                     const fleet = fleetOf(perSecond, { ...size, seed });
-                    const random = createRandom(seed);
-                    for (let at = 2_000; at < STATED_AT + 30_000; at += 1_000) {
-                        fleet.runUntil(at);
-                        const router = randomElement(random, fleet.routers.slice(0, 2 * size.serving))!;
-                        if (randomBelow(random, 2) === 0) {
-                            fleet.cut(router, 1_000 + randomBelow(random, 9_000));
-                        }
-                        else {
-                            fleet.restart(router, 500 + randomBelow(random, 6_000));
-                        }
-                    }
+                    disturb(fleet, 2 * size.serving, seed, STATED_AT + 30_000);
                     const max = fleet.maxInWindow(0, STATED_AT + STABILITY_WINDOW_MS, true);
                     expect(max).toBeLessThanOrEqual(allowedInWindow(perSecond));
                 }
@@ -173,6 +178,48 @@
         });
     });
 
+    describe("while the endpoint is cold", () => {
+        // Requests per second and time in ms of a deployment's services, and the requests allowed in one second.
+        const rule = { perSecond: 12, startMs: 8_000 };
+        const allowed = 12 * 1.5 + 5;
+        const crashesAt = [14_000, 30_000];
+
+        const coldFleet = (
+            size: Partial<FakeLimitedFleetOptions>,
+            seed: number,
+            inResponses: boolean,
+        ): FakeLimitedFleet => {
+            const cold = { rule, crashesAt, downMs: 2_500, inResponses };
+            return fleetOf(0, { ...size, seed, cold, statedAt: () => undefined });
+        };
+        // Of 195 routers, those that callers are not sent to often don't notice so short a crash before the registration.
+        const exceedsWhenUnaware = ({ routers }: { readonly routers: number; }): boolean => routers > 100;
+        const coldSizes = [...sizes, { routers: 89, serving: 30, requestsPerSecond: 500 }];
+
+        it.each(coldSizes)("holds for $routers routers, which use nearly all of it", (size) => {
+            for (let seed = 1; seed <= 3; seed++) {
+                const fleet = coldFleet(size, seed, true);
+                fleet.runUntil(45_000);
+                expect(fleet.maxColdPerSecond(exceedsWhenUnaware(size))).toBeLessThanOrEqual(allowed);
+                const rate = fleet.rate(0, 17_500, 24_000);
+                expect(rate).toBeGreaterThanOrEqual(rule.perSecond / 2);
+                expect(rate).toBeLessThanOrEqual(rule.perSecond);
+                expect(fleet.rate(0, 26_000, 30_000)).toBeGreaterThan(3 * rule.perSecond);
+            }
+        });
+
+        it.each(coldSizes.flatMap((size) => [true, false].map((inResponses) => ({ ...size, inResponses }))))(
+            "holds for $routers routers that are cut off and restart; stated in responses: $inResponses",
+            ({ inResponses, ...size }) => {
+                for (let seed = 1; seed <= 3; seed++) {
+                    const fleet = coldFleet(size, seed, inResponses);
+                    disturb(fleet, 2 * size.serving, seed, 45_000);
+                    expect(fleet.maxColdPerSecond(exceedsWhenUnaware(size))).toBeLessThanOrEqual(allowed);
+                }
+            },
+        );
+    });
+
     describe("learned from responses", () => {
         it("is ignored by another start of the endpoint, and kept for the same start at another address", () => {
             const table = createEndpointTable();
--- a/packages/core/src/dispatch/endpoint-limits.ts
+++ b/packages/core/src/dispatch/endpoint-limits.ts
@@ -1,20 +1,18 @@
 import { rendezvousOrder } from "../support/rendezvous.js";
 import type { EndpointId } from "../types/ids.js";
+import {
+    type ColdEndpoints,
+    coldLimitOf,
+    coldPeriodOf,
+    createColdEndpoints,
+    type PacedLimit,
+} from "./cold-endpoints.js";
 import type { EndpointEntry, ServiceName } from "./types.js";
 
 /** What is known of the request limit of one start of an endpoint. Times in ms. */
-export type RequestLimit = {
-    readonly startedAt: number;
-    /** Requests per second from all routers together; undefined once the endpoint states none. */
-    perSecond: number | undefined;
+export type RequestLimit = PacedLimit & {
     /** Time at which the response or the report of another router that stated this arrived. */
     learnedAt: number;
-    /** Requests per second that this router may send; 0 if it leaves the endpoint to other routers. */
-    share: number;
-    /** Version of the sharers from which the share was computed. */
-    shareVersion: number;
-    /** Time of the next send at an even pace. */
-    nextSendAt: number;
     /** Time at which something was last heard of the limit, or a request was last sent. */
     heardAt: number;
     /** Time since then, in trial intervals, after which a request is sent regardless of the share. */
@@ -24,6 +22,8 @@
 /** Request limits of endpoints, and the routers that share them. Times in ms. */
 export type EndpointLimits = {
     readonly known: Map<EndpointId, RequestLimit>;
+    /** Endpoints that have a limit because they are cold. */
+    readonly cold: ColdEndpoints;
     /** When each router was last one that callers are sent to, by name. */
     readonly sharers: Map<string, number>;
     /** Incremented when the names of the sharers change. */
@@ -91,6 +91,7 @@
 export function createEndpointLimits(): EndpointLimits {
     return {
         known: new Map(),
+        cold: createColdEndpoints(),
         sharers: new Map(),
         sharersVersion: 0,
         router: "",
@@ -130,6 +131,18 @@
     return limit?.startedAt === entry.startedAt ? limit : undefined;
 }
 
+/**
+ * Returns the requests per second that an endpoint accepts from all routers together, by the lower of the limit that it
+ * states and that of a cold endpoint; undefined without a limit.
+ */
+export function limitInForce(limits: EndpointLimits, entry: EndpointEntry, now: number): number | undefined {
+    const perSecond = Math.min(
+        limitOf(limits, entry)?.perSecond ?? Infinity,
+        coldPeriodOf(limits.cold, entry, now)?.perSecond ?? Infinity,
+    );
+    return perSecond === Infinity ? undefined : perSecond;
+}
+
 /** Returns the log fields of a limit in force, none without one. */
 export function limitFigures(
     limits: EndpointLimits,
@@ -137,12 +150,21 @@
     now: number,
 ): Readonly<Record<string, unknown>> {
     const limit = limitOf(limits, entry);
-    return limit?.perSecond === undefined ? {} : {
+    const cold = coldPeriodOf(limits.cold, entry, now);
+    const stated = limit?.perSecond === undefined ? {} : {
         limitPerSecond: limit.perSecond,
         limitAgeMs: Math.round(now - limit.learnedAt),
         limitShare: Number(limit.share.toFixed(3)),
         sharers: limits.sharers.size,
     };
+    return cold === undefined ? stated : {
+        ...stated,
+        cold: cold.reason,
+        coldLeftMs: Math.round(cold.until - now),
+        coldPerSecond: cold.perSecond,
+        coldShare: Number(coldLimitOf(limits.cold, entry, now)!.share.toFixed(3)),
+        sharers: limits.sharers.size,
+    };
 }
 
 /**
@@ -214,7 +236,8 @@
 export function isTrialDue(limits: EndpointLimits, entry: EndpointEntry, now: number): boolean {
     const limit = limitOf(limits, entry);
     return limit?.perSecond !== undefined
-        && now >= limit.heardAt + TRIAL_INTERVAL_MS * limits.fleetSize * limit.trialAfter;
+        && now >= limit.heardAt + TRIAL_INTERVAL_MS * limits.fleetSize * limit.trialAfter
+        && coldPeriodOf(limits.cold, entry, now) === undefined;
 }
 
 /** Returns whether this router may send a request to an endpoint. `draw` is random in [0, 1), one for each request. */
@@ -225,10 +248,24 @@
     draw: number,
     now: number,
 ): boolean {
-    const limit = limitOf(limits, entry);
-    if (limit?.perSecond === undefined || isTrialDue(limits, entry, now)) {
-        return true;
+    const coldLimit = coldLimitOf(limits.cold, entry, now);
+    if (coldLimit !== undefined && !hasRoom(limits, entry, coldLimit, send, draw, now)) {
+        return false;
     }
+    const limit = limitOf(limits, entry);
+    return limit?.perSecond === undefined
+        || isTrialDue(limits, entry, now)
+        || hasRoom(limits, entry, limit, send, draw, now);
+}
+
+function hasRoom(
+    limits: EndpointLimits,
+    entry: EndpointEntry,
+    limit: PacedLimit,
+    send: LimitedSend,
+    draw: number,
+    now: number,
+): boolean {
     const share = updateShare(limits, entry.id, limit, now);
     if (share === 0) {
         return false;
@@ -238,7 +275,7 @@
         // First sends come first: a repeat only takes what they left for a whole interval.
         return now >= limit.nextSendAt + intervalMs;
     }
-    const idleMs = now - (limit.nextSendAt - BURST_MS);
+    const idleMs = now - (limit.nextSendAt - limit.burstMs);
     const steps = Math.min(MAX_PRIORITY_STEPS, Math.max(0, send.priority));
     return idleMs >= 0 && (idleMs >= URGENT_INTERVAL_SHARE * intervalMs || draw < 2 ** -steps);
 }
@@ -250,11 +287,18 @@
     random: () => number,
     now: number,
 ): void {
+    const coldLimit = coldLimitOf(limits.cold, entry, now);
+    if (coldLimit !== undefined) {
+        recordPacedSend(limits, entry, coldLimit, now);
+    }
     const limit = limitOf(limits, entry);
-    if (limit?.perSecond === undefined) {
-        return;
+    if (limit?.perSecond !== undefined) {
+        postponeTrial(limit, random, now);
+        recordPacedSend(limits, entry, limit, now);
     }
-    postponeTrial(limit, random, now);
+}
+
+function recordPacedSend(limits: EndpointLimits, entry: EndpointEntry, limit: PacedLimit, now: number): void {
     const share = updateShare(limits, entry.id, limit, now);
     if (share > 0) {
         limit.nextSendAt = Math.max(limit.nextSendAt, now) + 1_000 / share;
@@ -313,14 +357,15 @@
     return slot - now;
 }
 
-function updateShare(limits: EndpointLimits, endpoint: EndpointId, limit: RequestLimit, now: number): number {
+function updateShare(limits: EndpointLimits, endpoint: EndpointId, limit: PacedLimit, now: number): number {
     if (limits.discoveredAt === undefined || now - limits.discoveredAt < DISCOVERY_MS) {
         return 0;
     }
     if (limit.shareVersion === limits.sharersVersion) {
         return limit.share;
     }
-    const holders = limitHolders(limits, { endpoint, startedAt: limit.startedAt, perSecond: limit.perSecond });
+    const report = { endpoint, startedAt: limit.startedAt, perSecond: limit.perSecond };
+    const holders = limitHolders(limits, report).slice(0, limit.maxHolders);
     const before = limit.share;
     limit.share = holders.includes(limits.router) ? USED_SHARE * limit.perSecond! / holders.length : 0;
     limit.shareVersion = limits.sharersVersion;
@@ -356,6 +401,8 @@
         share: 0,
         shareVersion: -1,
         nextSendAt: now,
+        maxHolders: Infinity,
+        burstMs: BURST_MS,
         heardAt: now,
         trialAfter: trialDelay(random),
     });
--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -1,5 +1,6 @@
 export * from "./attempts.js";
 export * from "./change-deadline.js";
+export * from "./cold-endpoints.js";
 export * from "./configuration-fault.js";
 export * from "./crash-evidence.js";
 export * from "./drain.js";
--- a/packages/core/src/dispatch/mocks/fake-limited-fleet.ts
+++ b/packages/core/src/dispatch/mocks/fake-limited-fleet.ts
@@ -1,7 +1,8 @@
 import { createRandom, type Random, randomBelow, randomElement, randomFraction } from "../../support/random.js";
 import { brand, type EndpointId, type FailureDomain } from "../../types/ids.js";
+import { recordColdRegistration, recordLostContact, recordStatedCold } from "../cold-endpoints.js";
 import { isServiceLimited } from "../endpoint-availability.js";
-import { recordResponseBytes } from "../endpoint-health.js";
+import { recordConnectFailure, recordHeard } from "../endpoint-health.js";
 import {
     limitToReport,
     recordReportedLimit,
@@ -11,7 +12,7 @@
 } from "../endpoint-limits.js";
 import { createEndpointTable, type EndpointTable, putEndpoint } from "../endpoint-table.js";
 import { chooseEndpoint, type PlacementQuery, recordSend } from "../placement.js";
-import type { EndpointEntry, ServiceName } from "../types.js";
+import type { ColdRule, EndpointEntry, ServiceName } from "../types.js";
 import { INFORMED_AFTER_MS, maxInWindow, STABILITY_WINDOW_MS } from "./limit-rule.js";
 
 /** Time in ms after which a router that is cut off or has ended is removed from the fleet. */
@@ -24,6 +25,8 @@
 const WRITE_INTERVAL_MS = 2_000;
 /** Range in ms of the time from a send to its response. */
 const RESPONSE_MS = [5, 400] as const;
+/** Time in ms between two registrations of an endpoint. */
+const REGISTRATION_INTERVAL_MS = 1_200;
 /** Share of requests that reach routers to which callers are not sent. */
 const STRAY_SHARE = 0.1;
 
@@ -43,6 +46,10 @@
     readonly reportedAt: Map<EndpointId, number>;
     /** Reports received from the store, by endpoint. */
     readonly received: Map<EndpointId, StoredReport>;
+    /** Time before which no registration is missing. */
+    registrationsReadAt: number;
+    /** Time at which the newest registration was written that it has read. */
+    registrationWrittenAt: number;
 };
 
 type StoredReport = { readonly report: ReportedLimit; readonly revision: number; };
@@ -54,6 +61,8 @@
     readonly at: number;
     /** False for routers that are excused by a fault or not informed. */
     readonly counts: boolean;
+    /** False if the router knew nothing yet of the endpoint's last restart. */
+    readonly isAware: boolean;
 };
 
 /** Parameters of a fleet. */
@@ -66,6 +75,17 @@
     /** Requests per second that the endpoints state at a time in ms; the first one is the limited one in most tests. */
     readonly statedAt: (endpoint: number, now: number) => number | undefined;
     readonly seed: number;
+    /** Restarts of the first endpoint under its id, after which it is cold. */
+    readonly cold?: ColdRestarts;
+};
+
+/** Times in ms at which the first endpoint crashes, is back, and counts as warm again; `rule` bounds cold requests. */
+export type ColdRestarts = {
+    readonly rule: ColdRule;
+    readonly crashesAt: readonly number[];
+    readonly downMs: number;
+    /** False if the endpoint states its cold time in registrations only. */
+    readonly inResponses: boolean;
 };
 
 /** Routers that share endpoints with request limits, on a virtual clock and without a network. */
@@ -78,6 +98,8 @@
     private readonly random: Random;
     private readonly events = new Map<number, (() => void)[]>();
     private readonly stored = new Map<EndpointId, StoredReport>();
+    /** Time of the last registration of the first endpoint. */
+    private registeredAt: number | undefined;
 
     constructor(private readonly options: FakeLimitedFleetOptions) {
         this.random = createRandom(options.seed);
@@ -98,6 +120,8 @@
             downUntil: undefined,
             excusedUntil: -Infinity,
             informedFrom: Infinity,
+            registrationsReadAt: -Infinity,
+            registrationWrittenAt: -Infinity,
             reportedAt: new Map(),
             received: new Map(),
         }));
@@ -105,6 +129,9 @@
             this.schedule(this.between(0, VIEW_INTERVAL_MS), () => this.updateView(router))
         );
         this.schedule(0, () => this.sendNext());
+        if (options.cold !== undefined) {
+            this.schedule(0, () => this.register());
+        }
     }
 
     /** Runs until a time in ms. */
@@ -121,7 +148,10 @@
         this.markLost(router);
         router.cutUntil = this.now + durationMs;
         router.excusedUntil = Math.max(router.excusedUntil, router.cutUntil + STABILITY_WINDOW_MS);
-        this.schedule(durationMs, () => this.deliver(router));
+        this.schedule(durationMs, () => {
+            this.deliver(router);
+            this.deliverRegistration(router);
+        });
     }
 
     /** Kills a router; a new process with the same name starts after a time in ms. */
@@ -134,7 +164,9 @@
             router.table = this.newTable();
             router.informedFrom = Infinity;
             router.received.clear();
+            router.registrationsReadAt = -Infinity;
             this.deliver(router);
+            this.deliverRegistration(router);
         });
     }
 
@@ -147,6 +179,22 @@
         return maxInWindow(times);
     }
 
+    /**
+     * Returns the maximum number of arrivals in one second at the first endpoint while it is cold, from all routers, or
+     * only from those that have noticed the crash or read a registration since.
+     */
+    maxColdPerSecond(awareOnly: boolean): number {
+        const { crashesAt, downMs, rule } = this.options.cold!;
+        const times = this.arrivals
+            .filter(({ endpoint, isAware }) => endpoint === this.endpoints[0]!.id && (isAware || !awareOnly))
+            .map(({ at }) => at);
+        const maxima = crashesAt.map((crashAt) => {
+            const startedAt = crashAt + downMs;
+            return maxInWindow(times.filter((at) => at >= startedAt && at < startedAt + rule.startMs), 1_000);
+        });
+        return Math.max(...maxima);
+    }
+
     /** Returns the arrivals per second at an endpoint in a period in ms. */
     rate(endpoint: number, from: number, until: number): number {
         const count =
@@ -166,9 +214,58 @@
     private newTable(): EndpointTable {
         const table = createEndpointTable();
         this.endpoints.forEach((entry) => putEndpoint(table, entry));
+        if (this.options.cold !== undefined) {
+            table.limits.cold.rules = new Map([[service, this.options.cold.rule]]);
+        }
         return table;
     }
 
+    private get isDown(): boolean {
+        const { crashesAt, downMs } = this.options.cold ?? { crashesAt: [], downMs: 0 };
+        return crashesAt.some((crashAt) => this.now >= crashAt && this.now < crashAt + downMs);
+    }
+
+    private get lastCrashAt(): number {
+        return this.options.cold?.crashesAt.findLast((at) => at <= this.now) ?? -Infinity;
+    }
+
+    private lostAt(router: FakeRouter): number {
+        return router.table.limits.cold.known.get(this.endpoints[0]!.id)?.lostAt ?? -Infinity;
+    }
+
+    private crashedSince(entry: EndpointEntry, sentAt: number): boolean {
+        const { crashesAt } = this.options.cold ?? { crashesAt: [] };
+        return entry.id === this.endpoints[0]!.id && crashesAt.some((at) => at > sentAt && at <= this.now);
+    }
+
+    private coldMs(at: number): number {
+        const { crashesAt, downMs, rule } = this.options.cold!;
+        const startedAt = crashesAt.map((crashAt) => crashAt + downMs).findLast((start) => start <= at) ?? -Infinity;
+        return Math.max(0, startedAt + rule.startMs - at);
+    }
+
+    // Each registration reaches the routers in touch with the store after some time.
+    private register(): void {
+        if (!this.isDown) {
+            this.registeredAt = this.now;
+            this.routers.forEach((router) =>
+                this.schedule(this.between(...REPORT_DELAY_MS), () => this.deliverRegistration(router))
+            );
+        }
+        this.schedule(REGISTRATION_INTERVAL_MS, () => this.register());
+    }
+
+    private deliverRegistration(router: FakeRouter): void {
+        if (this.isLost(router) || this.registeredAt === undefined) {
+            return;
+        }
+        const writtenAfter = router.registrationsReadAt;
+        const entry = { ...this.endpoints[0]!, coldMs: this.coldMs(this.registeredAt) };
+        recordColdRegistration(router.table.limits.cold, entry, this.registeredAt, writtenAfter, this.now);
+        router.registrationWrittenAt = this.registeredAt;
+        router.registrationsReadAt = this.now - REPORT_DELAY_MS[1];
+    }
+
     private schedule(delayMs: number, event: () => void): void {
         const at = this.now + Math.max(1, Math.round(delayMs));
         this.events.set(at, [...this.events.get(at) ?? [], event]);
@@ -229,13 +326,18 @@
         };
         const row = chooseEndpoint(table, query, this.fraction, this.now)?.row;
         if (row === undefined) {
-            this.refused += isServiceLimited(table, service) ? 1 : 0;
+            this.refused += isServiceLimited(table, service, this.now) ? 1 : 0;
             return;
         }
         const sentAt = this.now;
+        if (row.entry.id === this.endpoints[0]!.id && this.isDown) {
+            recordConnectFailure(table, row, this.now);
+            return;
+        }
         recordSend(table, row, query, this.fraction, sentAt);
         const counts = router.informedFrom <= sentAt && router.excusedUntil <= sentAt;
-        this.arrivals.push({ endpoint: row.entry.id, router: router.name, at: sentAt, counts });
+        const isAware = this.lastCrashAt <= Math.max(this.lostAt(router), router.registrationWrittenAt);
+        this.arrivals.push({ endpoint: row.entry.id, router: router.name, at: sentAt, counts, isAware });
         const responseMs = this.between(...RESPONSE_MS);
         this.schedule(this.fraction() * responseMs, () => {
             const stated = this.options.statedAt(this.endpoints.indexOf(row.entry), this.now);
@@ -255,7 +357,15 @@
         }
         const row = table.rows.get(entry.id)!;
         row.open--;
-        recordResponseBytes(row);
+        if (this.crashedSince(entry, sentAt)) {
+            recordLostContact(table.limits.cold, entry, this.now);
+            row.unansweredSince = row.open === 0 ? undefined : row.unansweredSince;
+            return;
+        }
+        recordHeard(table, row, sentAt, this.now);
+        if (this.options.cold?.inResponses && entry.id === this.endpoints[0]!.id) {
+            recordStatedCold(table.limits.cold, entry, this.coldMs(this.now), this.now);
+        }
         recordStatedLimit(table.limits, entry, stated, sentAt, this.fraction, this.now);
         if (stated !== undefined) {
             router.informedFrom = Math.min(router.informedFrom, this.now + INFORMED_AFTER_MS);
--- a/packages/core/src/dispatch/mocks/limit-rule.ts
+++ b/packages/core/src/dispatch/mocks/limit-rule.ts
@@ -10,12 +10,12 @@
     return 1.5 * perSecond * (WINDOW_MS / 1_000) + 5;
 }
 
-/** Returns the maximum number of requests in a window, from their times in ms in ascending order. */
-export function maxInWindow(times: readonly number[]): number {
+/** Returns the maximum number of requests in a window of a length in ms, from their times in ms in ascending order. */
+export function maxInWindow(times: readonly number[], windowMs = WINDOW_MS): number {
     let first = 0;
     let max = 0;
     times.forEach((at, index) => {
-        while (times[first]! <= at - WINDOW_MS) {
+        while (times[first]! <= at - windowMs) {
             first++;
         }
         max = Math.max(max, index - first + 1);
--- a/packages/core/src/dispatch/placement.test.ts
+++ b/packages/core/src/dispatch/placement.test.ts
@@ -137,7 +137,7 @@
         it("is used again after the back-off of a failed connect", () => {
             const table = tableOf(1);
             const row = [...table.rows.values()][0]!;
-            recordConnectFailure(row, 0);
+            recordConnectFailure(table, row, 0);
             expect(chooseEndpoint(table, plainQuery, () => 0, 100)).toBeUndefined();
             expect(choose(table, plainQuery, 300)).toBe(row);
         });
--- a/packages/core/src/dispatch/types.ts
+++ b/packages/core/src/dispatch/types.ts
@@ -45,12 +45,22 @@
     readonly tokensPerEvent: number;
 };
 
+/** What the endpoints of a service tolerate while they are cold. */
+export type ColdRule = {
+    /** Requests per second that a cold endpoint accepts from all routers together; above 0. */
+    readonly perSecond: number;
+    /** Time in ms for which an endpoint is cold after its start; 0 if it never is. */
+    readonly startMs: number;
+};
+
 /** A service as declared. */
 export type ServiceDeclaration = {
     readonly name: ServiceName;
     /** Connections that one endpoint accepts from all callers together. */
     readonly connectionLimit: number;
     readonly engine: EngineDeclaration | undefined;
+    /** Missing if the endpoints are never cold. */
+    readonly cold?: ColdRule | undefined;
 };
 
 /** A client account as declared. */
@@ -93,6 +103,8 @@
     readonly slots: number;
     /** True once it takes no new requests. */
     readonly leaving: boolean;
+    /** Time in ms from the registration's write for which the endpoint is cold; missing means 0. */
+    readonly coldMs?: number;
 };
 
 /** A part of a prompt and its length in tokens. */
--- a/packages/router/src/gateway/dialect.ts
+++ b/packages/router/src/gateway/dialect.ts
@@ -40,6 +40,12 @@
     | { readonly kind: "named"; readonly perSecond: number; }
     | { readonly kind: "unreadable"; readonly text: string; };
 
+/** Cold time in an endpoint's response. */
+export type StatedColdTime =
+    /** Time in ms for which the endpoint stays cold. */
+    | { readonly kind: "named"; readonly remainingMs: number; }
+    | { readonly kind: "unreadable"; readonly text: string; };
+
 /** Fields read from an endpoint's response headers. */
 export type EndpointFields = {
     /** Id of the request that the response belongs to. */
@@ -55,6 +61,8 @@
     readonly backoffMs: number | undefined;
     /** Undefined if the response states no limit. */
     readonly requestLimit: StatedLimit | undefined;
+    /** Undefined if the response states no cold time. */
+    readonly cold: StatedColdTime | undefined;
 };
 
 /** Raw headers: alternating names and values. */
--- a/packages/router/src/gateway/endpoint-registrations.ts
+++ b/packages/router/src/gateway/endpoint-registrations.ts
@@ -4,6 +4,7 @@
     type EndpointState,
     type EndpointTable,
     putEndpoint,
+    recordColdRegistration,
     removeEndpoint,
 } from "@gooseberrybend/core/dispatch";
 import type { Dialect } from "./dialect.js";
@@ -55,7 +56,7 @@
         const listed = new Set(
             [...items.map((item) => item.key), ...this.heldBack.keys()].map((key) => this.idOf(key)),
         );
-        items.forEach((item) => this.put(item));
+        items.forEach((item) => this.put(item, now));
         for (const id of this.table.rows.keys()) {
             if (!listed.has(id)) {
                 this.removeAfter(id, graceMs, now);
@@ -79,7 +80,7 @@
             });
             const apply = (): void => {
                 this.heldBack.delete(item.key);
-                this.put(item);
+                this.put(item, now + REWRITE_MS);
             };
             this.heldBack.set(item.key, setTimeout(apply, REWRITE_MS).unref());
             return false;
@@ -100,8 +101,11 @@
         this.heldBack.delete(key);
     }
 
-    /** Applies one registration; an invalid one names no endpoint. */
-    put(item: StoredItem): void {
+    /**
+     * Applies one registration; an invalid one names no endpoint. `writtenAfter` is a time before which it was not
+     * written.
+     */
+    put(item: StoredItem, now: number, writtenAfter = -Infinity): void {
         this.endHold(item.key);
         const entry = this.decode(item);
         if (entry === undefined) {
@@ -112,6 +116,7 @@
         const isChanged = existing === undefined || existing.entry.leaving !== entry.leaving
             || existing.entry.startedAt !== entry.startedAt;
         const previous = putEndpoint(this.table, entry);
+        recordColdRegistration(this.table.limits.cold, entry, item.revision, writtenAfter, now);
         if (previous !== undefined) {
             this.listener.onRestarted(previous, entry);
         }
--- a/packages/router/src/gateway/endpoint-send.ts
+++ b/packages/router/src/gateway/endpoint-send.ts
@@ -7,6 +7,7 @@
 } from "@gooseberrybend/core/dispatch";
 import type { Dispatcher } from "undici";
 import { ByteBuffer } from "./byte-buffer.js";
+import { observeReuse } from "./connection-use.js";
 import type { EndpointFields } from "./dialect.js";
 import type { GatewayContext } from "./gateway-context.js";
 
@@ -19,6 +20,8 @@
     controller: Dispatcher.DispatchController | undefined;
     /** True once bytes may have been sent. */
     requestStarted: boolean;
+    /** Time in ms at which its first bytes may have been sent; undefined before. */
+    startedAt: number | undefined;
     /** False only if the connection was opened for this request. */
     onReusedConnection: boolean;
     hasResponded: boolean;
@@ -47,6 +50,7 @@
         expectedWork,
         controller: undefined,
         requestStarted: false,
+        startedAt: undefined,
         onReusedConnection: true,
         hasResponded: false,
         ended: false,
@@ -62,6 +66,15 @@
     };
 }
 
+/** Records that the bytes of a send leave; to be called while its connection is being used. */
+export function beginSend(send: Send, now: number): void {
+    send.requestStarted = true;
+    send.startedAt = now;
+    observeReuse((isReused) => {
+        send.onReusedConnection = isReused;
+    });
+}
+
 /** Why a send could not begin. Nothing was sent. */
 export type DispatchFault = {
     /** The endpoint's address can't be connected to, or the request is not valid HTTP. */
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -16,8 +16,7 @@
 import type { AdmittedRequest } from "./admitted-request.js";
 import { CallerAnswer } from "./caller-answer.js";
 import { REFUSED_CODE } from "./connection-check.js";
-import { observeReuse } from "./connection-use.js";
-import { createSend, dispatchSend, type Send } from "./endpoint-send.js";
+import { beginSend, createSend, dispatchSend, type Send } from "./endpoint-send.js";
 import { EventSplitter } from "./event-splitter.js";
 import { ExchangeLog } from "./exchange-log.js";
 import type { GatewayContext } from "./gateway-context.js";
@@ -25,7 +24,7 @@
 import { logPlacement } from "./placement-log.js";
 import { rawHeadersOf, withoutContentLength } from "./raw-headers.js";
 import { noEndpointCause, type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
-import { readResponseHead, recordBytesReceived, recordRequestLimit, recordResponseHead } from "./response-head.js";
+import { readResponseHead, recordBytesReceived, recordLimits, recordResponseHead } from "./response-head.js";
 import { recordFirst, takeRetry } from "./retry-accounting.js";
 import { recordSendEnd } from "./send-end.js";
 import { placementQueryOf, sendOptions } from "./send-options.js";
@@ -112,7 +111,8 @@
         const query = { ...this.query, isRepeat: this.sends > 0 && !this.answer.isHeadSent };
         const placement = chooseEndpoint(this.context.endpoints, query, this.context.random, now);
         if (placement === undefined) {
-            return this.refuseOrAbort(noEndpointCause(this.context.endpoints, this.query.service), this.waitMs(now));
+            const cause = noEndpointCause(this.context.endpoints, this.query.service, now);
+            return this.refuseOrAbort(cause, this.waitMs(now));
         }
         const { row, units } = placement;
         const send = createSend(row, units, now);
@@ -147,17 +147,14 @@
         if (send.ended || this.isFinished) {
             return this.abort(send);
         }
-        // It may have left, or asked for no requests, while the request waited for a connection.
-        if (!stillAcceptsRequests(this.context.endpoints, send.row, this.context.clock())) {
+        // It may have left, asked for no requests, or become cold, while the request waited for a connection.
+        if (!stillAcceptsRequests(this.context.endpoints, send.row, send.sentAt, this.context.clock())) {
             this.endSend(send, false);
             this.abort(send);
             this.log.left(send);
             return this.handleFailure(send, "unreachable");
         }
-        send.requestStarted = true;
-        observeReuse((isReused) => {
-            send.onReusedConnection = isReused;
-        });
+        beginSend(send, this.context.clock());
         send.trackedSend = this.context.suspects.track(send.row.entry, this.admitted.features);
         this.sends++;
         this.tried.add(send.row.entry.id);
@@ -192,7 +189,7 @@
             this.rejectAnswer(send, send.verdict.reason);
             return;
         }
-        recordRequestLimit(this.context, send, now);
+        recordLimits(this.context, send, now);
         if (send.verdict?.kind === "stream") {
             this.startStreaming(send);
         }
@@ -363,7 +360,7 @@
     }
 
     private recordUnreachable(send: Send, code: string, now: number): void {
-        recordConnectFailure(send.row, now);
+        recordConnectFailure(this.context.endpoints, send.row, now);
         if (code === REFUSED_CODE) {
             this.context.suspects.recordUnreachable(send.row.entry, now);
         }
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -7,7 +7,17 @@
 const REQUEST_BUCKETS_SECONDS = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 15];
 
 /** Events of the request limits of endpoints, as counted in the metrics. */
-export const limitEvents = ["stated", "ended", "unreadable", "heard", "shared", "not-shared"] as const;
+export const limitEvents = [
+    "stated",
+    "ended",
+    "unreadable",
+    "heard",
+    "shared",
+    "not-shared",
+    "cold",
+    "warm",
+    "cold-unreadable",
+] as const;
 
 /** Event of the request limit of an endpoint. */
 export type LimitEvent = typeof limitEvents[number];
--- a/packages/router/src/gateway/gateway-settings.ts
+++ b/packages/router/src/gateway/gateway-settings.ts
@@ -39,6 +39,9 @@
         retryWindowMs: positive.default(10_000),
         /** Time in ms for which an engine is expected to cache a part of a prompt. */
         promptCacheMs: positive.default(10_000),
+        /** A cold endpoint tolerates its requests per second times this in any second, plus `coldSlack` requests. */
+        coldRatio: z.number().min(0).default(1.5),
+        coldSlack: z.number().min(0).default(5),
         /** Maximum time in ms that a caller may use an address. */
         addressLifetimeMs: positive.default(5_000),
     }).prefault({}),
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -10,12 +10,14 @@
     fleetShareOf,
     type InstanceCapacity,
     ownerOf,
+    recordLostContact,
     type RoutingTable,
     updateSharers,
 } from "@gooseberrybend/core/dispatch";
 import { type JSONRPCRequest, type JSONRPCResponse, JSONRPCServer } from "json-rpc-2.0";
 import { randomBytes } from "node:crypto";
 import { performance } from "node:perf_hooks";
+import { ColdEndpointMonitor } from "./cold-endpoint-monitor.js";
 import { CountedStore } from "./counted-store.js";
 import { CRASH_METHOD, CrashNotifier, readCrashMessage } from "./crash-notifier.js";
 import { CrashReports, SUSPECT_PREFIX } from "./crash-reports.js";
@@ -71,6 +73,7 @@
     private readonly crashReports: CrashReports;
     private readonly suspects: PoisonRequestTracker;
     private readonly limitReports: LimitReports;
+    private readonly coldEndpoints: ColdEndpointMonitor;
     private readonly storeCalls = new Map<string, number>();
     /** Era of the store at the last read of all its items. */
     private storeEra: number | undefined;
@@ -116,6 +119,7 @@
             this.clock,
             (part) => ownerOf(part, this.registry.serving) === settings.name,
             Math.random,
+            (entry) => recordLostContact(this.endpoints.limits.cold, entry, this.clock()),
         );
         this.registrations = new EndpointRegistrations(dialect, this.endpoints, this.logs, {
             onRestarted: (previous, entry) => {
@@ -136,6 +140,11 @@
             Math.random,
             this.clock,
         );
+        this.coldEndpoints = new ColdEndpointMonitor(
+            this.endpoints,
+            this.logs,
+            (event) => this.metrics.limits.inc({ event }),
+        );
         const holder = { name: settings.name, incarnation, startedAt };
         this.prepaid = new PrepaidAccounts(
             store,
@@ -260,6 +269,7 @@
         this.registry.publishHighLoad(this.load.isUnderHighLoad);
         const serving = this.registry.serving.map((member) => member.name);
         updateSharers(this.endpoints.limits, this.settings.name, serving, this.registry.members.size, this.clock());
+        this.coldEndpoints.update(this.settings.bounds, this.clock());
     }
 
     // One router would be enough; the few that follow the store only repeat each other's work.
@@ -357,7 +367,7 @@
                 this.registrations.remove(key, this.endpointGraceMs(now), now);
             }
             else {
-                this.registrations.put(item);
+                this.registrations.put(item, now, this.follower.changesMadeAfter);
             }
         }
         else if (key.startsWith(FLEET_PREFIX)) {
@@ -422,6 +432,7 @@
             return;
         }
         this.table = createRoutingTable(configuration);
+        this.coldEndpoints.setRules(configuration.services);
         this.ingress.setLimits(configuration.limits);
         const totals = new Map(
             (configuration.accounts ?? [])
--- a/packages/router/src/gateway/mocks/fake-following-fleet.ts
+++ b/packages/router/src/gateway/mocks/fake-following-fleet.ts
@@ -255,7 +255,7 @@
                         registrations.remove(key, follower.expiryGraceMs(SHORTEST_EXPIRY_MS, now), now);
                         return;
                     }
-                    registrations.put(item);
+                    registrations.put(item, now);
                 },
                 onAvailable: () => undefined,
             },
--- a/packages/router/src/gateway/poison-request-tracker.ts
+++ b/packages/router/src/gateway/poison-request-tracker.ts
@@ -97,6 +97,8 @@
         private readonly isTrialRouter: (part: PromptPartId) => boolean,
         /** In [0, 1). */
         private readonly random: () => number,
+        /** Called when an endpoint does not accept a connection. */
+        private readonly onLost: (entry: EndpointEntry) => void = () => undefined,
     ) {}
 
     /** Records that a request is sent to an endpoint. */
@@ -344,6 +346,9 @@
             startedAt: entry.startedAt,
             outcome,
         });
+        if (outcome !== "accepted") {
+            this.onLost(entry);
+        }
         if (outcome === "refused") {
             this.recordUnreachable(entry, this.clock());
         }
--- a/packages/router/src/gateway/refusal.ts
+++ b/packages/router/src/gateway/refusal.ts
@@ -25,8 +25,8 @@
 export type RefusalCause = keyof typeof refusalStatus;
 
 /** Returns why no endpoint of a service can be chosen. */
-export function noEndpointCause(endpoints: EndpointTable, service: ServiceName): RefusalCause {
-    return isServiceLimited(endpoints, service) ? "endpoints-limited" : "no-endpoint";
+export function noEndpointCause(endpoints: EndpointTable, service: ServiceName, now: number): RefusalCause {
+    return isServiceLimited(endpoints, service, now) ? "endpoints-limited" : "no-endpoint";
 }
 
 /** Refuses a request. Statuses 429 and 503 state that it has not run and never will. */
--- a/packages/router/src/gateway/response-head.ts
+++ b/packages/router/src/gateway/response-head.ts
@@ -5,9 +5,10 @@
     recordBackoff,
     recordDuration,
     recordFirstByte,
+    recordHeard,
     recordLeaving,
     recordLoadReport,
-    recordResponseBytes,
+    recordStatedCold,
     recordStatedLimit,
 } from "@gooseberrybend/core/dispatch";
 import type { AdmittedRequest } from "./admitted-request.js";
@@ -57,11 +58,11 @@
 
 /** Records that an endpoint sent bytes. */
 export function recordBytesReceived(
-    { suspects }: GatewayContext,
-    { row, trackedSend, isStreaming }: Send,
+    { endpoints, suspects }: GatewayContext,
+    { row, trackedSend, isStreaming, startedAt }: Send,
     now: number,
 ): void {
-    recordResponseBytes(row);
+    recordHeard(endpoints, row, startedAt!, now);
     suspects.recordResponseByte(trackedSend, isStreaming, now);
 }
 
@@ -80,8 +81,28 @@
     }
 }
 
-/** Records what a response of the request's own endpoint states about its request limit. */
-export function recordRequestLimit(context: GatewayContext, { row, fields, sentAt }: Send, now: number): void {
+/** Records what a response of the request's own endpoint states about its request limit and its cold time. */
+export function recordLimits(context: GatewayContext, send: Send, now: number): void {
+    recordColdTime(context, send, now);
+    recordRequestLimit(context, send, now);
+}
+
+function recordColdTime({ endpoints, logs, countLimitEvent }: GatewayContext, send: Send, now: number): void {
+    const { row, fields } = send;
+    const stated = fields!.cold;
+    if (stated?.kind === "unreadable") {
+        countLimitEvent("cold-unreadable");
+        logs.endpoints.warn("Endpoint stated an unreadable cold time; ignored.", {
+            endpoint: row.entry.id,
+            text: stated.text,
+        });
+    }
+    else if (stated !== undefined) {
+        recordStatedCold(endpoints.limits.cold, row.entry, stated.remainingMs, now);
+    }
+}
+
+function recordRequestLimit(context: GatewayContext, { row, fields, sentAt }: Send, now: number): void {
     const { endpoints, logs } = context;
     const endpoint = row.entry.id;
     const stated = fields!.requestLimit;
--- a/packages/router/src/gateway/send-end.ts
+++ b/packages/router/src/gateway/send-end.ts
@@ -1,4 +1,4 @@
-import { type PlacementQuery, recordFirstByte, recordOutcome } from "@gooseberrybend/core/dispatch";
+import { noteSilence, type PlacementQuery, recordFirstByte, recordOutcome } from "@gooseberrybend/core/dispatch";
 import type { Send } from "./endpoint-send.js";
 import type { GatewayContext } from "./gateway-context.js";
 
@@ -18,6 +18,7 @@
         recordFirstByte(row, query);
     }
     if (row.open === 0) {
+        noteSilence(context.endpoints, row, now);
         row.unansweredSince = undefined;
     }
     recordOutcome(row, failed, now);
--- a/packages/router/src/gateway/store-follower.ts
+++ b/packages/router/src/gateway/store-follower.ts
@@ -50,6 +50,8 @@
     private peersOnlyUntil = -Infinity;
     /** Time before which no change is missing; a router starts without any. */
     private confirmedAt = -Infinity;
+    /** The value of `confirmedAt` before it was last raised. */
+    private confirmedBefore = -Infinity;
     /** Time before which no change of any key is missing, not only of those that other routers relay. */
     private allConfirmedAt = -Infinity;
     /** The last time in which the store was away, as far as this router can tell. */
@@ -88,6 +90,11 @@
         return now - this.confirmedAt;
     }
 
+    /** Time before which no change was made that is being applied: earlier ones had been read. */
+    get changesMadeAfter(): number {
+        return this.confirmedBefore;
+    }
+
     /** Returns the age in ms of a key's value: no change of it that is older is missing. */
     valueAgeMs(key: string, now: number): number {
         return now - Math.min(this.confirmedAt, this.largeValues.missingSince(key) ?? Infinity);
@@ -402,6 +409,7 @@
                 deadlineMs: this.changeDeadlineMs(),
             });
         }
+        this.confirmedBefore = this.confirmedAt;
         this.confirmedAt = Math.max(this.confirmedAt, readAt);
     }
 
