Keep requests within the regions of their route and account

Until now the field was ignored, so requests went to endpoints of any region, and address responses listed routers of any region.

The settings give the region of each failure domain (zones, region). Placement leaves out endpoints outside the regions that route and account both allow, for first sends, retries, resumed streams, sessions and limit trials; an endpoint in an unknown failure domain is used only for requests that name no region. Without an endpoint in the regions a request is refused before it waits for tokens, with 503 no-endpoint-in-regions. An address response lists the serving routers of the caller's region, otherwise those of regions that all routes of the host allow, otherwise all; where no route of the host names regions it is as before.

--- a/packages/core/src/dispatch/endpoint-availability.ts
+++ b/packages/core/src/dispatch/endpoint-availability.ts
@@ -1,5 +1,6 @@
 import { limitOf, takeReturnSlot } from "./endpoint-limits.js";
 import type { EndpointState, EndpointTable } from "./endpoint-table.js";
+import { isInAllowedRegion, type RegionRestriction } from "./regions.js";
 import type { ServiceName } from "./types.js";
 
 /** Maximum number of remembered leaving endpoints; the oldest, which ended long ago, are evicted first. */
@@ -29,30 +30,50 @@
     return table.rows.get(row.entry.id) === row && acceptsRequests(row, now);
 }
 
+/** Returns whether an endpoint of a service that stays is in the regions that a request may reach. */
+export function hasEndpointInRegions(
+    table: EndpointTable,
+    service: ServiceName,
+    regions: RegionRestriction | undefined,
+): boolean {
+    return stayingEndpoints(table, service, regions).length > 0;
+}
+
 /** Returns the time in ms until an endpoint of a service accepts requests; 0 unless all that stay are in back-off. */
-export function remainingBackoffMs(table: EndpointTable, service: ServiceName, now: number): number {
-    const remaining = stayingEndpoints(table, service);
+export function remainingBackoffMs(
+    table: EndpointTable,
+    service: ServiceName,
+    now: number,
+    regions?: RegionRestriction,
+): number {
+    const remaining = stayingEndpoints(table, service, regions);
     return remaining.length === 0 ? 0 : Math.max(0, Math.min(...remaining.map((row) => row.backoffUntil)) - now);
 }
 
 /** Returns whether all endpoints of a service that stay state request limits. */
-export function isServiceLimited(table: EndpointTable, service: ServiceName): boolean {
-    const remaining = stayingEndpoints(table, service);
+export function isServiceLimited(table: EndpointTable, service: ServiceName, regions?: RegionRestriction): boolean {
+    const remaining = stayingEndpoints(table, service, regions);
     return remaining.length > 0
         && remaining.every((row) => limitOf(table.limits, row.entry)?.perSecond !== undefined);
 }
 
 /** Returns the time in ms after which a caller should return whose request no endpoint accepts. */
-export function returnDelayMs(table: EndpointTable, service: ServiceName, now: number): number {
-    const backoffMs = remainingBackoffMs(table, service, now);
-    if (!isServiceLimited(table, service)) {
+export function returnDelayMs(
+    table: EndpointTable,
+    { service, regions }: { readonly service: ServiceName; readonly regions?: RegionRestriction | undefined; },
+    now: number,
+): number {
+    const backoffMs = remainingBackoffMs(table, service, now, regions);
+    if (!isServiceLimited(table, service, regions)) {
         return backoffMs;
     }
-    const perSecond = stayingEndpoints(table, service)
+    const perSecond = stayingEndpoints(table, service, regions)
         .reduce((sum, row) => sum + limitOf(table.limits, row.entry)!.perSecond!, 0);
     return Math.max(backoffMs, takeReturnSlot(table.limits, service, perSecond, now));
 }
 
-function stayingEndpoints(table: EndpointTable, service: ServiceName): EndpointState[] {
-    return (table.byService.get(service) ?? []).filter((row) => !row.entry.leaving && !row.announcedLeaving);
+function stayingEndpoints(table: EndpointTable, service: ServiceName, regions?: RegionRestriction): EndpointState[] {
+    return (table.byService.get(service) ?? []).filter((row) =>
+        !row.entry.leaving && !row.announcedLeaving && isInAllowedRegion(row.entry.domain, regions)
+    );
 }
--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -15,6 +15,7 @@
 export * from "./prepaid-restatement.js";
 export * from "./prepaid.js";
 export * from "./prompt-parts.js";
+export * from "./regions.js";
 export * from "./request-digest.js";
 export * from "./response-verdict.js";
 export * from "./retry-quota.js";
--- a/packages/core/src/dispatch/placement.ts
+++ b/packages/core/src/dispatch/placement.ts
@@ -5,6 +5,7 @@
 import { allowsSend, isTrialDue, recordLimitedSend } from "./endpoint-limits.js";
 import type { EndpointState, EndpointTable, ServicePace } from "./endpoint-table.js";
 import { sharedParts } from "./prompt-parts.js";
+import { isInAllowedRegion, type RegionRestriction } from "./regions.js";
 import type { EngineDeclaration, PromptPart, PromptPartId, ServiceName } from "./types.js";
 
 /** Inputs for the choice of an endpoint. */
@@ -23,6 +24,8 @@
     readonly priority: number;
     /** Time in ms for which engines are expected to cache a part. */
     readonly cacheMs: number;
+    /** Undefined if endpoints of all regions may be chosen. */
+    readonly regions?: RegionRestriction | undefined;
 };
 
 /** Cost in prompt tokens of one running request, which slows prefill and decoding alike. */
@@ -51,7 +54,8 @@
     const rows = table.byService.get(query.service) ?? [];
     const draw = random();
     const accepting = rows.filter((row) =>
-        acceptsRequests(row, now) && !query.tried.has(row.entry.id)
+        isInAllowedRegion(row.entry.domain, query.regions)
+        && acceptsRequests(row, now) && !query.tried.has(row.entry.id)
         && allowsSend(table.limits, row.entry, query, draw, now)
     );
     const reachable = accepting.filter((row) => row.unreachableUntil <= now);
--- a/packages/core/src/dispatch/types.ts
+++ b/packages/core/src/dispatch/types.ts
@@ -7,6 +7,9 @@
 /** One part of a prompt; equal parts have equal ids. */
 export type PromptPartId = Branded<string, "PromptPartId">;
 
+/** A group of failure domains in one place. */
+export type Region = Branded<string, "Region">;
+
 /** How a request may be repeated: always, never, or as a stream of events. */
 export type RouteKind = "safe" | "unsafe" | "stream";
 
@@ -33,6 +36,8 @@
     /** Maximum number of endpoints that one attempt of a caller is sent to. */
     readonly attemptLimit: number;
     readonly shares: readonly ServiceShare[];
+    /** Regions whose endpoints its requests may reach; undefined or empty for all. */
+    readonly regions?: readonly Region[] | undefined;
 };
 
 /** A model engine as its service declares it. */
@@ -61,6 +66,8 @@
     readonly priority: number | undefined;
     /** Tokens that the account may use in total; undefined for no limit. */
     readonly prepaidTokens: number | undefined;
+    /** Regions whose endpoints its requests may reach; undefined or empty for all. */
+    readonly regions?: readonly Region[] | undefined;
 };
 
 /** What a caller may send, and how long it may take. Sizes in bytes, times in ms. */
--- a/packages/router/src/gateway/admitted-request.ts
+++ b/packages/router/src/gateway/admitted-request.ts
@@ -1,4 +1,10 @@
-import type { AccountDeclaration, RequestFeatures, Route, ServiceDeclaration } from "@gooseberrybend/core/dispatch";
+import type {
+    AccountDeclaration,
+    RegionRestriction,
+    RequestFeatures,
+    Route,
+    ServiceDeclaration,
+} from "@gooseberrybend/core/dispatch";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { CallerFields } from "./dialect.js";
 
@@ -11,6 +17,8 @@
     readonly route: Route;
     readonly service: ServiceDeclaration;
     readonly account: AccountDeclaration | undefined;
+    /** Undefined if it may reach endpoints of all regions. */
+    readonly regions: RegionRestriction | undefined;
     /** What may crash the endpoints that run it. */
     readonly features: RequestFeatures;
     /** True if it shows whether a convicted part of its prompt still crashes endpoints; it is sent once. */
--- a/packages/router/src/gateway/dialect.ts
+++ b/packages/router/src/gateway/dialect.ts
@@ -1,9 +1,10 @@
-import type { AccountId, EndpointId } from "@gooseberrybend/core";
+import type { AccountId, EndpointId, FailureDomain } from "@gooseberrybend/core";
 import type {
     AccessKey,
     EndpointEntry,
     FleetConfiguration,
     PromptPart,
+    Region,
     TokenBound,
 } from "@gooseberrybend/core/dispatch";
 import type { Result } from "neverthrow";
@@ -57,6 +58,13 @@
     readonly requestLimit: StatedLimit | undefined;
 };
 
+/** Where an address query comes from, and for which host it asks. */
+export type AddressQuery = {
+    readonly host: string | undefined;
+    readonly region: Region | undefined;
+    readonly domain: FailureDomain | undefined;
+};
+
 /** Raw headers: alternating names and values. */
 export type RawHeaders = readonly string[];
 
@@ -79,6 +87,7 @@
     abstract readonly readEndpointHeaders: (status: number, headers: RawHeaders) => EndpointFields;
     /** Returns the headers to send to the caller. */
     abstract readonly responseHeaders: (headers: RawHeaders) => string[];
+    abstract readAddressQuery(parameters: URLSearchParams): AddressQuery;
     /** Returns a body that lists addresses, valid for a lifetime in ms. */
     abstract addressBody(addresses: readonly string[], lifetimeMs: number): unknown;
 }
--- a/packages/router/src/gateway/exchange-log.ts
+++ b/packages/router/src/gateway/exchange-log.ts
@@ -21,6 +21,7 @@
         return {
             id: this.admitted.fields.requestId,
             account: this.admitted.account?.id,
+            regions: this.admitted.regions?.allowed,
             endpoint: send?.row.entry.id,
             ...this.progress(),
         };
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -112,7 +112,7 @@
         const query = { ...this.query, isRepeat: this.sends > 0 && !this.answer.isHeadSent };
         const placement = chooseEndpoint(this.context.endpoints, query, this.context.random, now);
         if (placement === undefined) {
-            return this.refuseOrAbort(noEndpointCause(this.context.endpoints, this.query.service), this.waitMs(now));
+            return this.refuseOrAbort(noEndpointCause(this.context.endpoints, this.query), this.waitMs(now));
         }
         const { row, units } = placement;
         const send = createSend(row, units, now);
@@ -416,7 +416,7 @@
 
     // Time in ms after which an endpoint may accept the request.
     private waitMs(now: number): number {
-        return returnDelayMs(this.context.endpoints, this.query.service, now) + retryAfterMs(this.context.random());
+        return returnDelayMs(this.context.endpoints, this.query, now) + retryAfterMs(this.context.random());
     }
 
     private handleDeadline(): void {
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -1,3 +1,4 @@
+import { addressChoices } from "@gooseberrybend/core/dispatch";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { suspectEvents } from "./poison-request-tracker.js";
 import { refusalStatus } from "./refusal.js";
@@ -35,12 +36,17 @@
     limitEvents.forEach((event) => limits.inc({ event }, 0));
     const responses = counter("endpoint_responses_total", "Responses of endpoints by how they ended.", ["end"]);
     responseEnds.forEach((end) => responses.inc({ end }, 0));
+    const addressAnswers = counter("address_answers_total", "Answers to address queries by choice of the routers.", [
+        "choice",
+    ]);
+    addressChoices.forEach((choice) => addressAnswers.inc({ choice }, 0));
     return {
         registry,
         refusals,
         suspects,
         limits,
         responses,
+        addressAnswers,
         endpointRefusals: counter(
             "endpoint_refusals_total",
             "Responses that state that the request did not run, by request id and connection.",
--- a/packages/router/src/gateway/gateway-settings.ts
+++ b/packages/router/src/gateway/gateway-settings.ts
@@ -1,4 +1,5 @@
-import { type FileFault, parseFile } from "@gooseberrybend/core";
+import { brand, type FailureDomain, type FileFault, parseFile } from "@gooseberrybend/core";
+import type { Region, RegionTable } from "@gooseberrybend/core/dispatch";
 import { err, type Result } from "neverthrow";
 import { z } from "zod";
 import { readTextFile } from "../settings.js";
@@ -10,6 +11,10 @@
 export const gatewaySettingsSchema = z.object({
     name: z.string().min(1),
     domain: z.string().min(1),
+    /** Region of this instance, unless `zones` names another one for its failure domain. */
+    region: z.string().optional(),
+    /** Region of each failure domain; null if the deployment has no such table. */
+    zones: z.record(z.string(), z.string()).nullish(),
     listen: z.object({
         callers: address,
         ready: address,
@@ -56,6 +61,17 @@
 /** Settings of a router that serves a deployment's callers. */
 export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
 
+/** Returns the regions of the failure domains that the settings name, this router's own one included. */
+export function regionTableOf({ domain, region, zones }: GatewaySettings): RegionTable {
+    const own = region === undefined ? [] : [[domain, region] as const];
+    return new Map(
+        [...own, ...Object.entries(zones ?? {})].map(([name, itsRegion]) => [
+            brand<FailureDomain>(name),
+            brand<Region>(itsRegion),
+        ]),
+    );
+}
+
 /** Reads a settings file. Errors carry file, line, column and what was expected. */
 export function readGatewaySettings(file: string): Result<GatewaySettings, FileFault[]> {
     const text = readTextFile(file);
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -7,9 +7,11 @@
     type Drain,
     eraOf,
     findConfigurationFault,
+    type FleetMember,
     fleetShareOf,
     type InstanceCapacity,
     ownerOf,
+    routersForCaller,
     type RoutingTable,
     updateSharers,
 } from "@gooseberrybend/core/dispatch";
@@ -19,13 +21,13 @@
 import { CountedStore } from "./counted-store.js";
 import { CRASH_METHOD, CrashNotifier, readCrashMessage } from "./crash-notifier.js";
 import { CrashReports, SUSPECT_PREFIX } from "./crash-reports.js";
-import type { Dialect } from "./dialect.js";
+import type { AddressQuery, Dialect } from "./dialect.js";
 import { EndpointConnections } from "./endpoint-connections.js";
 import { EndpointRegistrations, shortestExpiryMs } from "./endpoint-registrations.js";
 import { FLEET_PREFIX, FleetRegistry, SHORTEST_ROUTER_EXPIRY_MS } from "./fleet-registry.js";
 import type { GatewayContext } from "./gateway-context.js";
 import { createGatewayMetrics, type GatewayMetrics } from "./gateway-metrics.js";
-import type { GatewaySettings } from "./gateway-settings.js";
+import { type GatewaySettings, regionTableOf } from "./gateway-settings.js";
 import { Ingress } from "./ingress.js";
 import { LARGE_VALUE_METHOD, LargeValues } from "./large-values.js";
 import { LIMIT_PREFIX, LimitReports } from "./limit-reports.js";
@@ -225,16 +227,33 @@
     }
 
     /** Returns the body of an address response, or undefined when no router serves callers. */
-    answerAddresses(): unknown {
+    answerAddresses(query?: AddressQuery): unknown {
         const { serving } = this.registry;
         if (serving.length === 0) {
             return undefined;
         }
-        const addresses = addressesForCaller(serving, Math.random);
+        const addresses = addressesForCaller(this.routersFor(serving, query), Math.random);
         const lifetimeMs = Math.min(ADDRESS_LIFETIME_MS, this.settings.bounds.addressLifetimeMs);
         return this.dialect.addressBody(addresses, lifetimeMs);
     }
 
+    private routersFor(serving: readonly FleetMember[], query: AddressQuery | undefined): readonly FleetMember[] {
+        const regions = regionTableOf(this.settings);
+        const routes = this.table?.routesByHost.get(query?.host?.split(":")[0]!.toLowerCase() ?? "") ?? [];
+        const callerRegion = query?.region ?? (query?.domain === undefined ? undefined : regions.get(query.domain));
+        const { routers, choice } = routersForCaller(serving, routes, callerRegion, regions);
+        this.metrics.addressAnswers.inc({ choice });
+        if (choice !== "unrestricted") {
+            this.logs.fleet.debug("Routers chosen for an address query.", {
+                ...query,
+                choice,
+                routers: routers.length,
+                serving: serving.length,
+            });
+        }
+        return routers;
+    }
+
     private countStoreCall(operation: string, result: string): void {
         this.metrics.storeCalls.inc({ operation, result });
         const name = `${operation} ${result}`;
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -1,9 +1,11 @@
 import { type AccountId, brand } from "@gooseberrybend/core";
 import {
     acceptsWhileDraining,
+    allowedRegionsOf,
     digestRequest,
     type Drain,
     findRoute,
+    hasEndpointInRegions,
     pickService,
     type Route,
     type RoutingTable,
@@ -17,6 +19,7 @@
 import type { CallerFields } from "./dialect.js";
 import { Exchange } from "./exchange.js";
 import type { GatewayContext } from "./gateway-context.js";
+import { regionTableOf } from "./gateway-settings.js";
 import type { LoadMonitor } from "./load-monitor.js";
 import { type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
 
@@ -195,6 +198,17 @@
             this.refuse(fields, response, "no-endpoint", STARTING_RETRY_AFTER_MS, { route: route.name });
             return;
         }
+        const allowed = allowedRegionsOf(route, account);
+        const regions = allowed && { allowed, table: regionTableOf(context.settings()) };
+        if (regions !== undefined && !hasEndpointInRegions(context.endpoints, service.name, regions)) {
+            this.refuse(fields, response, "no-endpoint-in-regions", retryAfterMs(context.random()), {
+                route: route.name,
+                account: account?.id,
+                service: service.name,
+                regions: allowed,
+            });
+            return;
+        }
         const { drain } = this.gateway;
         const now = context.clock();
         // The time that its body took to arrive has passed.
@@ -228,7 +242,19 @@
             return;
         }
         const isTrial = admission.kind === "trial";
-        const admitted = { request, response, body, fields, route, service, account, features, isTrial, arrivedAt };
+        const admitted = {
+            request,
+            response,
+            body,
+            fields,
+            route,
+            service,
+            account,
+            regions,
+            features,
+            isTrial,
+            arrivedAt,
+        };
         const exchange = new Exchange(context, admitted);
         this.exchanges.add(exchange);
         response.once("close", () => this.exchanges.delete(exchange));
--- a/packages/router/src/gateway/internal.controller.ts
+++ b/packages/router/src/gateway/internal.controller.ts
@@ -33,14 +33,14 @@
     /** Addresses and readiness, at the paths of the dialect. */
     @Get("*")
     async getDialectPath(@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
-        const path = request.url.split("?")[0];
+        const [path, parameters] = request.url.split("?", 2);
         const { dialect } = this.gateway;
         if (path === dialect.readyPath) {
             await reply.status(this.gateway.ready ? 200 : 503).send();
             return;
         }
         if (path === dialect.addressPath) {
-            const answer = this.gateway.answerAddresses();
+            const answer = this.gateway.answerAddresses(dialect.readAddressQuery(new URLSearchParams(parameters)));
             await (answer === undefined ? reply.status(503).send() : reply.status(200).send(answer));
             return;
         }
--- a/packages/router/src/gateway/placement-log.ts
+++ b/packages/router/src/gateway/placement-log.ts
@@ -5,7 +5,7 @@
 /** Logs the endpoint that was chosen for an attempt to serve a request, and what decided it. */
 export function logPlacement(
     context: GatewayContext,
-    { fields, route, account, features, arrivedAt }: AdmittedRequest,
+    { fields, route, account, features, regions, arrivedAt }: AdmittedRequest,
     row: EndpointState,
     attempt: number,
     now: number,
@@ -23,6 +23,8 @@
         configuration: context.configurationVersion(),
         configurationAgeMs: Math.round(configurationAgeMs),
         changesAgeMs: Math.round(changesAgeMs),
+        regions: regions?.allowed,
+        region: regions?.table.get(row.entry.domain),
         ...context.suspects.figures(features),
         ...endpointFigures(context.endpoints, row, now),
     });
--- a/packages/router/src/gateway/refusal.ts
+++ b/packages/router/src/gateway/refusal.ts
@@ -1,4 +1,9 @@
-import { type EndpointTable, isServiceLimited, type ServiceName } from "@gooseberrybend/core/dispatch";
+import {
+    type EndpointTable,
+    hasEndpointInRegions,
+    isServiceLimited,
+    type PlacementQuery,
+} from "@gooseberrybend/core/dispatch";
 import type { ServerResponse } from "node:http";
 
 /** HTTP status of a refusal, by its cause. */
@@ -11,6 +16,7 @@
     "budget-unavailable": 503,
     "no-configuration": 503,
     "no-endpoint": 503,
+    "no-endpoint-in-regions": 503,
     "endpoint-full": 503,
     "endpoints-limited": 503,
     "deadline-exceeded": 503,
@@ -24,9 +30,15 @@
 /** Cause of a refusal. */
 export type RefusalCause = keyof typeof refusalStatus;
 
-/** Returns why no endpoint of a service can be chosen. */
-export function noEndpointCause(endpoints: EndpointTable, service: ServiceName): RefusalCause {
-    return isServiceLimited(endpoints, service) ? "endpoints-limited" : "no-endpoint";
+/** Returns why no endpoint can be chosen. */
+export function noEndpointCause(
+    endpoints: EndpointTable,
+    { service, regions }: Pick<PlacementQuery, "service" | "regions">,
+): RefusalCause {
+    if (regions !== undefined && !hasEndpointInRegions(endpoints, service, regions)) {
+        return "no-endpoint-in-regions";
+    }
+    return isServiceLimited(endpoints, service, regions) ? "endpoints-limited" : "no-endpoint";
 }
 
 /** Refuses a request. Statuses 429 and 503 state that it has not run and never will. */
--- a/packages/router/src/gateway/send-options.ts
+++ b/packages/router/src/gateway/send-options.ts
@@ -7,7 +7,7 @@
 /** Returns what the choice of an endpoint for a request depends on. `tried` is the set of endpoints it was sent to. */
 export function placementQueryOf(
     context: GatewayContext,
-    { route, fields, service, account }: AdmittedRequest,
+    { route, fields, service, account, regions }: AdmittedRequest,
     tried: ReadonlySet<EndpointId>,
 ): PlacementQuery {
     return {
@@ -20,6 +20,7 @@
         isRepeat: false,
         priority: account?.priority ?? route.priority,
         cacheMs: context.settings().bounds.promptCacheMs,
+        regions,
     };
 }
 
