Let routers of each region serve where routes name regions

Callers are directed to the largest routers of the fleet. If all large routers are in one region, no router of another region serves, and an address response for a host whose routes name regions falls back to routers outside the caller's region and the named ones.

Where a route names regions, the largest routers of each region serve as well, to half of the region's capacity. Responses to which no regions apply, and the choice of store watchers, still use the largest of the fleet, so small routers of a region get no other callers. Without such routes nothing changes.

--- a/packages/core/src/dispatch/fleet.ts
+++ b/packages/core/src/dispatch/fleet.ts
@@ -1,4 +1,5 @@
 import { rendezvousFirst, rendezvousOrder } from "../support/rendezvous.js";
+import type { RegionTable } from "./regions.js";
 import type { FleetMember } from "./types.js";
 
 /** Maximum number of router addresses in one response. */
@@ -8,15 +9,28 @@
 /** Minimum number of routers that callers are sent to, so that a choice remains after one crash. */
 const MIN_SERVING_ROUTERS = 3;
 
+/**
+ * Returns the routers that callers are sent to. With regions, the largest ones of each region are among them, so that
+ * the callers of a region can be kept there.
+ */
+export function servingRouters(members: Iterable<FleetMember>, regions?: RegionTable): FleetMember[] {
+    const all = [...members];
+    const regionNames = new Set(regions?.values() ?? []);
+    const regional = [...regionNames].flatMap((region) =>
+        largestRouters(all.filter((member) => regions?.get(member.domain) === region))
+    );
+    return [...new Set([...largestRouters(all), ...regional])];
+}
+
 type Candidate = { readonly member: FleetMember; readonly weight: number; };
 
 /**
- * Chooses the routers that callers are sent to: the largest ones, spread over the failure domains. With
+ * Chooses the largest routers, spread over the failure domains. With
  * fewer routers, each sees more of the endpoints' load and holds larger parts of the accounts' tokens. Each
  * router under high load adds capacity of its own size. The choice is the same on all routers without coordination.
  */
-export function servingRouters(members: Iterable<FleetMember>): FleetMember[] {
-    const candidates = candidatesOf([...members]);
+export function largestRouters(members: readonly FleetMember[]): FleetMember[] {
+    const candidates = candidatesOf(members);
     const total = candidates.reduce((sum, { weight }) => sum + weight, 0);
     const chosen: Candidate[] = [];
     const perDomain = new Map<string, number>();
--- a/packages/core/src/dispatch/regions.test.ts
+++ b/packages/core/src/dispatch/regions.test.ts
@@ -3,6 +3,7 @@
 import { hasEndpointInRegions, isServiceLimited, recordLeaving, returnDelayMs } from "./endpoint-availability.js";
 import { recordStatedLimit, updateSharers } from "./endpoint-limits.js";
 import { createEndpointTable, type EndpointTable, putEndpoint } from "./endpoint-table.js";
+import { largestRouters, servingRouters } from "./fleet.js";
 import { memberOf } from "./mocks/fleet-members.js";
 import { chooseEndpoint, type PlacementQuery } from "./placement.js";
 import { allowedRegionsOf, isInAllowedRegion, type RegionRestriction, routersForCaller } from "./regions.js";
@@ -125,7 +126,7 @@
 describe("the routers for a caller", () => {
     const serving = ["a", "b", "c", "x"].map((domain) => memberOf(`router-${domain}`, {}, domain));
     const choose = (routes: readonly (readonly Region[])[], callerRegion: Region | undefined, members = serving) => {
-        const choice = routersForCaller(members, routes.map((regions) => ({ regions })), callerRegion, table);
+        const choice = routersForCaller(members, serving, routes.map((regions) => ({ regions })), callerRegion, table);
         return [choice.choice, ...choice.routers.map(({ name }) => name)];
     };
     const all = serving.map(({ name }) => name);
@@ -146,6 +147,26 @@
         expect(choose([[north]], brand<Region>("elsewhere"))).toEqual(["allowed-regions", "router-a", "router-b"]);
     });
 
+    // Guards against callers of a region with small routers only, which are sent to other regions or to all of these.
+    it("include the largest of each region, of a fleet whose large routers are all in one", () => {
+        const large = Array.from({ length: 6 }, (unused, index) => memberOf(`large-${index}`, {}, "a"));
+        const capacity = { cores: 0.2, linkMbps: 10 };
+        const small = Array.from({ length: 8 }, (unused, index) => memberOf(`small-${index}`, { capacity }, "c"));
+        const fleet = [...large, ...small, memberOf("far", { capacity }, "x")];
+        const largest = largestRouters(fleet);
+        expect(largest.every(({ domain }) => domain === "a")).toBe(true);
+        expect(new Set(servingRouters(fleet))).toEqual(new Set(largest));
+        const regional = servingRouters(fleet, table);
+        expect(regional.filter(({ domain }) => domain === "c")).toHaveLength(4);
+        expect(regional.filter(({ domain }) => domain === "x")).toHaveLength(0);
+        const routersOf = (regions: Region[], callerRegion: Region | undefined) =>
+            routersForCaller(regional, largest, [{ regions }], callerRegion, table).routers;
+        expect(routersOf([north], south).every(({ domain }) => domain === "c")).toBe(true);
+        expect(routersOf([south], undefined).every(({ domain }) => domain === "c")).toBe(true);
+        expect(routersOf([], south)).toEqual(largest);
+        expect(routersOf([west], west)).toEqual(largest);
+    });
+
     it("are all serving ones if the routes have no region in common, or none that has routers", () => {
         expect(choose([[north], [south]], west)).toEqual(["fallback", ...all]);
         expect(choose([[west]], undefined)).toEqual(["fallback", ...all]);
--- a/packages/core/src/dispatch/regions.ts
+++ b/packages/core/src/dispatch/regions.ts
@@ -38,18 +38,19 @@
 export type RegionalRouters = { readonly routers: readonly FleetMember[]; readonly choice: AddressChoice; };
 
 /**
- * Chooses the routers that a caller is directed to. If a route of its host names regions, these are the routers of the
- * caller's region, otherwise those of regions that all routes of the host allow, otherwise all.
+ * Chooses the routers that a caller is directed to. If a route of its host names regions, these are the serving ones of
+ * the caller's region, otherwise those of regions that all routes of the host allow; otherwise the largest of the fleet.
  */
 export function routersForCaller(
     serving: readonly FleetMember[],
+    largest: readonly FleetMember[],
     routesOfHost: readonly Pick<Route, "regions">[],
     callerRegion: Region | undefined,
     table: RegionTable,
 ): RegionalRouters {
     const allowed = commonRegions(routesOfHost.map((route) => route.regions));
     if (allowed === undefined) {
-        return { routers: serving, choice: "unrestricted" };
+        return { routers: largest, choice: "unrestricted" };
     }
     const inRegions = (regions: readonly Region[]): FleetMember[] =>
         serving.filter((member) => isInAllowedRegion(member.domain, { allowed: regions, table }));
@@ -60,7 +61,7 @@
     const permitted = inRegions(allowed);
     return permitted.length > 0
         ? { routers: permitted, choice: "allowed-regions" }
-        : { routers: serving, choice: "fallback" };
+        : { routers: largest, choice: "fallback" };
 }
 
 // Intersects the lists that name regions; undefined if none does.
--- a/packages/router/src/gateway/fleet-registry.ts
+++ b/packages/router/src/gateway/fleet-registry.ts
@@ -1,5 +1,11 @@
 import { brand, type FailureDomain, type Incarnation } from "@gooseberrybend/core";
-import { type FleetMember, servingRouters, storeWatchersOf } from "@gooseberrybend/core/dispatch";
+import {
+    type FleetMember,
+    largestRouters,
+    type RegionTable,
+    servingRouters,
+    storeWatchersOf,
+} from "@gooseberrybend/core/dispatch";
 import { z } from "zod";
 import type { GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoredItem } from "./metadata-store.js";
@@ -36,6 +42,9 @@
     private readonly peerAddresses = new Map<string, string>();
     /** Cached value of `serving`; cleared when the members change. */
     private cachedServing: readonly FleetMember[] | undefined;
+    /** Cached value of `largest`; cleared when the members change. */
+    private cachedLargest: readonly FleetMember[] | undefined;
+    private regions: RegionTable | undefined;
     /** Last non-empty store watchers: kept without members, as a store partition expires all registrations. */
     private cachedStoreWatchers: readonly FleetMember[] = [];
     private areStoreWatchersCurrent = false;
@@ -84,10 +93,22 @@
 
     /** The routers that callers are sent to. */
     get serving(): readonly FleetMember[] {
-        this.cachedServing ??= servingRouters(this.members.values());
+        this.cachedServing ??= servingRouters(this.members.values(), this.regions);
         return this.cachedServing;
     }
 
+    /** The routers that callers are sent to wherever no regions apply: the largest of the fleet. */
+    get largest(): readonly FleetMember[] {
+        this.cachedLargest ??= largestRouters([...this.members.values()]);
+        return this.cachedLargest;
+    }
+
+    /** Sets the regions in each of which routers serve; undefined if no route names regions. */
+    setRegions(regions: RegionTable | undefined): void {
+        this.regions = regions;
+        this.cachedServing = undefined;
+    }
+
     /** Whether callers are sent to this router. */
     get isServing(): boolean {
         return this.serving.some((member) => member.name === this.self.name);
@@ -95,8 +116,8 @@
 
     /** The routers that watch the store and forward its changes to the others. */
     get storeWatchers(): readonly FleetMember[] {
-        if (!this.areStoreWatchersCurrent && this.serving.length > 0) {
-            this.cachedStoreWatchers = storeWatchersOf(this.serving);
+        if (!this.areStoreWatchersCurrent && this.largest.length > 0) {
+            this.cachedStoreWatchers = storeWatchersOf(this.largest);
             this.areStoreWatchersCurrent = true;
         }
         return this.cachedStoreWatchers;
@@ -252,12 +273,14 @@
         this.members.set(key, member);
         this.peerAddresses.set(member.name, member.peerAddress);
         this.cachedServing = undefined;
+        this.cachedLargest = undefined;
         this.areStoreWatchersCurrent = false;
     }
 
     private deleteMember(key: string): void {
         this.members.delete(key);
         this.cachedServing = undefined;
+        this.cachedLargest = undefined;
         this.areStoreWatchersCurrent = false;
     }
 }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -228,20 +228,21 @@
 
     /** Returns the body of an address response, or undefined when no router serves callers. */
     answerAddresses(query?: AddressQuery): unknown {
-        const { serving } = this.registry;
-        if (serving.length === 0) {
+        const routers = this.routersFor(query);
+        if (routers.length === 0) {
             return undefined;
         }
-        const addresses = addressesForCaller(this.routersFor(serving, query), Math.random);
+        const addresses = addressesForCaller(routers, Math.random);
         const lifetimeMs = Math.min(ADDRESS_LIFETIME_MS, this.settings.bounds.addressLifetimeMs);
         return this.dialect.addressBody(addresses, lifetimeMs);
     }
 
-    private routersFor(serving: readonly FleetMember[], query: AddressQuery | undefined): readonly FleetMember[] {
+    private routersFor(query: AddressQuery | undefined): readonly FleetMember[] {
+        const { serving, largest } = this.registry;
         const regions = regionTableOf(this.settings);
         const routes = this.table?.routesByHost.get(query?.host?.split(":")[0]!.toLowerCase() ?? "") ?? [];
         const callerRegion = query?.region ?? (query?.domain === undefined ? undefined : regions.get(query.domain));
-        const { routers, choice } = routersForCaller(serving, routes, callerRegion, regions);
+        const { routers, choice } = routersForCaller(serving, largest, routes, callerRegion, regions);
         this.metrics.addressAnswers.inc({ choice });
         if (choice !== "unrestricted") {
             this.logs.fleet.debug("Routers chosen for an address query.", {
@@ -442,6 +443,8 @@
         }
         this.table = createRoutingTable(configuration);
         this.ingress.setLimits(configuration.limits);
+        const namesRegions = configuration.routes.some((route) => (route.regions ?? []).length > 0);
+        this.registry.setRegions(namesRegions ? regionTableOf(this.settings) : undefined);
         const totals = new Map(
             (configuration.accounts ?? [])
                 .filter((account) => account.prepaidTokens !== undefined)
