--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -16,6 +16,7 @@
 export * from "./prepaid-restatement.js";
 export * from "./prepaid.js";
 export * from "./prompt-parts.js";
+export * from "./regions.js";
 export * from "./request-digest.js";
 export * from "./reserve-readiness.js";
 export * from "./response-verdict.js";
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -111,7 +111,7 @@
         const query = { ...this.query, isRepeat: this.sends > 0 && !this.answer.isHeadSent };
         const placement = chooseEndpoint(this.context.endpoints, query, this.context.random, now);
         if (placement === undefined) {
-            const cause = noEndpointCause(this.context.endpoints, this.query.service, now);
+            const cause = noEndpointCause(this.context.endpoints, this.query, now);
             return this.refuseOrAbort(cause, this.waitMs(now));
         }
         const { row, units } = placement;
@@ -413,7 +413,7 @@
 
     // Time in ms after which an endpoint may accept the request.
     private waitMs(now: number): number {
-        return returnDelayMs(this.context.endpoints, this.query.service, now) + retryAfterMs(this.context.random());
+        return returnDelayMs(this.context.endpoints, this.query, now) + retryAfterMs(this.context.random());
     }
 
     private handleDeadline(): void {
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -9,12 +9,10 @@
     findConfigurationFault,
     type FleetMember,
     fleetShareOf,
-    INITIAL_RESERVE_READINESS,
     type InstanceCapacity,
-    isReserveReady,
-    nextReserveReadiness,
     ownerOf,
     recordLostContact,
+    routersForCaller,
     type RoutingTable,
     updateSharers,
 } from "@gooseberrybend/core/dispatch";
@@ -25,13 +23,13 @@
 import { CountedStore } from "./counted-store.js";
 import { CRASH_METHOD, CrashNotifier, readCrashMessage } from "./crash-notifier.js";
 import { CrashReports, SUSPECT_PREFIX } from "./crash-reports.js";
-import type { Dialect } from "./dialect.js";
+import type { AddressQuery, Dialect } from "./dialect.js";
 import { EndpointConnections } from "./endpoint-connections.js";
 import { EndpointRegistrations, shortestExpiryMs } from "./endpoint-registrations.js";
 import { FLEET_PREFIX, FleetRegistry, SHORTEST_ROUTER_EXPIRY_MS } from "./fleet-registry.js";
 import type { GatewayContext } from "./gateway-context.js";
 import { createGatewayMetrics, type GatewayMetrics } from "./gateway-metrics.js";
-import type { GatewaySettings } from "./gateway-settings.js";
+import { type GatewaySettings, regionTableOf } from "./gateway-settings.js";
 import { Ingress } from "./ingress.js";
 import { LARGE_VALUE_METHOD, LargeValues } from "./large-values.js";
 import { LIMIT_PREFIX, LimitReports } from "./limit-reports.js";
@@ -42,6 +40,7 @@
 import { CHANGE_FEED_METHOD, ChangeHistory, PeerChangeFeed } from "./peer-change-feed.js";
 import { PoisonRequestTracker, type SuspectEvent } from "./poison-request-tracker.js";
 import { PREPAID_PREFIX, PrepaidAccounts } from "./prepaid-accounts.js";
+import { ReserveMonitor } from "./reserve-monitor.js";
 import { SHARED_PREFIX } from "./shared-prefix.js";
 import { CHECKPOINT_PREFIX } from "./spending-checkpoints.js";
 import { StoreFollower } from "./store-follower.js";
@@ -66,9 +65,7 @@
     table: RoutingTable | undefined;
     /** Set once the router drains. */
     drain: Drain | undefined;
-    /** True while this router is in reserve and reports that it is not ready because of callers that stay with it. */
-    movesCallersAway = false;
-    private reserveReadiness = INITIAL_RESERVE_READINESS;
+    readonly reserve: ReserveMonitor;
     private readonly self: FleetMember;
     private readonly endpoints = createEndpointTable();
     private readonly connections = new EndpointConnections();
@@ -97,6 +94,7 @@
         const store = new CountedStore(platformStore, (operation, result) => this.countStoreCall(operation, result));
         this.logs = createGatewayLogs(settings.log);
         this.load = new LoadMonitor(this.logs);
+        this.reserve = new ReserveMonitor(this.metrics, this.logs);
         const incarnation = brand<Incarnation>(randomBytes(9).toString("base64url"));
         const domain = brand<FailureDomain>(settings.domain);
         this.self = {
@@ -208,7 +206,7 @@
      * endpoints.
      */
     get ready(): boolean {
-        return this.drain === undefined && !this.movesCallersAway && this.table !== undefined
+        return this.drain === undefined && !this.reserve.movesCallers && this.table !== undefined
             && this.endpoints.rows.size > 0;
     }
 
@@ -247,16 +245,34 @@
     }
 
     /** Returns the body of an address response, or undefined when no router serves callers. */
-    answerAddresses(): unknown {
-        const { serving } = this.registry;
-        if (serving.length === 0) {
+    answerAddresses(query?: AddressQuery): unknown {
+        const routers = this.routersFor(query);
+        if (routers.length === 0) {
             return undefined;
         }
-        const addresses = addressesForCaller(serving, this.settings.callers.minCapacityShare, Math.random);
+        const addresses = addressesForCaller(routers, this.settings.callers.minCapacityShare, Math.random);
         const lifetimeMs = Math.min(ADDRESS_LIFETIME_MS, this.settings.bounds.addressLifetimeMs);
         return this.dialect.addressBody(addresses, lifetimeMs);
     }
 
+    private routersFor(query: AddressQuery | undefined): readonly FleetMember[] {
+        const { serving, largest } = this.registry;
+        const regions = regionTableOf(this.settings);
+        const routes = this.table?.routesByHost.get(query?.host?.split(":")[0]!.toLowerCase() ?? "") ?? [];
+        const callerRegion = query?.region ?? (query?.domain === undefined ? undefined : regions.get(query.domain));
+        const { routers, choice } = routersForCaller(serving, largest, routes, callerRegion, regions);
+        this.metrics.addressAnswers.inc({ choice });
+        if (choice !== "unrestricted") {
+            this.logs.fleet.debug("Routers chosen for an address query.", {
+                ...query,
+                choice,
+                routers: routers.length,
+                serving: serving.length,
+            });
+        }
+        return routers;
+    }
+
     private countStoreCall(operation: string, result: string): void {
         this.metrics.storeCalls.inc({ operation, result });
         const name = `${operation} ${result}`;
@@ -282,30 +298,13 @@
         this.registry.publishHighLoad(this.load.isUnderHighLoad);
         const serving = this.registry.serving.map((member) => member.name);
         updateSharers(this.endpoints.limits, this.settings.name, serving, this.registry.members.size, this.clock());
-        this.updateReserveReadiness(this.clock());
-        this.coldEndpoints.update(this.settings.bounds, this.clock());
-    }
-
-    private updateReserveReadiness(now: number): void {
-        const before = this.reserveReadiness;
-        this.reserveReadiness = nextReserveReadiness(before, {
+        this.reserve.update({
             self: this.self,
             serving: this.registry.serving,
             minCapacityShare: this.settings.callers.minCapacityShare,
             utilization: this.load.utilization,
-        }, now);
-        const isReady = isReserveReady(this.reserveReadiness, now);
-        if (isReady !== this.movesCallersAway) {
-            return;
-        }
-        this.movesCallersAway = !isReady;
-        this.metrics.movesCallers.set(isReady ? 0 : 1);
-        this.logs.fleet.info(
-            isReady
-                ? "Router in reserve reports that it is ready again."
-                : "Router in reserve is under load; reporting that it is not ready, so that callers move to others.",
-            { utilization: this.load.utilization, serving: this.registry.serving.length },
-        );
+        }, this.clock());
+        this.coldEndpoints.update(this.settings.bounds, this.clock());
     }
 
     // One router would be enough; the few that follow the store only repeat each other's work.
@@ -470,6 +469,8 @@
         this.table = createRoutingTable(configuration);
         this.coldEndpoints.setRules(configuration.services);
         this.ingress.setLimits(configuration.limits);
+        const namesRegions = configuration.routes.some((route) => (route.regions ?? []).length > 0);
+        this.registry.setRegions(namesRegions ? regionTableOf(this.settings) : undefined);
         const totals = new Map(
             (configuration.accounts ?? [])
                 .filter((account) => account.prepaidTokens !== undefined)
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -1,9 +1,11 @@
 import { type AccountId, brand } from "@gooseberrybend/core";
 import {
     acceptsWhileDraining,
+    allowedRegionsOf,
     digestRequest,
     type Drain,
     findRoute,
+    hasEndpointInRegions,
     pickService,
     type Route,
     type RoutingTable,
@@ -17,8 +19,10 @@
 import type { CallerFields } from "./dialect.js";
 import { Exchange } from "./exchange.js";
 import type { GatewayContext } from "./gateway-context.js";
+import { regionTableOf } from "./gateway-settings.js";
 import type { LoadMonitor } from "./load-monitor.js";
 import { type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
+import type { ReserveMonitor } from "./reserve-monitor.js";
 
 /** Interval in ms of checking for connections that are too slow. */
 const CONNECTION_CHECK_INTERVAL_MS = 250;
@@ -49,7 +53,7 @@
     readonly context: GatewayContext;
     readonly table: RoutingTable | undefined;
     readonly drain: Drain | undefined;
-    readonly movesCallersAway: boolean;
+    readonly reserve: Pick<ReserveMonitor, "movesCallers">;
     readonly load: Pick<LoadMonitor, "shedShare" | "unreadMs">;
 };
 
@@ -117,7 +121,7 @@
             this.arriving.delete(request);
         });
         response.on("error", () => undefined);
-        if (this.gateway.drain !== undefined || this.gateway.movesCallersAway) {
+        if (this.gateway.drain !== undefined || this.gateway.reserve.movesCallers) {
             response.shouldKeepAlive = false;
         }
         const limit = this.gateway.table?.configuration.limits.bodyBytes ?? INITIAL_MAX_BODY_BYTES;
@@ -196,6 +200,17 @@
             this.refuse(fields, response, "no-endpoint", STARTING_RETRY_AFTER_MS, { route: route.name });
             return;
         }
+        const allowed = allowedRegionsOf(route, account);
+        const regions = allowed && { allowed, table: regionTableOf(context.settings()) };
+        if (regions !== undefined && !hasEndpointInRegions(context.endpoints, service.name, regions)) {
+            this.refuse(fields, response, "no-endpoint-in-regions", retryAfterMs(context.random()), {
+                route: route.name,
+                account: account?.id,
+                service: service.name,
+                regions: allowed,
+            });
+            return;
+        }
         const { drain } = this.gateway;
         const now = context.clock();
         // The time that its body took to arrive has passed.
@@ -229,7 +244,19 @@
             return;
         }
         const isTrial = admission.kind === "trial";
-        const admitted = { request, response, body, fields, route, service, account, features, isTrial, arrivedAt };
+        const admitted = {
+            request,
+            response,
+            body,
+            fields,
+            route,
+            service,
+            account,
+            regions,
+            features,
+            isTrial,
+            arrivedAt,
+        };
         const exchange = new Exchange(context, admitted);
         this.exchanges.add(exchange);
         response.once("close", () => this.exchanges.delete(exchange));
