Use all four figures of the load header in placement

The header's third and fourth figures (slots, pace of the machine in percent) were not read, and one invalid figure hid the others.

Each figure is now decoded by itself; an invalid one leaves the last valid one in force. Reported slots replace the registered ones, and the pace is a factor on an endpoint's cost whose weight halves every 100 ms, as it changes many times a second. Both count only for endpoints that report the pace, so placement is unchanged for two and three figures. Negative and empty figures, which were read as numbers before, are ignored.

placement.test.ts calls recordLoadReport with an object, as its parameters changed; its expectations are the same.

--- a/packages/core/src/dispatch/endpoint-health.ts
+++ b/packages/core/src/dispatch/endpoint-health.ts
@@ -1,5 +1,6 @@
 import { limitFigures } from "./endpoint-limits.js";
 import type { EndpointState, EndpointTable, ServicePace } from "./endpoint-table.js";
+import { paceFactor } from "./load-report.js";
 
 /** Half-life in ms of an outcome's weight, so that the last few seconds of traffic dominate. */
 const OUTCOME_HALF_LIFE_MS = 3_000;
@@ -74,6 +75,8 @@
         endpoint: row.entry.id,
         open: row.open,
         loadAgeMs: row.load === undefined ? undefined : Math.round(now - row.load.at),
+        slots: row.machine?.slots,
+        paceFactor: row.machine === undefined ? undefined : Number(paceFactor(row, now).toFixed(2)),
         failureRate: Number(failureRate(row, now).toFixed(2)),
         ...limitFigures(table.limits, row.entry, now),
     };
--- a/packages/core/src/dispatch/endpoint-table.ts
+++ b/packages/core/src/dispatch/endpoint-table.ts
@@ -2,9 +2,17 @@
 import { createEndpointLimits, type EndpointLimits } from "./endpoint-limits.js";
 import type { EndpointEntry, PromptPartId, ServiceName } from "./types.js";
 
-/** Last load report of an endpoint. */
+/** Requests at an endpoint by its last load report. */
 export type EndpointLoad = { readonly running: number; readonly waiting: number; readonly at: number; };
 
+/** State of an endpoint's machine by its last load report with a pace, which was read at a time in ms. */
+export type MachineLoad = {
+    readonly slots: number | undefined;
+    /** Time that work takes, in percent of the usual time. */
+    readonly pacePercent: number;
+    readonly at: number;
+};
+
 /** This router's view of an endpoint. Times in ms. */
 export type EndpointState = {
     entry: EndpointEntry;
@@ -15,6 +23,8 @@
     /** In-flight requests of this router at the time of the last load report. */
     openAtLoad: number;
     load: EndpointLoad | undefined;
+    /** Undefined for endpoints that report no pace. */
+    machine: MachineLoad | undefined;
     /** Prompt tokens of this router's requests that have no response yet. */
     waitingPromptTokens: number;
     /** Time of the oldest send since bytes last arrived from the endpoint. */
@@ -98,6 +108,7 @@
         open: 0,
         openAtLoad: 0,
         load: undefined,
+        machine: undefined,
         waitingPromptTokens: 0,
         unansweredSince: undefined,
         outcomes: 0,
--- a/packages/core/src/dispatch/placement.test.ts
+++ b/packages/core/src/dispatch/placement.test.ts
@@ -2,7 +2,8 @@
 import { brand, type EndpointId, type FailureDomain } from "../types/ids.js";
 import { recordConnectFailure, recordOutcome } from "./endpoint-health.js";
 import { createEndpointTable, type EndpointState, type EndpointTable, putEndpoint } from "./endpoint-table.js";
-import { chooseEndpoint, type PlacementQuery, rankAtEngine, recordLoadReport, recordSend } from "./placement.js";
+import { type LoadReport, recordLoadReport } from "./load-report.js";
+import { chooseEndpoint, type PlacementQuery, rankAtEngine, recordSend } from "./placement.js";
 import type { PromptPartId, ServiceName } from "./types.js";
 
 const service = brand<ServiceName>("engines");
@@ -56,6 +57,10 @@
     cacheMs: 0,
 };
 
+function reportOf(running: number, waiting: number, slots?: number, pacePercent?: number): LoadReport {
+    return { running, waiting, slots, pacePercent };
+}
+
 function choose(table: EndpointTable, query: PlacementQuery, now = 0): EndpointState {
     return chooseEndpoint(table, query, () => 0.5, now)!.row;
 }
@@ -112,12 +117,53 @@
         it("go to the endpoint that reports the least load", () => {
             const table = tableOf(2);
             const [busy, idle] = [...table.rows.values()];
-            recordLoadReport(busy!, 6, 4, 0);
-            recordLoadReport(idle!, 0, 0, 0);
+            recordLoadReport(busy!, reportOf(6, 4), 0);
+            recordLoadReport(idle!, reportOf(0, 0), 0);
             expect(choose(table, plainQuery)).toBe(idle);
         });
     });
 
+    // Each case is one endpoint more loaded or slower than another, as on hosts that other work shares.
+    describe("load reports with four figures", () => {
+        const pairOf = (): [EndpointTable, EndpointState, EndpointState] => {
+            const table = tableOf(2);
+            return [table, ...[...table.rows.values()] as [EndpointState, EndpointState]];
+        };
+
+        it("keep requests off a machine that is slow now, but not once the report is old", () => {
+            const [table, slow, usual] = pairOf();
+            recordLoadReport(slow, reportOf(0, 0, 6, 300), 0);
+            recordLoadReport(usual, reportOf(1, 0, 6, 100), 0);
+            expect(choose(table, plainQuery, 10)).toBe(usual);
+            expect(choose(table, plainQuery, 500)).toBe(slow);
+        });
+
+        it("replace the registered slots", () => {
+            const [table, small, large] = pairOf();
+            recordLoadReport(small, reportOf(2, 0, 3, 100), 0);
+            recordLoadReport(large, reportOf(3, 0, 12, 100), 0);
+            expect(choose(table, plainQuery)).toBe(large);
+        });
+
+        it("change nothing without the pace", () => {
+            const [table, one, other] = pairOf();
+            recordLoadReport(one, reportOf(2, 0, 1), 0);
+            recordLoadReport(other, reportOf(3, 0, 100), 0);
+            expect(choose(table, plainQuery)).toBe(one);
+        });
+
+        it("leave the last valid figures in force where one is invalid", () => {
+            const [table, one, other] = pairOf();
+            recordLoadReport(one, reportOf(3, 0, 6, 100), 0);
+            recordLoadReport(one, { running: undefined, waiting: 2, slots: 0, pacePercent: 0 }, 50);
+            expect(one.load).toEqual({ running: 3, waiting: 2, at: 50 });
+            expect(one.machine).toEqual({ slots: 6, pacePercent: 100, at: 0 });
+            recordLoadReport(other, { running: undefined, waiting: 2, slots: undefined, pacePercent: 100 }, 0);
+            expect(other.load).toBeUndefined();
+            expect(choose(table, plainQuery)).toBe(other);
+        });
+    });
+
     describe("a degraded endpoint", () => {
         it("receives few requests if it fails half of them", () => {
             const table = tableOf(4);
--- a/packages/core/src/dispatch/placement.ts
+++ b/packages/core/src/dispatch/placement.ts
@@ -4,6 +4,7 @@
 import { failureRate, isSilent } from "./endpoint-health.js";
 import { allowsSend, isTrialDue, recordLimitedSend } from "./endpoint-limits.js";
 import type { EndpointState, EndpointTable, ServicePace } from "./endpoint-table.js";
+import { busyRequests, paceFactor, slotsOf } from "./load-report.js";
 import { sharedParts } from "./prompt-parts.js";
 import type { EngineDeclaration, PromptPart, PromptPartId, ServiceName } from "./types.js";
 
@@ -81,27 +82,19 @@
 }
 
 function costOf(row: EndpointState, query: PlacementQuery, preferred: EndpointState | undefined, now: number): number {
-    const penalty = (1 + FAILURE_WEIGHT * failureRate(row, now)) * Math.max(0.5, row.slowness);
+    const penalty = (1 + FAILURE_WEIGHT * failureRate(row, now)) * Math.max(0.5, row.slowness)
+        * paceFactor(row, now);
     const otherDomain = row.entry.domain !== query.domain;
     const busy = busyRequests(row);
     if (query.engine === undefined) {
-        const perSlot = (busy + 1) / Math.max(1, row.entry.slots);
-        return (perSlot + (otherDomain ? DOMAIN_COST_SHARE / Math.max(1, row.entry.slots) : 0)) * penalty;
+        const slots = Math.max(1, slotsOf(row, row.entry.slots));
+        return ((busy + 1) / slots + (otherDomain ? DOMAIN_COST_SHARE / slots : 0)) * penalty;
     }
     const reading = row.waitingPromptTokens + uncachedTokens(row, query, row === preferred, now);
-    const crowding = busy >= query.engine.slots ? reading + query.engine.memoryTokens : 0;
+    const crowding = busy >= slotsOf(row, query.engine.slots) ? reading + query.engine.memoryTokens : 0;
     return (reading + RUNNING_COST_TOKENS * (busy + 1) + crowding) * penalty + (otherDomain ? DOMAIN_COST_TOKENS : 0);
 }
 
-// Estimates the requests at an endpoint from its last load report and this router's sends since then.
-function busyRequests(row: EndpointState): number {
-    if (row.load === undefined) {
-        return row.open;
-    }
-    const reported = row.load.running + row.load.waiting;
-    return Math.max(row.open, reported + row.open - row.openAtLoad);
-}
-
 // Session affinity: the engine that all routers prefer for a session, by rendezvous hashing.
 function preferredEngine(rows: readonly EndpointState[], parts: readonly PromptPart[]): EndpointState | undefined {
     const session = sessionPart(parts);
@@ -179,12 +172,6 @@
     }
 }
 
-/** Records a load report. */
-export function recordLoadReport(row: EndpointState, running: number, waiting: number, now: number): void {
-    row.load = { running, waiting, at: now };
-    row.openAtLoad = row.open;
-}
-
 function rememberPart(row: EndpointState, part: PromptPartId, now: number): void {
     row.parts.delete(part);
     row.parts.set(part, now);
--- a/packages/router/src/gateway/dialect.ts
+++ b/packages/router/src/gateway/dialect.ts
@@ -3,6 +3,7 @@
     AccessKey,
     EndpointEntry,
     FleetConfiguration,
+    LoadReport,
     PromptPart,
     TokenBound,
 } from "@gooseberrybend/core/dispatch";
@@ -46,7 +47,7 @@
     readonly requestId: string | undefined;
     /** True if the endpoint states that it did not run the request. */
     readonly notRun: boolean;
-    readonly load: { readonly running: number; readonly waiting: number; } | undefined;
+    readonly load: LoadReport | undefined;
     /** True if the response proves that the endpoint ran the request. */
     readonly sealed: boolean;
     /** True if the endpoint announces that it is leaving. */
--- a/packages/router/src/gateway/response-head.ts
+++ b/packages/router/src/gateway/response-head.ts
@@ -50,7 +50,7 @@
     recordFirstByte(row, query);
     recordDuration(paceOf(context.endpoints, query.service), row, now - send.sentAt, send.expectedWork);
     if (fields?.load !== undefined) {
-        recordLoadReport(row, fields.load.running, fields.load.waiting, now);
+        recordLoadReport(row, fields.load, now);
     }
     recordAvailability(context, send, now);
 }
