Refuse requests early where capacity at their service is short

Nothing compared the expected time to the first byte with a request's time left, and an account that sent most of the load filled all queues.

admission.ts decides before the first send. A request is refused as not run if a lower bound of its time to the first byte exceeds its time left at all usable endpoints (deadline-unreachable), or, while all of them are full, if its account uses more than its share at this router (account-over-share). Retry times are handed out in order. It is in force where all usable endpoints report the fourth load figure, or by the setting admission.mode.

In the queue simulation of admission.test.ts (three orders, over 1,000 refusals each) no refused request would have been answered in time.

--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -1,3 +1,4 @@
+export * from "./admission.js";
 export * from "./attempts.js";
 export * from "./change-deadline.js";
 export * from "./configuration-fault.js";
--- a/packages/core/src/dispatch/placement.ts
+++ b/packages/core/src/dispatch/placement.ts
@@ -124,7 +124,7 @@
 }
 
 /** Fixed prefill cost of any prompt, in prompt tokens. */
-const FIXED_COST_TOKENS = 1_500;
+export const FIXED_COST_TOKENS = 1_500;
 
 // The unit of work is a prompt token for engines and a request for plain services.
 function workUnits(row: EndpointState, query: PlacementQuery, isPreferred: boolean, now: number): number {
@@ -184,6 +184,8 @@
 const MAX_RANK = 9;
 /** Ranks for each step of a declared priority. */
 const RANKS_PER_PRIORITY = 3;
+/** Step of a declared priority as a share of all ranks. */
+export const RANK_STEP_SHARE = RANKS_PER_PRIORITY / MAX_RANK;
 /** Expected prefill times, as shares of the target, above which a request ranks behind shorter ones. */
 const LONG_PROMPT_TARGET_SHARES = [0.1, 0.35] as const;
 
--- a/packages/router/src/gateway/endpoint-send.ts
+++ b/packages/router/src/gateway/endpoint-send.ts
@@ -22,6 +22,8 @@
     /** False only if the connection was opened for this request. */
     onReusedConnection: boolean;
     hasResponded: boolean;
+    /** Time in ms at which the response head arrived; undefined before. */
+    respondedAt: number | undefined;
     ended: boolean;
     status: number;
     fields: EndpointFields | undefined;
@@ -49,6 +51,7 @@
         requestStarted: false,
         onReusedConnection: true,
         hasResponded: false,
+        respondedAt: undefined,
         ended: false,
         status: 0,
         fields: undefined,
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -1,5 +1,6 @@
 import type { EndpointId } from "@gooseberrybend/core";
 import {
+    type AdmissionFigures,
     type AttemptState,
     chooseEndpoint,
     impliesNotRun,
@@ -13,6 +14,7 @@
     stillAcceptsRequests,
 } from "@gooseberrybend/core/dispatch";
 import type { Dispatcher } from "undici";
+import { checkAdmission, recordServedTimes } from "./admission-check.js";
 import type { AdmittedRequest } from "./admitted-request.js";
 import { CallerAnswer } from "./caller-answer.js";
 import { REFUSED_CODE } from "./connection-check.js";
@@ -52,6 +54,8 @@
     private send: Send | undefined;
     private timer: NodeJS.Timeout | undefined;
     private firstMs: number | undefined;
+    /** Figures of the request's admission if capacity was short. */
+    private shortage: AdmissionFigures | undefined;
 
     constructor(private readonly context: GatewayContext, private readonly admitted: AdmittedRequest) {
         const { route, fields, arrivedAt } = admitted;
@@ -79,23 +83,18 @@
         response.on("close", this.guarded(() => this.handleCallerDisconnect()));
         const leftMs = Math.max(0, this.deadline - this.context.clock());
         this.timer = setTimeout(this.guarded(() => this.handleDeadline()), leftMs);
-        if (await this.reserve()) {
-            recordFirst(this.context, this.query.service, this.context.clock());
-            this.dispatch();
-        }
-    }
-
-    private async reserve(): Promise<boolean> {
         const reservation = await this.tokenClaim.reserve(this.admitted.route.targetMs);
         if (this.isFinished) {
-            this.tokenClaim.settle(0);
-            return false;
+            return this.tokenClaim.settle(0);
         }
-        const refusal = this.tokenClaim.refusalOf(reservation);
-        if (refusal !== undefined) {
-            this.refuse(refusal.cause, refusal.retryAfterMs, this.tokenClaim.figures());
+        const { context, admitted, query, deadline } = this;
+        const admission = checkAdmission(context, admitted, query, deadline, this.tokenClaim, reservation);
+        if (admission.kind === "refuse") {
+            return this.refuse(admission.cause, admission.retryAfterMs, admission.figures);
         }
-        return refusal === undefined;
+        this.shortage = admission.figures;
+        recordFirst(context, query.service, context.clock());
+        this.dispatch();
     }
 
     private dispatch(): void {
@@ -118,7 +117,7 @@
         const send = createSend(row, units, now);
         const options = sendOptions(this.context, this.admitted, row, this.deadline - now, this.splitter.lastEventId);
         this.send = send;
-        logPlacement(this.context, this.admitted, row, this.sends + 1, now);
+        logPlacement(this.context, this.admitted, row, this.sends + 1, this.shortage, now);
         setTimeout(this.guarded(() => this.handleConnectTimeout(send), send), CONNECT_TIMEOUT_MS);
         recordSend(this.context.endpoints, row, this.query, this.context.random, now);
         const fault = dispatchSend(this.context, this.admitted.service, send, options, this.handlerOf(send));
@@ -276,6 +275,7 @@
         this.endSend(send, failed, verdict === "complete");
         if (send.fields!.sealed && !send.fields!.notRun && !failed) {
             this.context.suspects.recordResponse(send.row.entry, send.trackedSend!, send.status, send.end);
+            recordServedTimes(this.context, this.query, send);
         }
         if (verdict === "complete" || failed || send.verdict?.kind === "not-run") {
             this.handleEndedResponse(send);
--- a/packages/router/src/gateway/gateway-context.ts
+++ b/packages/router/src/gateway/gateway-context.ts
@@ -1,5 +1,6 @@
 import type { FailureDomain } from "@gooseberrybend/core";
 import type {
+    AdmissionState,
     EndpointEntry,
     EndpointTable,
     ResponseEnd,
@@ -10,7 +11,7 @@
 import type { Dispatcher } from "undici";
 import type { AdmittedRequest } from "./admitted-request.js";
 import type { Dialect } from "./dialect.js";
-import type { LimitEvent } from "./gateway-metrics.js";
+import type { AdmissionOutcome, LimitEvent } from "./gateway-metrics.js";
 import type { GatewaySettings } from "./gateway-settings.js";
 import type { LimitReports } from "./limit-reports.js";
 import type { GatewayLogs } from "./log-sink.js";
@@ -24,6 +25,7 @@
     readonly domain: FailureDomain;
     readonly endpoints: EndpointTable;
     readonly retries: RetryQuota;
+    readonly admission: AdmissionState;
     readonly prepaid: PrepaidAccounts;
     readonly suspects: PoisonRequestTracker;
     readonly limitReports: LimitReports;
@@ -49,6 +51,7 @@
     readonly countResponse: (end: ResponseEnd | "broken") => void;
     readonly countEndpointRefusal: (hasId: boolean, onReusedConnection: boolean) => void;
     readonly countLimitEvent: (event: LimitEvent) => void;
+    readonly countAdmission: (outcome: AdmissionOutcome) => void;
     readonly observeUnread: (unreadMs: number) => void;
     readonly observeFirstByte: (request: AdmittedRequest, now: number) => void;
     readonly observeRequestEnd: (outcome: string, tookMs: number) => void;
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -12,6 +12,12 @@
 /** Event of the request limit of an endpoint. */
 export type LimitEvent = typeof limitEvents[number];
 
+/** Decisions about requests while capacity was short or their deadlines could not be met, as counted in the metrics. */
+export const admissionOutcomes = ["admitted", "deadline-unreachable", "account-over-share"] as const;
+
+/** Decision about a request for which capacity was short. */
+export type AdmissionOutcome = typeof admissionOutcomes[number];
+
 /** How responses of endpoints end, as counted in the metrics. */
 export const responseEnds = ["complete", "connection-closed", "broken"] as const;
 
@@ -33,6 +39,10 @@
         "event",
     ]);
     limitEvents.forEach((event) => limits.inc({ event }, 0));
+    const admissions = counter("admission_decisions_total", "Decisions about requests while capacity was short.", [
+        "outcome",
+    ]);
+    admissionOutcomes.forEach((outcome) => admissions.inc({ outcome }, 0));
     const responses = counter("endpoint_responses_total", "Responses of endpoints by how they ended.", ["end"]);
     responseEnds.forEach((end) => responses.inc({ end }, 0));
     return {
@@ -40,6 +50,7 @@
         refusals,
         suspects,
         limits,
+        admissions,
         responses,
         endpointRefusals: counter(
             "endpoint_refusals_total",
--- a/packages/router/src/gateway/gateway-settings.ts
+++ b/packages/router/src/gateway/gateway-settings.ts
@@ -50,6 +50,10 @@
         coreSpeed: positive.default(1),
         linkMbps: positive.default(1_000),
     }).prefault({}),
+    admission: z.object({
+        /** Where requests are refused for want of capacity; "reported": where all endpoints report their pace. */
+        mode: z.enum(["off", "reported", "always"]).default("reported"),
+    }).prefault({}),
     log: z.object({ level: z.enum(["debug", "info", "warn", "error"]).default("info") }).prefault({}),
 });
 
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -276,6 +276,7 @@
             domain,
             endpoints: this.endpoints,
             retries: new Map(),
+            admission: new Map(),
             prepaid: this.prepaid,
             suspects: this.suspects,
             limitReports: this.limitReports,
@@ -301,6 +302,7 @@
                     connection: onReusedConnection ? "reused" : "new",
                 }),
             countLimitEvent: (event) => this.metrics.limits.inc({ event }),
+            countAdmission: (outcome) => this.metrics.admissions.inc({ outcome }),
             observeUnread: (unreadMs) => this.metrics.unreadSeconds.observe(unreadMs / 1_000),
             observeFirstByte: (request, now) =>
                 this.metrics.firstByteSeconds.observe((now - request.arrivedAt) / 1_000),
--- a/packages/router/src/gateway/placement-log.ts
+++ b/packages/router/src/gateway/placement-log.ts
@@ -1,4 +1,4 @@
-import { endpointFigures, type EndpointState } from "@gooseberrybend/core/dispatch";
+import { type AdmissionFigures, endpointFigures, type EndpointState } from "@gooseberrybend/core/dispatch";
 import type { AdmittedRequest } from "./admitted-request.js";
 import type { GatewayContext } from "./gateway-context.js";
 
@@ -8,6 +8,7 @@
     { fields, route, account, features, arrivedAt }: AdmittedRequest,
     row: EndpointState,
     attempt: number,
+    shortage: AdmissionFigures | undefined,
     now: number,
 ): void {
     const changesAgeMs = context.changesAgeMs(now);
@@ -24,6 +25,7 @@
         configurationAgeMs: Math.round(configurationAgeMs),
         changesAgeMs: Math.round(changesAgeMs),
         ...context.suspects.figures(features),
+        shortage,
         ...endpointFigures(context.endpoints, row, now),
     });
 }
--- a/packages/router/src/gateway/refusal.ts
+++ b/packages/router/src/gateway/refusal.ts
@@ -14,6 +14,8 @@
     "endpoint-full": 503,
     "endpoints-limited": 503,
     "deadline-exceeded": 503,
+    "deadline-unreachable": 503,
+    "account-over-share": 503,
     "draining": 503,
     "router-overloaded": 503,
     "poison-request": 503,
