--- a/packages/core/src/dispatch/admission.ts
+++ b/packages/core/src/dispatch/admission.ts
@@ -46,7 +46,7 @@
 export type AdmissionCause = "deadline-unreachable" | "account-over-share";
 
 /** Log fields of a decision. */
-export type AdmissionFigures = Readonly<Record<string, number>>;
+export type AdmissionFigures = Readonly<Record<string, number | undefined>>;
 
 /** Decision about a request; a retry time in ms belongs to each refusal. */
 export type AdmissionDecision =
@@ -75,8 +75,8 @@
 const REPORT_AGE_RANGE_MS = [250, 2_000] as const;
 /** Time in ms in which the use of an account loses half of its weight; bursts of a second are not held against it. */
 const USE_HALF_LIFE_MS = 2_000;
-/** Time in ms after which a use is forgotten; about 0.1 % of it would be left. */
-const USE_MEMORY_MS = 10 * USE_HALF_LIFE_MS;
+/** Units below which a use is forgotten. */
+const MIN_USE_UNITS = 0.01;
 /** Part of all use from which an account counts among those that share a service. */
 const MIN_ACTIVE_SHARE = 0.01;
 /** Multiple of an equal share that accounts may use in a shortage, as their use fluctuates. */
@@ -102,7 +102,15 @@
     expectedMs: number;
 };
 
-/** Decides whether a request may be sent. State and table change only by the return times handed out. */
+/** What an endpoint's queue looks like; the age of its report in ms. */
+type RowLoad = {
+    readonly busy: number;
+    readonly slots: number;
+    readonly pace: number;
+    readonly reportAgeMs: number;
+};
+
+/** Decides whether a request may be sent. A refusal hands out the next return time. */
 export function decideAdmission(
     state: AdmissionState,
     table: EndpointTable,
@@ -136,7 +144,7 @@
         ...figures,
         accounts: share.accounts,
         usedUnits: Math.round(share.usedUnits),
-        shareUnits: Math.round(share.shareUnits),
+        shareUnits: share.accounts <= 1 ? undefined : Math.round(share.shareUnits),
     };
     if (request.isContinuation || share.use === undefined || share.usedUnits <= share.shareUnits) {
         return { kind: "admit", figures: shareFigures };
@@ -168,8 +176,10 @@
             return undefined;
         }
         const slots = Math.max(1, slotsOf(row, query.engine?.slots ?? row.entry.slots));
-        const leastMs = leastFirstByteMs(row, demand, query, slots, now);
-        const isFull = row.open >= slots || isFullByReport(row, demand, slots, now);
+        const reportAgeMs = now - (row.load?.at ?? now);
+        const rowLoad = { busy: busyRequests(row), slots, pace: paceFactor(row, now), reportAgeMs };
+        const leastMs = leastFirstByteMs(demand, query, rowLoad);
+        const isFull = row.open >= slots || isFullByReport(row, demand, rowLoad);
         if (!isFull && leastMs <= timeLeftMs) {
             return undefined;
         }
@@ -177,7 +187,7 @@
         load.endpoints++;
         load.slots += slots;
         load.leastMs = Math.min(load.leastMs, leastMs);
-        load.expectedMs = Math.min(load.expectedMs, expectedFirstByteMs(row, demand, query, slots, now));
+        load.expectedMs = Math.min(load.expectedMs, expectedFirstByteMs(demand, query, rowLoad));
     }
     return load.endpoints > 0 && (load.isShort || load.leastMs > timeLeftMs) ? load : undefined;
 }
@@ -187,45 +197,35 @@
         && !query.tried.has(row.entry.id);
 }
 
-function isFullByReport(row: EndpointState, { slotMs }: ServiceDemand, slots: number, now: number): boolean {
-    if (row.load === undefined || (row.load.waiting === 0 && busyRequests(row) < slots)) {
+function isFullByReport(
+    { load }: EndpointState,
+    { slotMs }: ServiceDemand,
+    { busy, slots, reportAgeMs }: RowLoad,
+): boolean {
+    if (load === undefined || (load.waiting === 0 && busy < slots)) {
         return false;
     }
     const [minAgeMs, maxAgeMs] = REPORT_AGE_RANGE_MS;
-    const startMs = (row.load.waiting + 1) * slotMs / slots;
-    return now - row.load.at <= Math.min(maxAgeMs, Math.max(minAgeMs, startMs));
+    const startMs = (load.waiting + 1) * slotMs / slots;
+    return reportAgeMs <= Math.min(maxAgeMs, Math.max(minAgeMs, startMs));
 }
 
-/**
- * Returns the expected time in ms to the first byte of a request at an endpoint: the requests that wait there by its
- * last report, their time in its slots, its pace, and the prompt.
- */
-export function expectedFirstByteMs(
-    row: EndpointState,
-    demand: Pick<ServiceDemand, "leastMsPerUnit" | "slotMs">,
-    query: PlacementQuery,
-    slots: number,
-    now: number,
-): number {
-    const rounds = Math.max(0, busyRequests(row) + 1 - slots) / slots;
-    return (rounds * demand.slotMs + demand.leastMsPerUnit * leastWork(query)) * paceFactor(row, now);
+// Expected time in ms: the requests that wait there by the last report, their time in the slots, the prompt, the pace.
+function expectedFirstByteMs(demand: ServiceDemand, query: PlacementQuery, { busy, slots, pace }: RowLoad): number {
+    const rounds = Math.max(0, busy + 1 - slots) / slots;
+    return (rounds * demand.slotMs + demand.leastMsPerUnit * leastWork(query)) * pace;
 }
 
-/**
- * Returns a lower bound of that time. Requests that run may all end at once, so only whole rounds of the slots count;
- * the queue may have shrunk since the report; engines serve urgent requests first; slow machines may become usual.
- */
+// A lower bound of that time. Requests that run may all end at once, so only whole rounds of the slots count;
+// the queue may have shrunk since the report; engines serve urgent requests first; slow machines may become usual.
 function leastFirstByteMs(
-    row: EndpointState,
     demand: ServiceDemand,
     query: PlacementQuery,
-    slots: number,
-    now: number,
+    { busy, slots, pace, reportAgeMs }: RowLoad,
 ): number {
     const aheadShare = query.engine === undefined ? 1 : Math.min(1, query.priority * RANK_STEP_SHARE);
-    const rounds = Math.floor(Math.max(0, busyRequests(row) - slots) * aheadShare / slots);
-    const certainShare = CERTAIN_SHARE * Math.min(1, paceFactor(row, now));
-    const reportAgeMs = now - (row.load?.at ?? now);
+    const rounds = Math.floor(Math.max(0, busy - slots) * aheadShare / slots);
+    const certainShare = CERTAIN_SHARE * Math.min(1, pace);
     return Math.max(0, rounds * demand.slotMs * certainShare - reportAgeMs)
         + demand.leastMsPerUnit * leastWork(query) * certainShare;
 }
@@ -254,27 +254,28 @@
     const use = demand.uses.get(account ?? NO_ACCOUNT);
     let total = 0;
     for (const [id, other] of demand.uses) {
-        if (now - other.at > USE_MEMORY_MS) {
+        decay(other, now);
+        if (other.units < MIN_USE_UNITS) {
             demand.uses.delete(id);
-            continue;
         }
-        total += decayedUnits(other, now);
+        total += other.units;
     }
     let accounts = 0;
     for (const other of demand.uses.values()) {
-        accounts += decayedUnits(other, now) >= MIN_ACTIVE_SHARE * total ? 1 : 0;
+        accounts += other.units >= MIN_ACTIVE_SHARE * total ? 1 : 0;
     }
     const tolerance = query.priority === 0 ? URGENT_SHARE_TOLERANCE : SHARE_TOLERANCE;
     return {
         use,
-        usedUnits: use === undefined ? 0 : decayedUnits(use, now),
+        usedUnits: use?.units ?? 0,
         shareUnits: accounts <= 1 ? Infinity : tolerance * total / accounts,
         accounts,
     };
 }
 
-function decayedUnits(use: AccountUse, now: number): number {
-    return use.units * 0.5 ** ((now - use.at) / USE_HALF_LIFE_MS);
+function decay(use: AccountUse, now: number): void {
+    use.units *= 0.5 ** ((now - use.at) / USE_HALF_LIFE_MS);
+    use.at = now;
 }
 
 /** Records that a request was admitted, for the share of its account. */
@@ -290,8 +291,8 @@
         uses.set(account, { units, at: now, returnAt: -Infinity });
         return;
     }
-    use.units = decayedUnits(use, now) + units;
-    use.at = now;
+    decay(use, now);
+    use.units += units;
 }
 
 /** Records the times of a complete response that an endpoint gave by running its request. */
