--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -1,3 +1,4 @@
+export * from "./admission.js";
 export * from "./attempts.js";
 export * from "./change-deadline.js";
 export * from "./cold-endpoints.js";
@@ -9,6 +10,7 @@
 export * from "./endpoint-limits.js";
 export * from "./endpoint-table.js";
 export * from "./fleet.js";
+export * from "./load-report.js";
 export * from "./placement.js";
 export * from "./prepaid-intervals.js";
 export * from "./prepaid-loan.js";
--- a/packages/core/src/dispatch/placement.ts
+++ b/packages/core/src/dispatch/placement.ts
@@ -4,6 +4,7 @@
 import { failureRate, isSilent } from "./endpoint-health.js";
 import { allowsSend, isTrialDue, recordLimitedSend } from "./endpoint-limits.js";
 import type { EndpointState, EndpointTable, ServicePace } from "./endpoint-table.js";
+import { busyRequests, paceFactor, slotsOf } from "./load-report.js";
 import { sharedParts } from "./prompt-parts.js";
 import { isInAllowedRegion, type RegionRestriction } from "./regions.js";
 import type { EngineDeclaration, PromptPart, PromptPartId, ServiceName } from "./types.js";
@@ -85,27 +86,19 @@
 }
 
 function costOf(row: EndpointState, query: PlacementQuery, preferred: EndpointState | undefined, now: number): number {
-    const penalty = (1 + FAILURE_WEIGHT * failureRate(row, now)) * Math.max(0.5, row.slowness);
+    const penalty = (1 + FAILURE_WEIGHT * failureRate(row, now)) * Math.max(0.5, row.slowness)
+        * paceFactor(row, now);
     const otherDomain = row.entry.domain !== query.domain;
     const busy = busyRequests(row);
     if (query.engine === undefined) {
-        const perSlot = (busy + 1) / Math.max(1, row.entry.slots);
-        return (perSlot + (otherDomain ? DOMAIN_COST_SHARE / Math.max(1, row.entry.slots) : 0)) * penalty;
+        const slots = Math.max(1, slotsOf(row, row.entry.slots));
+        return ((busy + 1) / slots + (otherDomain ? DOMAIN_COST_SHARE / slots : 0)) * penalty;
     }
     const reading = row.waitingPromptTokens + uncachedTokens(row, query, row === preferred, now);
-    const crowding = busy >= query.engine.slots ? reading + query.engine.memoryTokens : 0;
+    const crowding = busy >= slotsOf(row, query.engine.slots) ? reading + query.engine.memoryTokens : 0;
     return (reading + RUNNING_COST_TOKENS * (busy + 1) + crowding) * penalty + (otherDomain ? DOMAIN_COST_TOKENS : 0);
 }
 
-// Estimates the requests at an endpoint from its last load report and this router's sends since then.
-function busyRequests(row: EndpointState): number {
-    if (row.load === undefined) {
-        return row.open;
-    }
-    const reported = row.load.running + row.load.waiting;
-    return Math.max(row.open, reported + row.open - row.openAtLoad);
-}
-
 // Session affinity: the engine that all routers prefer for a session, by rendezvous hashing.
 function preferredEngine(rows: readonly EndpointState[], parts: readonly PromptPart[]): EndpointState | undefined {
     const session = sessionPart(parts);
@@ -135,7 +128,7 @@
 }
 
 /** Fixed prefill cost of any prompt, in prompt tokens. */
-const FIXED_COST_TOKENS = 1_500;
+export const FIXED_COST_TOKENS = 1_500;
 
 // The unit of work is a prompt token for engines and a request for plain services.
 function workUnits(row: EndpointState, query: PlacementQuery, isPreferred: boolean, now: number): number {
@@ -183,12 +176,6 @@
     }
 }
 
-/** Records a load report. */
-export function recordLoadReport(row: EndpointState, running: number, waiting: number, now: number): void {
-    row.load = { running, waiting, at: now };
-    row.openAtLoad = row.open;
-}
-
 function rememberPart(row: EndpointState, part: PromptPartId, now: number): void {
     row.parts.delete(part);
     row.parts.set(part, now);
@@ -201,6 +188,8 @@
 const MAX_RANK = 9;
 /** Ranks for each step of a declared priority. */
 const RANKS_PER_PRIORITY = 3;
+/** Step of a declared priority as a share of all ranks. */
+export const RANK_STEP_SHARE = RANKS_PER_PRIORITY / MAX_RANK;
 /** Expected prefill times, as shares of the target, above which a request ranks behind shorter ones. */
 const LONG_PROMPT_TARGET_SHARES = [0.1, 0.35] as const;
 
