--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -53,7 +53,7 @@
     readonly context: GatewayContext;
     readonly table: RoutingTable | undefined;
     readonly drain: Drain | undefined;
-    readonly reserve: Pick<ReserveMonitor, "movesCallers">;
+    readonly reserve: Pick<ReserveMonitor, "movesCallers" | "recordRequest">;
     readonly load: Pick<LoadMonitor, "shedShare" | "unreadMs">;
 };
 
@@ -113,6 +113,7 @@
         const arrivedAt = now - unreadMs;
         this.gateway.context.observeUnread(unreadMs);
         this.openRequests++;
+        this.gateway.reserve.recordRequest();
         this.arriving.set(request, response);
         const { socket } = request;
         response.once("close", () => {
