Evacuate failure domains at the operator's request

Cause: an operator who is about to take a failure domain down could not keep requests away from its endpoints.

Change: a key below op/evacuate/ keeps requests away from the endpoints of a failure domain until it is removed; they are cold then. The keys are part of the change feed and its deadline, which counts evacuationMs where it is set. In a store that came back from an older copy a missing key counts as removed after 5 s. If all staying endpoints of a service are evacuated, its requests are refused with 503 endpoints-evacuated. A router without any source of changes reads one more prefix from the store.

--- a/packages/core/src/dispatch/endpoint-availability.ts
+++ b/packages/core/src/dispatch/endpoint-availability.ts
@@ -1,11 +1,15 @@
 import { turnedCold } from "./cold-endpoints.js";
 import { limitInForce, takeReturnSlot } from "./endpoint-limits.js";
 import type { EndpointState, EndpointTable } from "./endpoint-table.js";
+import { isEvacuated, isServiceEvacuated } from "./evacuations.js";
 import type { ServiceName } from "./types.js";
 
 /** Maximum number of remembered leaving endpoints; the oldest, which ended long ago, are evicted first. */
 const MAX_LEAVING_STARTS = 1_000;
 
+/** Time in ms after which a caller should return while all endpoints are evacuated; nobody knows for how long. */
+const EVACUATED_RETURN_MS = 3_000;
+
 /** Records that a response announced that the endpoint leaves; this holds until it restarts. */
 export function recordLeaving(table: EndpointTable, row: EndpointState): void {
     row.announcedLeaving = true;
@@ -20,9 +24,9 @@
     row.backoffUntil = Math.max(row.backoffUntil, now + backoffMs);
 }
 
-/** Returns whether an endpoint accepts new requests, according to its registration and its responses. */
-export function acceptsRequests(row: EndpointState, now: number): boolean {
-    return !row.entry.leaving && !row.announcedLeaving && row.backoffUntil <= now;
+/** Returns whether an endpoint accepts new requests, by its registration, its responses and the operator. */
+export function acceptsRequests(table: EndpointTable, row: EndpointState, now: number): boolean {
+    return !row.entry.leaving && !row.announcedLeaving && row.backoffUntil <= now && !isEvacuated(table, row);
 }
 
 /**
@@ -31,7 +35,7 @@
  */
 export function stillAcceptsRequests(table: EndpointTable, row: EndpointState, chosenAt: number, now: number): boolean {
     return table.rows.get(row.entry.id) === row
-        && acceptsRequests(row, now)
+        && acceptsRequests(table, row, now)
         && !turnedCold(table.limits.cold, row.entry, chosenAt, now);
 }
 
@@ -50,6 +54,9 @@
 
 /** Returns the time in ms after which a caller should return whose request no endpoint accepts. */
 export function returnDelayMs(table: EndpointTable, service: ServiceName, now: number): number {
+    if (isServiceEvacuated(table, service)) {
+        return EVACUATED_RETURN_MS;
+    }
     const backoffMs = remainingBackoffMs(table, service, now);
     if (!isServiceLimited(table, service, now)) {
         return backoffMs;
@@ -60,5 +67,6 @@
 }
 
 function stayingEndpoints(table: EndpointTable, service: ServiceName): EndpointState[] {
-    return (table.byService.get(service) ?? []).filter((row) => !row.entry.leaving && !row.announcedLeaving);
+    return (table.byService.get(service) ?? [])
+        .filter((row) => !row.entry.leaving && !row.announcedLeaving && !isEvacuated(table, row));
 }
--- a/packages/core/src/dispatch/endpoint-table.ts
+++ b/packages/core/src/dispatch/endpoint-table.ts
@@ -1,4 +1,4 @@
-import type { EndpointId } from "../types/ids.js";
+import type { EndpointId, FailureDomain } from "../types/ids.js";
 import { createEndpointLimits, type EndpointLimits } from "./endpoint-limits.js";
 import type { EndpointEntry, PromptPartId, ServiceName } from "./types.js";
 
@@ -38,6 +38,17 @@
 /** Average response time per unit of work over all endpoints of a service. */
 export type ServicePace = { msPerUnit: number; };
 
+/** An evacuation of a failure domain. Times in ms. */
+export type Evacuation = {
+    /** Time at which this router learned of it. */
+    readonly since: number;
+    /** Time at which it ends unless it is written again, as it is missing in a restored store. */
+    endsAt: number | undefined;
+};
+
+/** The evacuations in force, and the time in ms until which a restored store may still lack some. */
+export type Evacuations = { readonly domains: Map<FailureDomain, Evacuation>; incompleteUntil: number; };
+
 /** All endpoints known to this router. */
 export type EndpointTable = {
     readonly rows: Map<EndpointId, EndpointState>;
@@ -46,6 +57,8 @@
     /** Start times of endpoints that announced that they leave; kept while their registrations are missing. */
     readonly leavingStarts: Map<EndpointId, number>;
     readonly limits: EndpointLimits;
+    /** Evacuations of failure domains by the operator. */
+    readonly evacuations: Evacuations;
 };
 
 /** Creates an empty table. */
@@ -56,6 +69,7 @@
         paces: new Map(),
         leavingStarts: new Map(),
         limits: createEndpointLimits(),
+        evacuations: { domains: new Map(), incompleteUntil: -Infinity },
     };
 }
 
--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -8,6 +8,7 @@
 export * from "./endpoint-health.js";
 export * from "./endpoint-limits.js";
 export * from "./endpoint-table.js";
+export * from "./evacuations.js";
 export * from "./fleet.js";
 export * from "./placement.js";
 export * from "./prepaid-intervals.js";
--- a/packages/core/src/dispatch/placement.ts
+++ b/packages/core/src/dispatch/placement.ts
@@ -51,7 +51,7 @@
     const rows = table.byService.get(query.service) ?? [];
     const draw = random();
     const accepting = rows.filter((row) =>
-        acceptsRequests(row, now) && !query.tried.has(row.entry.id)
+        acceptsRequests(table, row, now) && !query.tried.has(row.entry.id)
         && allowsSend(table.limits, row.entry, query, draw, now)
     );
     const reachable = accepting.filter((row) => row.unreachableUntil <= now);
--- a/packages/router/src/gateway/dialect.ts
+++ b/packages/router/src/gateway/dialect.ts
@@ -74,6 +74,8 @@
     abstract readonly configurationKey: string;
     /** Prefix of the keys of registered endpoints. */
     abstract readonly endpointPrefix: string;
+    /** Prefix of the keys of evacuated failure domains, followed by the domain. */
+    abstract readonly evacuationPrefix: string;
     /** Path that returns router addresses. */
     abstract readonly addressPath: string;
     /** Path of the readiness check. */
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -65,6 +65,7 @@
         ]),
         configurationVersion: gauge("configuration_version", "Version of the configuration in force."),
         endpoints: gauge("endpoints", "Endpoints that are known."),
+        evacuatedDomains: gauge("evacuated_domains", "Failure domains that are evacuated."),
         members: gauge("fleet_members", "Routers that are known."),
         firstByteSeconds: new Histogram({
             name: "gooseberrybend_first_byte_seconds",
--- a/packages/router/src/gateway/gateway-settings.ts
+++ b/packages/router/src/gateway/gateway-settings.ts
@@ -32,6 +32,8 @@
         drainMs: positive.default(2_000),
         /** Time in ms within which a changed configuration must be in force. */
         configurationMs: positive.default(2_000),
+        /** Time in ms within which an evacuation must be in force; missing if the deployment states none. */
+        evacuationMs: positive.optional(),
         /** Time in ms within which a router must exit after SIGTERM. */
         shutdownMs: positive.default(8_000),
         retryRatio: z.number().min(0).default(0.2),
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -22,6 +22,7 @@
 import { CRASH_METHOD, CrashNotifier, readCrashMessage } from "./crash-notifier.js";
 import { CrashReports, SUSPECT_PREFIX } from "./crash-reports.js";
 import type { Dialect } from "./dialect.js";
+import { DomainEvacuations } from "./domain-evacuations.js";
 import { EndpointConnections } from "./endpoint-connections.js";
 import { EndpointRegistrations, shortestExpiryMs } from "./endpoint-registrations.js";
 import { FLEET_PREFIX, FleetRegistry, SHORTEST_ROUTER_EXPIRY_MS } from "./fleet-registry.js";
@@ -74,6 +75,7 @@
     private readonly suspects: PoisonRequestTracker;
     private readonly limitReports: LimitReports;
     private readonly coldEndpoints: ColdEndpointMonitor;
+    private readonly evacuations: DomainEvacuations;
     private readonly storeCalls = new Map<string, number>();
     /** Era of the store at the last read of all its items. */
     private storeEra: number | undefined;
@@ -145,6 +147,12 @@
             this.logs,
             (event) => this.metrics.limits.inc({ event }),
         );
+        this.evacuations = new DomainEvacuations(
+            dialect.evacuationPrefix,
+            this.endpoints,
+            this.logs,
+            (count) => this.metrics.evacuatedDomains.set(count),
+        );
         const holder = { name: settings.name, incarnation, startedAt };
         this.prepaid = new PrepaidAccounts(
             store,
@@ -161,7 +169,12 @@
         const changeFeed = new PeerChangeFeed(this.peers, sources, this.clock);
         // Token records and spending checkpoints are left out: they make up most changes, and a write conflict
         // returns the newest record.
-        const feedPrefixes = [dialect.endpointPrefix, SHARED_PREFIX, dialect.configurationKey];
+        const feedPrefixes = [
+            dialect.endpointPrefix,
+            dialect.evacuationPrefix,
+            SHARED_PREFIX,
+            dialect.configurationKey,
+        ];
         const changeHistory = new ChangeHistory(feedPrefixes, this.clock);
         this.peerServer = new JSONRPCServer({
             errorListener: (detail) => this.logs.fleet.warn("JSON-RPC call of another router failed.", { detail }),
@@ -183,7 +196,7 @@
             },
             this.logs,
             this.clock,
-            () => Math.min(this.settings.bounds.drainMs, this.settings.bounds.configurationMs),
+            () => changeDeadlineMs(this.settings),
             changeFeed,
             () => this.registry.isStoreWatcher,
             changeHistory,
@@ -269,6 +282,7 @@
         this.registry.publishHighLoad(this.load.isUnderHighLoad);
         const serving = this.registry.serving.map((member) => member.name);
         updateSharers(this.endpoints.limits, this.settings.name, serving, this.registry.members.size, this.clock());
+        this.evacuations.update(this.clock());
         this.coldEndpoints.update(this.settings.bounds, this.clock());
     }
 
@@ -331,6 +345,7 @@
             this.crashReports.writeAgain(new Set(withPrefix(SUSPECT_PREFIX).map((item) => item.key)));
         }
         this.registry.replace(withPrefix(FLEET_PREFIX), this.follower.expiryGraceMs(SHORTEST_ROUTER_EXPIRY_MS, now));
+        this.evacuations.replace(withPrefix(this.dialect.evacuationPrefix), isRestored, now);
         const registered = withPrefix(this.dialect.endpointPrefix);
         const current = isRestored ? this.registrations.withoutOutdated(registered, now) : registered;
         this.registrations.replace(current, this.endpointGraceMs(now), now);
@@ -362,6 +377,9 @@
                 this.putConfiguration(item);
             }
         }
+        else if (key.startsWith(this.dialect.evacuationPrefix)) {
+            this.evacuations.apply(change, this.follower.changesMadeAfter, now);
+        }
         else if (key.startsWith(this.dialect.endpointPrefix)) {
             if (item === undefined) {
                 this.registrations.remove(key, this.endpointGraceMs(now), now);
@@ -452,6 +470,10 @@
     }
 }
 
+function changeDeadlineMs({ bounds: { drainMs, configurationMs, evacuationMs = Infinity } }: GatewaySettings): number {
+    return Math.min(drainMs, configurationMs, evacuationMs);
+}
+
 function capacityOf(settings: GatewaySettings): InstanceCapacity {
     const { coreShare, coreSpeed, linkMbps } = settings.instance;
     return { cores: coreShare * coreSpeed, linkMbps };
--- a/packages/router/src/gateway/mocks/fake-following-fleet.ts
+++ b/packages/router/src/gateway/mocks/fake-following-fleet.ts
@@ -205,7 +205,7 @@
             }
             const users = [...this.routers.values()].filter(({ table }) => {
                 const row = table.rows.get(id);
-                return row !== undefined && acceptsRequests(row, now);
+                return row !== undefined && acceptsRequests(table, row, now);
             });
             const ms = now - leftAt;
             for (const { member, excusedUntil } of users) {
--- a/packages/router/src/gateway/refusal.ts
+++ b/packages/router/src/gateway/refusal.ts
@@ -1,4 +1,9 @@
-import { type EndpointTable, isServiceLimited, type ServiceName } from "@gooseberrybend/core/dispatch";
+import {
+    type EndpointTable,
+    isServiceEvacuated,
+    isServiceLimited,
+    type ServiceName,
+} from "@gooseberrybend/core/dispatch";
 import type { ServerResponse } from "node:http";
 
 /** HTTP status of a refusal, by its cause. */
@@ -13,6 +18,7 @@
     "no-endpoint": 503,
     "endpoint-full": 503,
     "endpoints-limited": 503,
+    "endpoints-evacuated": 503,
     "deadline-exceeded": 503,
     "draining": 503,
     "router-overloaded": 503,
@@ -26,6 +32,9 @@
 
 /** Returns why no endpoint of a service can be chosen. */
 export function noEndpointCause(endpoints: EndpointTable, service: ServiceName, now: number): RefusalCause {
+    if (isServiceEvacuated(endpoints, service)) {
+        return "endpoints-evacuated";
+    }
     return isServiceLimited(endpoints, service, now) ? "endpoints-limited" : "no-endpoint";
 }
 
