--- a/packages/core/src/dispatch/admission.ts
+++ b/packages/core/src/dispatch/admission.ts
@@ -169,7 +169,7 @@
 ): ServiceLoad | undefined {
     const load: ServiceLoad = { isShort: true, endpoints: 0, slots: 0, leastMs: Infinity, expectedMs: Infinity };
     for (const row of table.byService.get(query.service) ?? []) {
-        if (!isUsable(row, query, now)) {
+        if (!isUsable(table, row, query, now)) {
             continue;
         }
         if (mode === "reported" && row.machine === undefined) {
@@ -192,8 +192,8 @@
     return load.endpoints > 0 && (load.isShort || load.leastMs > timeLeftMs) ? load : undefined;
 }
 
-function isUsable(row: EndpointState, query: PlacementQuery, now: number): boolean {
-    return acceptsRequests(row, now) && row.unreachableUntil <= now && !isSilent(row, now)
+function isUsable(table: EndpointTable, row: EndpointState, query: PlacementQuery, now: number): boolean {
+    return acceptsRequests(table, row, now) && row.unreachableUntil <= now && !isSilent(row, now)
         && !query.tried.has(row.entry.id);
 }
 
--- a/packages/core/src/dispatch/placement.ts
+++ b/packages/core/src/dispatch/placement.ts
@@ -56,7 +56,7 @@
     const draw = random();
     const accepting = rows.filter((row) =>
         isInAllowedRegion(row.entry.domain, query.regions)
-        && acceptsRequests(row, now) && !query.tried.has(row.entry.id)
+        && acceptsRequests(table, row, now) && !query.tried.has(row.entry.id)
         && allowsSend(table.limits, row.entry, query, draw, now)
     );
     const reachable = accepting.filter((row) => row.unreachableUntil <= now);
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -1,6 +1,5 @@
 import { brand, type FailureDomain, type Incarnation } from "@gooseberrybend/core";
 import {
-    addressesForCaller,
     changeSources,
     createEndpointTable,
     createRoutingTable,
@@ -12,18 +11,19 @@
     type InstanceCapacity,
     ownerOf,
     recordLostContact,
-    routersForCaller,
     type RoutingTable,
     updateSharers,
 } from "@gooseberrybend/core/dispatch";
 import { type JSONRPCRequest, type JSONRPCResponse, JSONRPCServer } from "json-rpc-2.0";
 import { randomBytes } from "node:crypto";
 import { performance } from "node:perf_hooks";
+import { AddressAnswers } from "./address-answers.js";
 import { ColdEndpointMonitor } from "./cold-endpoint-monitor.js";
 import { CountedStore } from "./counted-store.js";
 import { CRASH_METHOD, CrashNotifier, readCrashMessage } from "./crash-notifier.js";
 import { CrashReports, SUSPECT_PREFIX } from "./crash-reports.js";
-import type { AddressQuery, Dialect } from "./dialect.js";
+import type { Dialect } from "./dialect.js";
+import { DomainEvacuations } from "./domain-evacuations.js";
 import { EndpointConnections } from "./endpoint-connections.js";
 import { EndpointRegistrations, shortestExpiryMs } from "./endpoint-registrations.js";
 import { FLEET_PREFIX, FleetRegistry, SHORTEST_ROUTER_EXPIRY_MS } from "./fleet-registry.js";
@@ -46,9 +46,6 @@
 import { StoreFollower } from "./store-follower.js";
 import { LEND_METHOD } from "./token-loans.js";
 
-/** Lifetime in ms of an address response; short, so that routers can leave soon. */
-export const ADDRESS_LIFETIME_MS = 2_000;
-
 /** Interval in ms of removing expired crash reports, which count for minutes, and limits of removed endpoints. */
 const REPORT_SWEEP_INTERVAL_MS = 60_000;
 /** Interval in ms of the log line that sums up the calls to the store. */
@@ -66,6 +63,7 @@
     /** Set once the router drains. */
     drain: Drain | undefined;
     readonly reserve: ReserveMonitor;
+    readonly addresses: AddressAnswers;
     private readonly self: FleetMember;
     private readonly endpoints = createEndpointTable();
     private readonly connections = new EndpointConnections();
@@ -79,6 +77,7 @@
     private readonly suspects: PoisonRequestTracker;
     private readonly limitReports: LimitReports;
     private readonly coldEndpoints: ColdEndpointMonitor;
+    private readonly evacuations: DomainEvacuations;
     private readonly storeCalls = new Map<string, number>();
     /** Era of the store at the last read of all its items. */
     private storeEra: number | undefined;
@@ -152,6 +151,12 @@
             this.logs,
             (event) => this.metrics.limits.inc({ event }),
         );
+        this.evacuations = new DomainEvacuations(
+            dialect.evacuationPrefix,
+            this.endpoints,
+            this.logs,
+            (count) => this.metrics.evacuatedDomains.set(count),
+        );
         const holder = { name: settings.name, incarnation, startedAt };
         this.prepaid = new PrepaidAccounts(
             store,
@@ -168,7 +173,12 @@
         const changeFeed = new PeerChangeFeed(this.peers, sources, this.clock);
         // Token records and spending checkpoints are left out: they make up most changes, and a write conflict
         // returns the newest record.
-        const feedPrefixes = [dialect.endpointPrefix, SHARED_PREFIX, dialect.configurationKey];
+        const feedPrefixes = [
+            dialect.endpointPrefix,
+            dialect.evacuationPrefix,
+            SHARED_PREFIX,
+            dialect.configurationKey,
+        ];
         const changeHistory = new ChangeHistory(feedPrefixes, this.clock);
         this.peerServer = new JSONRPCServer({
             errorListener: (detail) => this.logs.fleet.warn("JSON-RPC call of another router failed.", { detail }),
@@ -190,7 +200,7 @@
             },
             this.logs,
             this.clock,
-            () => Math.min(this.settings.bounds.drainMs, this.settings.bounds.configurationMs),
+            () => changeDeadlineMs(this.settings),
             changeFeed,
             () => this.registry.isStoreWatcher,
             changeHistory,
@@ -199,6 +209,7 @@
         );
         this.context = this.createContext(domain);
         this.ingress = new Ingress(this);
+        this.addresses = new AddressAnswers(this, this.registry);
     }
 
     /**
@@ -244,35 +255,6 @@
         return Promise.resolve(this.peerServer.receive(call));
     }
 
-    /** Returns the body of an address response, or undefined when no router serves callers. */
-    answerAddresses(query?: AddressQuery): unknown {
-        const routers = this.routersFor(query);
-        if (routers.length === 0) {
-            return undefined;
-        }
-        const addresses = addressesForCaller(routers, this.settings.callers.minCapacityShare, Math.random);
-        const lifetimeMs = Math.min(ADDRESS_LIFETIME_MS, this.settings.bounds.addressLifetimeMs);
-        return this.dialect.addressBody(addresses, lifetimeMs);
-    }
-
-    private routersFor(query: AddressQuery | undefined): readonly FleetMember[] {
-        const { serving, largest } = this.registry;
-        const regions = regionTableOf(this.settings);
-        const routes = this.table?.routesByHost.get(query?.host?.split(":")[0]!.toLowerCase() ?? "") ?? [];
-        const callerRegion = query?.region ?? (query?.domain === undefined ? undefined : regions.get(query.domain));
-        const { routers, choice } = routersForCaller(serving, largest, routes, callerRegion, regions);
-        this.metrics.addressAnswers.inc({ choice });
-        if (choice !== "unrestricted") {
-            this.logs.fleet.debug("Routers chosen for an address query.", {
-                ...query,
-                choice,
-                routers: routers.length,
-                serving: serving.length,
-            });
-        }
-        return routers;
-    }
-
     private countStoreCall(operation: string, result: string): void {
         this.metrics.storeCalls.inc({ operation, result });
         const name = `${operation} ${result}`;
@@ -304,6 +286,7 @@
             minCapacityShare: this.settings.callers.minCapacityShare,
             utilization: this.load.utilization,
         }, this.clock());
+        this.evacuations.update(this.clock());
         this.coldEndpoints.update(this.settings.bounds, this.clock());
     }
 
@@ -368,6 +351,7 @@
             this.crashReports.writeAgain(new Set(withPrefix(SUSPECT_PREFIX).map((item) => item.key)));
         }
         this.registry.replace(withPrefix(FLEET_PREFIX), this.follower.expiryGraceMs(SHORTEST_ROUTER_EXPIRY_MS, now));
+        this.evacuations.replace(withPrefix(this.dialect.evacuationPrefix), isRestored, now);
         const registered = withPrefix(this.dialect.endpointPrefix);
         const current = isRestored ? this.registrations.withoutOutdated(registered, now) : registered;
         this.registrations.replace(current, this.endpointGraceMs(now), now);
@@ -399,6 +383,9 @@
                 this.putConfiguration(item);
             }
         }
+        else if (key.startsWith(this.dialect.evacuationPrefix)) {
+            this.evacuations.apply(change, this.follower.changesMadeAfter, now);
+        }
         else if (key.startsWith(this.dialect.endpointPrefix)) {
             if (item === undefined) {
                 this.registrations.remove(key, this.endpointGraceMs(now), now);
@@ -491,6 +478,10 @@
     }
 }
 
+function changeDeadlineMs({ bounds: { drainMs, configurationMs, evacuationMs = Infinity } }: GatewaySettings): number {
+    return Math.min(drainMs, configurationMs, evacuationMs);
+}
+
 function capacityOf(settings: GatewaySettings): InstanceCapacity {
     const { coreShare, coreSpeed, linkMbps } = settings.instance;
     return { cores: coreShare * coreSpeed, linkMbps };
--- a/packages/router/src/gateway/internal.controller.ts
+++ b/packages/router/src/gateway/internal.controller.ts
@@ -40,7 +40,7 @@
             return;
         }
         if (path === dialect.addressPath) {
-            const answer = this.gateway.answerAddresses(dialect.readAddressQuery(new URLSearchParams(parameters)));
+            const answer = this.gateway.addresses.answer(dialect.readAddressQuery(new URLSearchParams(parameters)));
             await (answer === undefined ? reply.status(503).send() : reply.status(200).send(answer));
             return;
         }
--- a/packages/router/src/gateway/refusal.ts
+++ b/packages/router/src/gateway/refusal.ts
@@ -1,6 +1,7 @@
 import {
     type EndpointTable,
     hasEndpointInRegions,
+    isServiceEvacuated,
     isServiceLimited,
     type PlacementQuery,
 } from "@gooseberrybend/core/dispatch";
@@ -19,6 +20,7 @@
     "no-endpoint-in-regions": 503,
     "endpoint-full": 503,
     "endpoints-limited": 503,
+    "endpoints-evacuated": 503,
     "deadline-exceeded": 503,
     "deadline-unreachable": 503,
     "account-over-share": 503,
@@ -38,6 +40,9 @@
     { service, regions }: Pick<PlacementQuery, "service" | "regions">,
     now: number,
 ): RefusalCause {
+    if (isServiceEvacuated(endpoints, service)) {
+        return "endpoints-evacuated";
+    }
     if (regions !== undefined && !hasEndpointInRegions(endpoints, service, regions)) {
         return "no-endpoint-in-regions";
     }
