Measure the tokens lost in a loss of power on the virtual clock

Cause: after a loss of power of all routers a fifth to a half of what is owed is refused, and it was not known where the tokens are.

Change: the fake fleet accounts for each token (used, counted as used though it was not, unreclaimed, of routers that are away, held, free) and for each refusal, plays restarts by SIGTERM with the store slow or cut, and starts of 0.5 to 3 s. The product is unchanged.

--- a/packages/router/src/gateway/mocks/fake-spending-fleet.ts
+++ b/packages/router/src/gateway/mocks/fake-spending-fleet.ts
@@ -9,13 +9,14 @@
     randomFraction,
 } from "@gooseberrybend/core";
 import { err, ok, type Result } from "neverthrow";
-import { createGatewayLogs } from "../log-sink.js";
+import { createGatewayLogs, LogSink } from "../log-sink.js";
 import type { MetadataStore, StoreResult, StoreTransaction } from "../metadata-store.js";
 import type { PeerCalls, PeerFailure } from "../peer-calls.js";
 import { PREPAID_PREFIX, PrepaidAccounts } from "../prepaid-accounts.js";
 import { sleep } from "../sleep.js";
 import { CHECKPOINT_PREFIX } from "../spending-checkpoints.js";
 import { FakeMetadataStore } from "./fake-metadata-store.js";
+import { TokenLedger, type TokenStanding } from "./token-ledger.js";
 
 /** Time in ms that a call to the store or to another router takes. */
 const CALL_MS = 4;
@@ -29,6 +30,12 @@
 const TOKEN_WAIT_MS = 200;
 /** Range in ms of the time that a request runs. */
 const RUN_MS = [200, 1_200] as const;
+/** Time in ms after which a process that shuts down exits, whatever became of the return of its tokens. */
+const STOP_TIMEOUT_MS = 200;
+/** Time in ms before its end in which a process that shuts down gets no more requests. */
+const MAX_RUN_MS = 1_500;
+/** Spreads the routers that accounts' callers stay with. */
+const FAVOURITE_STEP = 7;
 /** Share of a request's worst case that it uses. */
 const USED_SHARE = 0.95;
 /** Share of an account's total up to which requests are owed an answer. */
@@ -45,6 +52,10 @@
     /** Ranges of the tokens that a request may use, of kinds of requests that are equally frequent. */
     readonly requestTokens: readonly (readonly [number, number])[];
     readonly seed: number;
+    /** Range in ms of the time from the start of a process until it has read the store. */
+    readonly startMs?: readonly [number, number];
+    /** Share of an account's requests that its callers send to one router. */
+    readonly stickyShare?: number;
 };
 
 type SpendingRouter = {
@@ -54,10 +65,13 @@
 
 /** A process of a router; once it has ended, nothing that it sent arrives any more. */
 type RouterProcess = {
+    readonly incarnation: Incarnation;
     readonly accounts: PrepaidAccounts;
     readonly running: Set<RunningRequest>;
     isReady: boolean;
     hasEnded: boolean;
+    /** Whether callers no longer reach it, as it is shutting down. */
+    isLeaving: boolean;
 };
 
 type RunningRequest = { readonly account: AccountId; readonly tokens: number; };
@@ -65,6 +79,9 @@
 /** Requests since a time that were owed tokens, and how many of them got them. */
 export type SpendingFigures = { readonly owed: number; readonly served: number; };
 
+/** What became of an owed request: served, no router, or its refusal and where the tokens were then. */
+export type RequestOutcome = "served" | "no-router" | `${"exhausted" | "short"}, ${string}`;
+
 /** Routers that spend the prepaid tokens of accounts, while they lose power and the store is down. Virtual time. */
 export class FakeSpendingFleet {
     readonly store = new FakeMetadataStore();
@@ -73,12 +90,27 @@
     private readonly routers: SpendingRouter[] = [];
     private readonly accountIds: readonly AccountId[];
     private readonly random: Random;
-    private readonly logs = createGatewayLogs({ level: "error" });
-    private requests: { readonly at: number; readonly isServed: boolean; }[] = [];
+    /** Calls to the store by what was written and the result. */
+    readonly storeCalls = new Map<string, number>();
+    readonly ledger: TokenLedger;
+    /** Factor on the time of calls to the store. */
+    storeSlowdown = 1;
+    private readonly logs;
+    private requests: { readonly at: number; readonly isServed: boolean; readonly outcome: RequestOutcome; }[] = [];
     private starts = 0;
 
     constructor(private readonly options: FakeSpendingFleetOptions) {
         this.random = createRandom(options.seed);
+        const ledger = new TokenLedger(this.store, options.total);
+        this.ledger = ledger;
+        this.logs = createGatewayLogs(
+            { level: "info" },
+            new class extends LogSink {
+                override add(unusedKey: string, line: string): void {
+                    ledger.readLine(line);
+                }
+            }(),
+        );
         this.accountIds = Array.from({ length: options.accounts }, (unused, index) => brand(`account-${index + 1}`));
         for (let index = 0; index < options.routers; index++) {
             const router: SpendingRouter = { name: `router-${index + 1}`, process: undefined };
@@ -113,6 +145,46 @@
         }
     }
 
+    /** Restarts the routers in turn, `stepMs` apart: each serves on for `termMs`, and is away for `downMs`. */
+    restartOneByOne(stepMs: number, termMs: number, downMs: number): void {
+        this.routers.forEach((router, index) => {
+            setTimeout(() => void this.restartInOrder(router, termMs, downMs), index * stepMs);
+        });
+    }
+
+    private async restartInOrder(router: SpendingRouter, termMs: number, downMs: number): Promise<void> {
+        const { process } = router;
+        if (process === undefined || !process.isReady) {
+            return;
+        }
+        await sleep(termMs - MAX_RUN_MS);
+        process.isLeaving = true;
+        await sleep(MAX_RUN_MS);
+        await Promise.race([process.accounts.close(), sleep(STOP_TIMEOUT_MS)]);
+        if (!process.hasEnded) {
+            this.end(router);
+            setTimeout(() => this.start(router), downMs);
+        }
+    }
+
+    /** Returns the number of owed requests since a time in ms by what became of them. */
+    outcomesSince(at: number): Readonly<Record<string, number>> {
+        const counts: Record<string, number> = {};
+        for (const { outcome } of this.requests.filter((request) => request.at >= at)) {
+            counts[outcome] = (counts[outcome] ?? 0) + 1;
+        }
+        return counts;
+    }
+
+    /** Returns where the tokens of all accounts are. */
+    standing(): TokenStanding {
+        const live = this.routers.flatMap(({ name, process }) => process === undefined ? [] : [{ ...process, name }]);
+        const standings = this.accountIds.map((account) =>
+            this.ledger.standingOf(account, this.usedTokens(account), live)
+        );
+        return TokenLedger.sumOf(standings);
+    }
+
     /** Returns the figures of requests since a time in ms. */
     figuresSince(at: number): SpendingFigures {
         const owed = this.requests.filter((request) => request.at >= at);
@@ -136,6 +208,7 @@
         router.process = undefined;
         if (process !== undefined) {
             process.hasEnded = true;
+            this.ledger.recordEnd(process.incarnation, process.accounts.rows.values());
             process.accounts.stop();
             process.running.forEach(({ account, tokens }) => this.addUsed(account, tokens));
         }
@@ -149,6 +222,7 @@
         const startedAt = Date.now();
         const incarnation = brand<Incarnation>(`start-${++this.starts}`);
         const process: RouterProcess = {
+            incarnation,
             accounts: new PrepaidAccounts(
                 { transact: (transaction) => this.transact(process, transaction) } as MetadataStore,
                 { name: router.name, incarnation, startedAt },
@@ -163,6 +237,7 @@
             running: new Set(),
             isReady: false,
             hasEnded: false,
+            isLeaving: false,
         };
         router.process = process;
         process.accounts.setTotals(new Map(this.accountIds.map((account) => [account, this.options.total])));
@@ -170,7 +245,8 @@
     }
 
     private async read(process: RouterProcess): Promise<void> {
-        await sleep(START_MS);
+        const [min, max] = this.options.startMs ?? [START_MS, START_MS];
+        await sleep(min === max ? min : min + randomBelow(this.random, max - min));
         while (this.store.behavior !== "well") {
             await sleep(STORE_TIMEOUT_MS);
         }
@@ -186,13 +262,19 @@
     }
 
     private async transact(process: RouterProcess, transaction: StoreTransaction): Promise<StoreResult<number>> {
-        await sleep(CALL_MS / 2);
-        if (process.hasEnded) {
+        // What was sent before the process ended may still be applied.
+        await sleep(CALL_MS / 2 * this.storeSlowdown);
+        if (process.hasEnded && this.storeSlowdown === 1) {
             return new Promise(() => undefined);
         }
         const isDown = this.store.behavior !== "well";
         const result = await this.store.transact(transaction);
-        await sleep(isDown ? STORE_TIMEOUT_MS : CALL_MS / 2);
+        const kind = [...transaction.conditions.keys()].some((key) => key.startsWith(PREPAID_PREFIX))
+            ? "record"
+            : "checkpoint";
+        const counted = `${kind} ${result.kind}`;
+        this.storeCalls.set(counted, (this.storeCalls.get(counted) ?? 0) + 1);
+        await sleep(isDown ? STORE_TIMEOUT_MS : CALL_MS / 2 * this.storeSlowdown);
         return process.hasEnded ? new Promise(() => undefined) : result;
     }
 
@@ -224,23 +306,60 @@
     }
 
     private async sendRequest(): Promise<void> {
-        const ready = this.routers.flatMap(({ process }) => process?.isReady ? [process] : []);
-        const account = this.accountIds[randomBelow(this.random, this.accountIds.length)]!;
+        const ready = this.routers.flatMap(({ process }) => process?.isReady && !process.isLeaving ? [process] : []);
+        const accountIndex = randomBelow(this.random, this.accountIds.length);
+        const account = this.accountIds[accountIndex]!;
         const [min, max] = randomElement(this.random, this.options.requestTokens)!;
         const tokens = min + randomBelow(this.random, max - min);
         const isOwed = this.usedTokens(account) + tokens <= OWED_SHARE * this.options.total;
-        const process = ready[randomBelow(this.random, ready.length)];
+        const other = ready[randomBelow(this.random, ready.length)];
+        const process = this.stickyProcess(accountIndex, ready) ?? other;
         const at = Date.now();
-        const isServed = process !== undefined
-            && await process.accounts.reserve(account, tokens, TOKEN_WAIT_MS) === "reserved";
+        const reservation = await process?.accounts.reserve(account, tokens, TOKEN_WAIT_MS);
+        const isServed = process !== undefined && reservation === "reserved";
         if (isOwed) {
-            this.requests.push({ at, isServed });
+            this.requests.push({ at, isServed, outcome: this.outcomeOf(reservation, process, account, tokens) });
         }
         if (isServed) {
             await this.serve(process, { account, tokens });
         }
     }
 
+    private stickyProcess(accountIndex: number, ready: readonly RouterProcess[]): RouterProcess | undefined {
+        const { stickyShare } = this.options;
+        const isSticky = stickyShare !== undefined && randomFraction(this.random) < stickyShare;
+        const favourite = this.routers[accountIndex * FAVOURITE_STEP % this.routers.length]!.process;
+        return isSticky && favourite !== undefined && ready.includes(favourite) ? favourite : undefined;
+    }
+
+    private outcomeOf(
+        reservation: string | undefined,
+        process: RouterProcess | undefined,
+        account: AccountId,
+        tokens: number,
+    ): RequestOutcome {
+        if (reservation === undefined || process === undefined) {
+            return "no-router";
+        }
+        if (reservation === "reserved") {
+            return "served";
+        }
+        const live = this.routers.flatMap(({ name, process: each }) => each === undefined ? [] : [{ ...each, name }]);
+        const standing = this.ledger.standingOf(account, this.usedTokens(account), live);
+        const own = process.accounts.rows.get(account)!;
+        const ownHeld = own.granted - own.used - own.reserved;
+        const where = ownHeld >= tokens
+            ? "held here, not usable yet"
+            : standing.free >= tokens
+            ? "free"
+            : standing.free + standing.held >= tokens
+            ? "held by other routers"
+            : standing.unreclaimed + standing.away + standing.free + standing.held >= tokens
+            ? "not reclaimed"
+            : "counted as used";
+        return `${reservation as "exhausted" | "short"}, ${where}`;
+    }
+
     private async serve(process: RouterProcess, request: RunningRequest): Promise<void> {
         process.running.add(request);
         await sleep(RUN_MS[0] + randomBelow(this.random, RUN_MS[1] - RUN_MS[0]));
