--- a/packages/core/src/dispatch/shedding.test.ts
+++ b/packages/core/src/dispatch/shedding.test.ts
@@ -19,6 +19,20 @@
             expect(Math.max(...settled)).toBeLessThan(0.7);
         });
 
+        // Guards against requests that lie unread until their deadlines in the seconds in which callers are moved.
+        it("is refused faster while its callers move to other routers", () => {
+            const samplesUntilHalf = (movesCallers: boolean): number => {
+                let [share, samples] = [0, 0];
+                for (; share < 0.5; samples++) {
+                    share = nextShedShare(share, 1, movesCallers);
+                }
+                return samples;
+            };
+            expect(samplesUntilHalf(true)).toBe(1);
+            expect(samplesUntilHalf(false)).toBeGreaterThan(1);
+            expect(nextShedShare(0.6, 0.5, true)).toBe(nextShedShare(0.6, 0.5));
+        });
+
         it("is admitted in full again after the load ends", () => {
             const shares = simulate([...Array.from({ length: 20 }, () => 3), ...Array.from({ length: 20 }, () => 0.3)]);
             expect(shares.at(-1)).toBe(0);
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -274,20 +274,23 @@
     }
 
     private measureLoad(): void {
-        this.metrics.members.set(this.registry.members.size);
-        const hasOtherServingRouters = this.registry.serving.some((member) => member.name !== this.settings.name);
-        this.load.measure(hasOtherServingRouters, this.clock());
-        this.registry.publishHighLoad(this.load.isUnderHighLoad);
-        const serving = this.registry.serving.map((member) => member.name);
-        updateSharers(this.endpoints.limits, this.settings.name, serving, this.registry.members.size, this.clock());
+        const now = this.clock();
+        const { members, serving } = this.registry;
+        this.metrics.members.set(members.size);
+        this.load.measure(now);
         this.reserve.update({
             self: this.self,
-            serving: this.registry.serving,
+            serving,
             minCapacityShare: this.settings.callers.minCapacityShare,
             utilization: this.load.utilization,
-        }, this.clock());
-        this.evacuations.update(this.clock());
-        this.coldEndpoints.update(this.settings.bounds, this.clock());
+        }, now);
+        const hasOtherServingRouters = serving.some((member) => member.name !== this.settings.name);
+        this.load.adjustShedding(hasOtherServingRouters, this.reserve.movesCallers);
+        this.registry.publishHighLoad(this.load.isUnderHighLoad);
+        const names = serving.map((member) => member.name);
+        updateSharers(this.endpoints.limits, this.settings.name, names, members.size, now);
+        this.evacuations.update(now);
+        this.coldEndpoints.update(this.settings.bounds, now);
     }
 
     // One router would be enough; the few that follow the store only repeat each other's work.
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -21,7 +21,7 @@
 import type { GatewayContext } from "./gateway-context.js";
 import { regionTableOf } from "./gateway-settings.js";
 import type { LoadMonitor } from "./load-monitor.js";
-import { type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
+import { moveRetryMs, type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
 import type { ReserveMonitor } from "./reserve-monitor.js";
 
 /** Interval in ms of checking for connections that are too slow. */
@@ -226,8 +226,14 @@
         const { shedShare } = this.gateway.load;
         const priority = account?.priority ?? route.priority;
         if (context.random() < shedChance(shedShare, priority, table.lowestPriority)) {
-            const waitMs = retryAfterMs(context.random());
-            this.refuse(fields, response, "router-overloaded", waitMs, { route: route.name, priority, shedShare });
+            const { movesCallers } = this.gateway.reserve;
+            const waitMs = movesCallers ? moveRetryMs(context.random()) : retryAfterMs(context.random());
+            this.refuse(fields, response, "router-overloaded", waitMs, {
+                route: route.name,
+                priority,
+                shedShare,
+                movesCallers,
+            });
             return;
         }
         const content = { method: request.method!, target: request.url!, body: body.toString("latin1") };
--- a/packages/router/src/gateway/load-monitor.test.ts
+++ b/packages/router/src/gateway/load-monitor.test.ts
@@ -5,7 +5,7 @@
 describe("the time that requests lie unread", () => {
     const monitorAt = (...samples: number[]): LoadMonitor => {
         const monitor = new LoadMonitor(createGatewayLogs({ level: "error" }));
-        samples.forEach((now) => monitor.measure(false, now));
+        samples.forEach((now) => monitor.measure(now));
         return monitor;
     };
 
--- a/packages/router/src/gateway/load-monitor.ts
+++ b/packages/router/src/gateway/load-monitor.ts
@@ -36,7 +36,7 @@
     }
 
     /** Takes the next sample; to be called every `LOAD_SAMPLE_INTERVAL_MS`. */
-    measure(hasOtherServingRouters: boolean, now: number): void {
+    measure(now: number): void {
         const sample = performance.eventLoopUtilization();
         const { utilization } = performance.eventLoopUtilization(sample, this.previousSample);
         this.previousSample = sample;
@@ -44,11 +44,13 @@
         this.lastLagMs = Math.min(MAX_LAG_MS, Math.max(0, now - (this.measuredAt ?? now) - LOAD_SAMPLE_INTERVAL_MS));
         this.measuredAt = now;
         this.highLoad = nextHighLoadState(this.highLoad, utilization, now);
-        // Without other routers, a late response is the best that callers can get.
-        this.setShedShare(hasOtherServingRouters ? nextShedShare(this.shedShare, utilization) : 0, utilization);
     }
 
-    private setShedShare(share: number, utilization: number): void {
+    /** Adjusts the share of requests to refuse to the last sample. */
+    adjustShedding(hasOtherServingRouters: boolean, movesCallers: boolean): void {
+        const { utilization } = this;
+        // Without other routers, a late response is the best that callers can get.
+        const share = hasOtherServingRouters ? nextShedShare(this.shedShare, utilization, movesCallers) : 0;
         if ((share > 0) !== (this.shedShare > 0)) {
             this.logs.host.warn(
                 share > 0
--- a/packages/router/src/gateway/refusal.ts
+++ b/packages/router/src/gateway/refusal.ts
@@ -63,6 +63,15 @@
 /** Range in ms of the retry delay, so that callers don't retry at the same time. */
 const RETRY_AFTER_RANGE_MS = [150, 450] as const;
 
+/** Range in ms of the retry delay of a router whose callers are moving to others, which takes 1 to 2 s. */
+const MOVE_RETRY_RANGE_MS = [1_200, 2_400] as const;
+
+/** Returns a retry delay in ms after which callers that are moving have another router; `random` is in [0, 1). */
+export function moveRetryMs(random: number): number {
+    const [minMs, maxMs] = MOVE_RETRY_RANGE_MS;
+    return minMs + random * (maxMs - minMs);
+}
+
 /** Returns a short retry delay in ms; `random` is in [0, 1). */
 export function retryAfterMs(random: number): number {
     const [minMs, maxMs] = RETRY_AFTER_RANGE_MS;
