Treat an ended response as broken off if its request was not read

Cause: the end of a connection counted as the end of such a response whenever the endpoint still accepted connections.

judgeEnd is now told whether bytes of the request are still in the router; an endpoint that ends the connection before can't have read them.

--- a/packages/core/src/dispatch/response-verdict.test.ts
+++ b/packages/core/src/dispatch/response-verdict.test.ts
@@ -80,6 +80,13 @@
 });
 
 describe("the end of a response", () => {
+    // Guards against a part of a response without a length that looks whole, though its request was still being written.
+    it("with its connection is none before the request has left the router", () => {
+        const body = { hasPartialEvent: false, isEmptyContinuation: false, isRequestPartial: true };
+        expect(judgeEnd({ ...body, end: "connection-closed" })).toBe("broken");
+        expect(judgeEnd({ ...body, end: "complete" })).toBe("complete");
+    });
+
     it.each(
         [
             { end: "complete", hasPartialEvent: false, isEmptyContinuation: false, verdict: "complete" },
@@ -89,7 +96,7 @@
             { end: "complete", hasPartialEvent: false, isEmptyContinuation: true, verdict: "broken" },
         ] as const,
     )("$end, partial event: $hasPartialEvent, no event: $isEmptyContinuation: $verdict", (ended) => {
-        expect(judgeEnd(ended)).toBe(ended.verdict);
+        expect(judgeEnd({ isRequestPartial: false, ...ended })).toBe(ended.verdict);
     });
 });
 
--- a/packages/core/src/dispatch/response-verdict.ts
+++ b/packages/core/src/dispatch/response-verdict.ts
@@ -88,17 +88,25 @@
     readonly hasPartialEvent: boolean;
     /** True if it was to continue a stream, and brought no event of it. */
     readonly isEmptyContinuation: boolean;
+    /** True if part of the request had not left this router, so that the endpoint can't have read it. */
+    readonly isRequestPartial: boolean;
 };
 
 /** Whether a response is whole; `unconfirmed` if only the end of its connection says so. */
 export type EndVerdict = "complete" | "unconfirmed" | "broken";
 
-/** Decides whether a response that has ended is whole. */
-export function judgeEnd({ end, hasPartialEvent, isEmptyContinuation }: EndedBody): EndVerdict {
+/**
+ * Decides whether a response that has ended is whole. An endpoint that ends a connection before it has read the request
+ * has given it up, so that end is none of the response.
+ */
+export function judgeEnd({ end, hasPartialEvent, isEmptyContinuation, isRequestPartial }: EndedBody): EndVerdict {
     if (hasPartialEvent || isEmptyContinuation) {
         return "broken";
     }
-    return end === "complete" ? "complete" : "unconfirmed";
+    if (end === "complete") {
+        return "complete";
+    }
+    return isRequestPartial ? "broken" : "unconfirmed";
 }
 
 /** Place in a stream of events up to which a caller has received it. */
--- a/packages/router/src/gateway/endpoint-send.ts
+++ b/packages/router/src/gateway/endpoint-send.ts
@@ -21,6 +21,8 @@
     requestStarted: boolean;
     /** False only if the connection was opened for this request. */
     onReusedConnection: boolean;
+    /** Bytes of the request that have not been handed to the operating system. */
+    unsentBytes: () => number;
     hasResponded: boolean;
     ended: boolean;
     status: number;
@@ -48,6 +50,7 @@
         controller: undefined,
         requestStarted: false,
         onReusedConnection: true,
+        unsentBytes: () => 0,
         hasResponded: false,
         ended: false,
         status: 0,
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -3,7 +3,6 @@
     type AttemptState,
     chooseEndpoint,
     impliesNotRun,
-    judgeEnd,
     nextStep,
     type PlacementQuery,
     recordConnectFailure,
@@ -16,7 +15,7 @@
 import type { AdmittedRequest } from "./admitted-request.js";
 import { CallerAnswer } from "./caller-answer.js";
 import { REFUSED_CODE } from "./connection-check.js";
-import { observeReuse } from "./connection-use.js";
+import { observeConnection } from "./connection-use.js";
 import { createSend, dispatchSend, type Send } from "./endpoint-send.js";
 import { EventSplitter } from "./event-splitter.js";
 import { ExchangeLog } from "./exchange-log.js";
@@ -27,7 +26,7 @@
 import { noEndpointCause, type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
 import { readResponseHead, recordBytesReceived, recordRequestLimit, recordResponseHead } from "./response-head.js";
 import { recordFirst, takeRetry } from "./retry-accounting.js";
-import { recordSendEnd } from "./send-end.js";
+import { judgeSendEnd, recordSendEnd } from "./send-end.js";
 import { placementQueryOf, sendOptions } from "./send-options.js";
 import { TokenClaim } from "./token-claim.js";
 
@@ -155,8 +154,9 @@
             return this.handleFailure(send, "unreachable");
         }
         send.requestStarted = true;
-        observeReuse((isReused) => {
+        observeConnection(({ isReused, unsentBytes }) => {
             send.onReusedConnection = isReused;
+            send.unsentBytes = unsentBytes;
         });
         send.trackedSend = this.context.suspects.track(send.row.entry, this.admitted.features);
         this.sends++;
@@ -260,14 +260,13 @@
         if (send.ended) {
             return;
         }
-        const isStream = send.verdict?.kind === "stream";
-        const verdict = judgeEnd({
-            end: send.framing,
-            hasPartialEvent: isStream && this.splitter.hasPartialEvent,
-            isEmptyContinuation: isStream && this.splitter.isWithoutContinuation,
-        });
+        const verdict = judgeSendEnd(send, this.splitter);
         if (verdict === "broken") {
-            this.receiveError(send, new Error("stream ended inside an event or without an event"));
+            const unsent = send.unsentBytes();
+            this.receiveError(
+                send,
+                new Error(unsent > 0 ? `ended with ${unsent} bytes unsent` : "ended inside a stream"),
+            );
             return;
         }
         send.end = send.framing;
