--- a/packages/router/src/gateway/endpoint-send.ts
+++ b/packages/router/src/gateway/endpoint-send.ts
@@ -7,7 +7,7 @@
 } from "@gooseberrybend/core/dispatch";
 import type { Dispatcher } from "undici";
 import { ByteBuffer } from "./byte-buffer.js";
-import { observeReuse } from "./connection-use.js";
+import { observeConnection } from "./connection-use.js";
 import type { EndpointFields } from "./dialect.js";
 import type { GatewayContext } from "./gateway-context.js";
 
@@ -24,6 +24,8 @@
     startedAt: number | undefined;
     /** False only if the connection was opened for this request. */
     onReusedConnection: boolean;
+    /** Bytes of the request that have not been handed to the operating system. */
+    unsentBytes: () => number;
     hasResponded: boolean;
     /** Time in ms at which the response head arrived; undefined before. */
     respondedAt: number | undefined;
@@ -54,6 +56,7 @@
         requestStarted: false,
         startedAt: undefined,
         onReusedConnection: true,
+        unsentBytes: () => 0,
         hasResponded: false,
         respondedAt: undefined,
         ended: false,
@@ -73,8 +76,9 @@
 export function beginSend(send: Send, now: number): void {
     send.requestStarted = true;
     send.startedAt = now;
-    observeReuse((isReused) => {
+    observeConnection(({ isReused, unsentBytes }) => {
         send.onReusedConnection = isReused;
+        send.unsentBytes = unsentBytes;
     });
 }
 
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -4,7 +4,6 @@
     type AttemptState,
     chooseEndpoint,
     impliesNotRun,
-    judgeEnd,
     nextStep,
     type PlacementQuery,
     recordConnectFailure,
@@ -28,7 +27,7 @@
 import { noEndpointCause, type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
 import { readResponseHead, recordBytesReceived, recordLimits, recordResponseHead } from "./response-head.js";
 import { recordFirst, takeRetry } from "./retry-accounting.js";
-import { recordSendEnd } from "./send-end.js";
+import { judgeSendEnd, recordSendEnd } from "./send-end.js";
 import { placementQueryOf, sendOptions } from "./send-options.js";
 import { TokenClaim } from "./token-claim.js";
 
@@ -256,14 +255,13 @@
         if (send.ended) {
             return;
         }
-        const isStream = send.verdict?.kind === "stream";
-        const verdict = judgeEnd({
-            end: send.framing,
-            hasPartialEvent: isStream && this.splitter.hasPartialEvent,
-            isEmptyContinuation: isStream && this.splitter.isWithoutContinuation,
-        });
+        const verdict = judgeSendEnd(send, this.splitter);
         if (verdict === "broken") {
-            this.receiveError(send, new Error("stream ended inside an event or without an event"));
+            const unsent = send.unsentBytes();
+            this.receiveError(
+                send,
+                new Error(unsent > 0 ? `ended with ${unsent} bytes unsent` : "ended inside a stream"),
+            );
             return;
         }
         send.end = send.framing;
