End requests that would reach a leaving endpoint too late

The state of an endpoint was asked when a send began, but its bytes may wait in the socket and behind a small link for seconds: on an overloaded router of 7 Mbit/s a request reached its endpoint 3.5 s after it said that it leaves (3 s allowed). An aborted request was still delivered from the send buffer, as a close does not drop it.

link-backlog.ts estimates the bytes that have not left, corrected by responses. A request that would not leave in time is refused as not run. OutgoingSends ends requests without a response byte that are still in the socket, or have not left by the estimate, shortly before the end of drainMs; they may have run. Aborted requests without a response byte have their connection reset.

--- a/packages/core/src/dispatch/endpoint-availability.ts
+++ b/packages/core/src/dispatch/endpoint-availability.ts
@@ -29,6 +29,11 @@
     return table.rows.get(row.entry.id) === row && acceptsRequests(row, now);
 }
 
+/** Returns whether an endpoint announced that it leaves, or is no longer registered. */
+export function isLeaving(table: Pick<EndpointTable, "rows">, row: EndpointState): boolean {
+    return row.entry.leaving || row.announcedLeaving || table.rows.get(row.entry.id) !== row;
+}
+
 /** Returns the time in ms until an endpoint of a service accepts requests; 0 unless all that stay are in back-off. */
 export function remainingBackoffMs(table: EndpointTable, service: ServiceName, now: number): number {
     const remaining = stayingEndpoints(table, service);
--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -9,6 +9,7 @@
 export * from "./endpoint-limits.js";
 export * from "./endpoint-table.js";
 export * from "./fleet.js";
+export * from "./link-backlog.js";
 export * from "./load-report.js";
 export * from "./placement.js";
 export * from "./prepaid-intervals.js";
--- a/packages/router/src/gateway/admission-check.ts
+++ b/packages/router/src/gateway/admission-check.ts
@@ -3,13 +3,11 @@
     decideAdmission,
     type PlacementQuery,
     recordAdmitted,
-    recordServed,
     type Reservation,
 } from "@gooseberrybend/core/dispatch";
 import type { AdmittedRequest } from "./admitted-request.js";
-import type { Send } from "./endpoint-send.js";
 import type { GatewayContext } from "./gateway-context.js";
-import type { RefusalCause } from "./refusal.js";
+import { type RefusalCause, retryAfterMs } from "./refusal.js";
 import type { TokenClaim } from "./token-claim.js";
 
 /** Whether a request may be sent, with log fields. */
@@ -55,13 +53,29 @@
     return decision;
 }
 
-/** Records the times of a complete response, from which the capacity of its service is estimated. */
-export function recordServedTimes(context: GatewayContext, query: PlacementQuery, send: Send): void {
-    if (send.respondedAt !== undefined) {
-        recordServed(context.admission, query, {
-            firstByteMs: send.respondedAt - send.sentAt,
-            totalMs: context.clock() - send.sentAt,
-            units: send.expectedWork,
-        });
+/** Why a request may not be sent now, whichever endpoint is chosen. */
+export type SendObstacle = {
+    readonly cause: RefusalCause;
+    readonly retryAfterMs: number;
+    readonly figures: object;
+};
+
+/** Returns why a request with some time left, in ms, may not be sent now; undefined if it may. */
+export function findSendObstacle(
+    context: GatewayContext,
+    { isTrial, features }: AdmittedRequest,
+    isFirstSend: boolean,
+    timeLeftMs: number,
+): SendObstacle | undefined {
+    const conviction = isTrial && isFirstSend ? undefined : context.suspects.convictionOf(features);
+    if (conviction !== undefined) {
+        return { cause: "poison-request", retryAfterMs: conviction.retryAfterMs, figures: {} };
+    }
+    const linkDelayMs = context.outgoing.excessDelayMs(timeLeftMs);
+    if (linkDelayMs === undefined) {
+        return undefined;
     }
+    context.countLateSend("not-started");
+    const waitMs = linkDelayMs + retryAfterMs(context.random());
+    return { cause: "router-overloaded", retryAfterMs: waitMs, figures: { linkDelayMs: Math.round(linkDelayMs) } };
 }
--- a/packages/router/src/gateway/endpoint-send.ts
+++ b/packages/router/src/gateway/endpoint-send.ts
@@ -5,10 +5,14 @@
     ServiceDeclaration,
     TrackedSend,
 } from "@gooseberrybend/core/dispatch";
+import type { Socket } from "node:net";
 import type { Dispatcher } from "undici";
+import type { AdmittedRequest } from "./admitted-request.js";
 import { ByteBuffer } from "./byte-buffer.js";
+import { observeReuse } from "./connection-use.js";
 import type { EndpointFields } from "./dialect.js";
 import type { GatewayContext } from "./gateway-context.js";
+import type { UnsentFigures } from "./outgoing-sends.js";
 
 /** One send to an endpoint, and its state so far. */
 export type Send = {
@@ -21,6 +25,10 @@
     requestStarted: boolean;
     /** False only if the connection was opened for this request. */
     onReusedConnection: boolean;
+    /** Connection that carries it; undefined before it has begun. */
+    socket: Socket | undefined;
+    /** End of its bytes among those that left the router; undefined before it has begun. */
+    linkMark: number | undefined;
     hasResponded: boolean;
     /** Time in ms at which the response head arrived; undefined before. */
     respondedAt: number | undefined;
@@ -50,6 +58,8 @@
         controller: undefined,
         requestStarted: false,
         onReusedConnection: true,
+        socket: undefined,
+        linkMark: undefined,
         hasResponded: false,
         respondedAt: undefined,
         ended: false,
@@ -96,3 +106,19 @@
         return { cause: "bad-request", detail: (error as Error).message };
     }
 }
+
+/** Records that a request is about to be written. `onUnsent` is called if it must not reach the endpoint any more. */
+export function recordStart(
+    context: GatewayContext,
+    { body, features }: AdmittedRequest,
+    send: Send,
+    onUnsent: (figures: UnsentFigures) => void,
+): void {
+    send.requestStarted = true;
+    observeReuse((isReused, socket) => {
+        send.onReusedConnection = isReused;
+        send.socket = socket;
+    });
+    send.trackedSend = context.suspects.track(send.row.entry, features);
+    context.outgoing.begin(send, body.length, onUnsent);
+}
--- a/packages/router/src/gateway/exchange-log.ts
+++ b/packages/router/src/gateway/exchange-log.ts
@@ -36,6 +36,15 @@
         this.context.logs.endpoints.info("Endpoint stopped accepting requests before the send.", this.figures(send));
     }
 
+    /** Logs that a request is ended that has not left the router, although its endpoint leaves. */
+    unsent(send: Send, figures: object, now: number): void {
+        this.context.logs.endpoints.warn("Request reset, as it would reach a leaving endpoint too late.", {
+            ...this.figures(send),
+            ...figures,
+            sentMsAgo: Math.round(now - send.sentAt),
+        });
+    }
+
     /** Logs that a response is not forwarded. */
     rejected(send: Send, reason: string): void {
         this.context.logs.requests.warn(`Response rejected: ${reason}.`, {
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -7,29 +7,27 @@
     judgeEnd,
     nextStep,
     type PlacementQuery,
-    recordConnectFailure,
     recordSend,
     returnDelayMs,
     type SendFailure,
     stillAcceptsRequests,
 } from "@gooseberrybend/core/dispatch";
 import type { Dispatcher } from "undici";
-import { checkAdmission, recordServedTimes } from "./admission-check.js";
+import { checkAdmission, findSendObstacle } from "./admission-check.js";
 import type { AdmittedRequest } from "./admitted-request.js";
 import { CallerAnswer } from "./caller-answer.js";
-import { REFUSED_CODE } from "./connection-check.js";
-import { observeReuse } from "./connection-use.js";
-import { createSend, dispatchSend, type Send } from "./endpoint-send.js";
+import { createSend, dispatchSend, recordStart, type Send } from "./endpoint-send.js";
 import { EventSplitter } from "./event-splitter.js";
 import { ExchangeLog } from "./exchange-log.js";
 import type { GatewayContext } from "./gateway-context.js";
 import { guard, guardedHandler } from "./guarded-handler.js";
+import type { UnsentFigures } from "./outgoing-sends.js";
 import { logPlacement } from "./placement-log.js";
 import { rawHeadersOf, withoutContentLength } from "./raw-headers.js";
 import { noEndpointCause, type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
 import { readResponseHead, recordBytesReceived, recordRequestLimit, recordResponseHead } from "./response-head.js";
 import { recordFirst, takeRetry } from "./retry-accounting.js";
-import { recordSendEnd } from "./send-end.js";
+import { recordSendEnd, recordServedResponse, recordUnreachable } from "./send-end.js";
 import { placementQueryOf, sendOptions } from "./send-options.js";
 import { TokenClaim } from "./token-claim.js";
 
@@ -103,10 +101,9 @@
             // The caller has given up, even if a busy router has not yet seen its disconnect.
             return this.handleDeadline();
         }
-        const isTrial = this.admitted.isTrial && this.sends === 0;
-        const conviction = isTrial ? undefined : this.context.suspects.convictionOf(this.admitted.features);
-        if (conviction !== undefined) {
-            return this.refuseOrAbort("poison-request", conviction.retryAfterMs);
+        const obstacle = findSendObstacle(this.context, this.admitted, this.sends === 0, this.deadline - now);
+        if (obstacle !== undefined) {
+            return this.refuseOrAbort(obstacle.cause, obstacle.retryAfterMs, obstacle.figures);
         }
         const query = { ...this.query, isRepeat: this.sends > 0 && !this.answer.isHeadSent };
         const placement = chooseEndpoint(this.context.endpoints, query, this.context.random, now);
@@ -153,15 +150,20 @@
             this.log.left(send);
             return this.handleFailure(send, "unreachable");
         }
-        send.requestStarted = true;
-        observeReuse((isReused) => {
-            send.onReusedConnection = isReused;
-        });
-        send.trackedSend = this.context.suspects.track(send.row.entry, this.admitted.features);
+        recordStart(this.context, this.admitted, send, (figures) => this.resetUnsent(send, figures));
         this.sends++;
         this.tried.add(send.row.entry.id);
     }
 
+    // A part of it may have arrived, so it may have run.
+    private resetUnsent(send: Send, figures: UnsentFigures): void {
+        this.log.unsent(send, figures, this.context.clock());
+        this.mayHaveRun = true;
+        this.endSend(send, false);
+        this.abort(send);
+        this.handleFailure(send, "broken");
+    }
+
     private guarded(callback: () => void, send?: Send): () => void {
         return guard(callback, (error) => this.handleUnexpectedError(error, send));
     }
@@ -214,6 +216,7 @@
         if (this.isFinished || send.ended) {
             return;
         }
+        this.context.outgoing.recordBytes(chunk.length);
         if (!send.isStreaming) {
             this.buffer(send, chunk);
             return;
@@ -273,9 +276,8 @@
         this.context.countResponse(send.end);
         const failed = send.status >= MIN_FAILURE_STATUS || send.verdict?.kind === "failure";
         this.endSend(send, failed, verdict === "complete");
-        if (send.fields!.sealed && !send.fields!.notRun && !failed) {
-            this.context.suspects.recordResponse(send.row.entry, send.trackedSend!, send.status, send.end);
-            recordServedTimes(this.context, this.query, send);
+        if (!failed) {
+            recordServedResponse(this.context, this.query, send, send.end);
         }
         if (verdict === "complete" || failed || send.verdict?.kind === "not-run") {
             this.handleEndedResponse(send);
@@ -363,10 +365,7 @@
     }
 
     private recordUnreachable(send: Send, code: string, now: number): void {
-        recordConnectFailure(send.row, now);
-        if (code === REFUSED_CODE) {
-            this.context.suspects.recordUnreachable(send.row.entry, now);
-        }
+        recordUnreachable(this.context, send.row, code, now);
         this.tried.add(send.row.entry.id);
         this.log.unreachable(send, code);
         this.handleFailure(send, "unreachable");
@@ -406,12 +405,12 @@
     }
 
     // Called when the request can't be sent to any endpoint.
-    private refuseOrAbort(cause: RefusalCause, waitMs: number): void {
+    private refuseOrAbort(cause: RefusalCause, waitMs: number, figures: object = {}): void {
         if (this.answer.isHeadSent) {
             this.abortAnswer(cause);
             return;
         }
-        this.refuse(this.mayHaveRun ? "may-have-run" : cause, this.mayHaveRun ? undefined : waitMs);
+        this.refuse(this.mayHaveRun ? "may-have-run" : cause, this.mayHaveRun ? undefined : waitMs, figures);
     }
 
     // Time in ms after which an endpoint may accept the request.
@@ -463,6 +462,10 @@
     }
 
     private abort(send: Send): void {
+        if (!send.hasResponded) {
+            // A close would still deliver the request's bytes in the send buffer, however late; a reset drops them.
+            send.socket?.resetAndDestroy();
+        }
         send.controller?.abort(new Error("request ended or is no longer needed at this endpoint"));
     }
 
--- a/packages/router/src/gateway/gateway-context.ts
+++ b/packages/router/src/gateway/gateway-context.ts
@@ -11,10 +11,11 @@
 import type { Dispatcher } from "undici";
 import type { AdmittedRequest } from "./admitted-request.js";
 import type { Dialect } from "./dialect.js";
-import type { AdmissionOutcome, LimitEvent } from "./gateway-metrics.js";
+import type { AdmissionOutcome, LateSendOutcome, LimitEvent } from "./gateway-metrics.js";
 import type { GatewaySettings } from "./gateway-settings.js";
 import type { LimitReports } from "./limit-reports.js";
 import type { GatewayLogs } from "./log-sink.js";
+import type { OutgoingSends } from "./outgoing-sends.js";
 import type { PoisonRequestTracker } from "./poison-request-tracker.js";
 import type { PrepaidAccounts } from "./prepaid-accounts.js";
 import type { RefusalCause } from "./refusal.js";
@@ -26,6 +27,7 @@
     readonly endpoints: EndpointTable;
     readonly retries: RetryQuota;
     readonly admission: AdmissionState;
+    readonly outgoing: OutgoingSends;
     readonly prepaid: PrepaidAccounts;
     readonly suspects: PoisonRequestTracker;
     readonly limitReports: LimitReports;
@@ -52,6 +54,7 @@
     readonly countEndpointRefusal: (hasId: boolean, onReusedConnection: boolean) => void;
     readonly countLimitEvent: (event: LimitEvent) => void;
     readonly countAdmission: (outcome: AdmissionOutcome) => void;
+    readonly countLateSend: (outcome: LateSendOutcome) => void;
     readonly observeUnread: (unreadMs: number) => void;
     readonly observeFirstByte: (request: AdmittedRequest, now: number) => void;
     readonly observeRequestEnd: (outcome: string, tookMs: number) => void;
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -18,6 +18,12 @@
 /** Decision about a request for which capacity was short. */
 export type AdmissionOutcome = typeof admissionOutcomes[number];
 
+/** What happened to requests that would have left the router too late, as counted in the metrics. */
+export const lateSendOutcomes = ["not-started", "reset"] as const;
+
+/** What happened to a request that would have left the router too late. */
+export type LateSendOutcome = typeof lateSendOutcomes[number];
+
 /** How responses of endpoints end, as counted in the metrics. */
 export const responseEnds = ["complete", "connection-closed", "broken"] as const;
 
@@ -43,6 +49,8 @@
         "outcome",
     ]);
     admissionOutcomes.forEach((outcome) => admissions.inc({ outcome }, 0));
+    const lateSends = counter("late_sends_total", "Requests that would have left the router too late.", ["outcome"]);
+    lateSendOutcomes.forEach((outcome) => lateSends.inc({ outcome }, 0));
     const responses = counter("endpoint_responses_total", "Responses of endpoints by how they ended.", ["end"]);
     responseEnds.forEach((end) => responses.inc({ end }, 0));
     return {
@@ -51,6 +59,7 @@
         suspects,
         limits,
         admissions,
+        lateSends,
         responses,
         endpointRefusals: counter(
             "endpoint_refusals_total",
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -32,6 +32,7 @@
 import { LOAD_SAMPLE_INTERVAL_MS, LoadMonitor } from "./load-monitor.js";
 import { createGatewayLogs, type GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoreChange, StoredItem } from "./metadata-store.js";
+import { LEAVING_CHECK_INTERVAL_MS, OutgoingSends } from "./outgoing-sends.js";
 import { PeerCalls } from "./peer-calls.js";
 import { CHANGE_FEED_METHOD, ChangeHistory, PeerChangeFeed } from "./peer-change-feed.js";
 import { PoisonRequestTracker, type SuspectEvent } from "./poison-request-tracker.js";
@@ -62,6 +63,13 @@
     drain: Drain | undefined;
     private readonly endpoints = createEndpointTable();
     private readonly connections = new EndpointConnections();
+    private readonly outgoing = new OutgoingSends(
+        this.endpoints,
+        () => this.settings,
+        (now) => this.follower.changesAgeMs(now),
+        () => this.metrics.lateSends.inc({ outcome: "reset" }),
+        this.clock,
+    );
     private readonly peers = new PeerCalls();
     private readonly peerServer: JSONRPCServer;
     private readonly registry: FleetRegistry;
@@ -197,6 +205,7 @@
         this.prepaid.start();
         this.timers.push(setInterval(() => this.logStoreCalls(), STORE_SUMMARY_INTERVAL_MS));
         this.timers.push(setInterval(() => this.measureLoad(), LOAD_SAMPLE_INTERVAL_MS));
+        this.timers.push(setInterval(() => this.outgoing.check(), LEAVING_CHECK_INTERVAL_MS));
         this.timers.push(setInterval(() => this.sweepReports(), REPORT_SWEEP_INTERVAL_MS));
     }
 
@@ -277,6 +286,7 @@
             endpoints: this.endpoints,
             retries: new Map(),
             admission: new Map(),
+            outgoing: this.outgoing,
             prepaid: this.prepaid,
             suspects: this.suspects,
             limitReports: this.limitReports,
@@ -302,6 +312,7 @@
                     connection: onReusedConnection ? "reused" : "new",
                 }),
             countLimitEvent: (event) => this.metrics.limits.inc({ event }),
+            countLateSend: (outcome) => this.metrics.lateSends.inc({ outcome }),
             countAdmission: (outcome) => this.metrics.admissions.inc({ outcome }),
             observeUnread: (unreadMs) => this.metrics.unreadSeconds.observe(unreadMs / 1_000),
             observeFirstByte: (request, now) =>
--- a/packages/router/src/gateway/response-head.ts
+++ b/packages/router/src/gateway/response-head.ts
@@ -47,6 +47,7 @@
     const { row, fields } = send;
     recordBytesReceived(context, send, now);
     send.hasResponded = true;
+    context.outgoing.recordResponse(send);
     send.respondedAt = now;
     recordFirstByte(row, query);
     recordDuration(paceOf(context.endpoints, query.service), row, now - send.sentAt, send.expectedWork);
--- a/packages/router/src/gateway/send-end.ts
+++ b/packages/router/src/gateway/send-end.ts
@@ -1,4 +1,13 @@
-import { type PlacementQuery, recordFirstByte, recordOutcome } from "@gooseberrybend/core/dispatch";
+import {
+    type EndpointState,
+    type PlacementQuery,
+    recordConnectFailure,
+    recordFirstByte,
+    recordOutcome,
+    recordServed,
+    type ResponseEnd,
+} from "@gooseberrybend/core/dispatch";
+import { REFUSED_CODE } from "./connection-check.js";
 import type { Send } from "./endpoint-send.js";
 import type { GatewayContext } from "./gateway-context.js";
 
@@ -13,6 +22,7 @@
     const now = context.clock();
     const { row } = send;
     context.suspects.recordSendEnd(send.trackedSend, answered, now);
+    context.outgoing.end(send);
     row.open--;
     if (!send.hasResponded) {
         recordFirstByte(row, query);
@@ -22,3 +32,29 @@
     }
     recordOutcome(row, failed, now);
 }
+
+/** Records a response that has ended without a failure, if its endpoint proves that it ran the request. */
+export function recordServedResponse(
+    context: GatewayContext,
+    query: PlacementQuery,
+    send: Send,
+    end: ResponseEnd,
+): void {
+    if (!send.fields!.sealed || send.fields!.notRun) {
+        return;
+    }
+    context.suspects.recordResponse(send.row.entry, send.trackedSend!, send.status, end);
+    recordServed(context.admission, query, {
+        firstByteMs: send.respondedAt! - send.sentAt,
+        totalMs: context.clock() - send.sentAt,
+        units: send.expectedWork,
+    });
+}
+
+/** Records that no connection to an endpoint could be made, with the code of the error. */
+export function recordUnreachable(context: GatewayContext, row: EndpointState, code: string, now: number): void {
+    recordConnectFailure(row, now);
+    if (code === REFUSED_CODE) {
+        context.suspects.recordUnreachable(row.entry, now);
+    }
+}
