--- a/packages/core/src/dispatch/endpoint-availability.ts
+++ b/packages/core/src/dispatch/endpoint-availability.ts
@@ -49,6 +49,11 @@
     return stayingEndpoints(table, service, regions).length > 0;
 }
 
+/** Returns whether an endpoint announced that it leaves, or is no longer registered. */
+export function isLeaving(table: Pick<EndpointTable, "rows">, row: EndpointState): boolean {
+    return row.entry.leaving || row.announcedLeaving || table.rows.get(row.entry.id) !== row;
+}
+
 /** Returns the time in ms until an endpoint of a service accepts requests; 0 unless all that stay are in back-off. */
 export function remainingBackoffMs(
     table: EndpointTable,
--- a/packages/router/src/gateway/connection-use.ts
+++ b/packages/router/src/gateway/connection-use.ts
@@ -8,8 +8,7 @@
 export type ConnectionUse = {
     /** True if the connection has carried an earlier request. */
     readonly isReused: boolean;
-    /** Bytes that have not been handed to the operating system. */
-    readonly unsentBytes: () => number;
+    readonly socket: Socket;
 };
 
 const requestCounts = new WeakMap<Socket, number>();
@@ -19,7 +18,7 @@
     const { socket } = message as { readonly socket: Socket; };
     const earlierRequests = requestCounts.get(socket) ?? 0;
     requestCounts.set(socket, earlierRequests + 1);
-    reportStart?.({ isReused: earlierRequests > 0, unsentBytes: () => socket.writableLength });
+    reportStart?.({ isReused: earlierRequests > 0, socket });
     reportStart = undefined;
 });
 
--- a/packages/router/src/gateway/endpoint-send.ts
+++ b/packages/router/src/gateway/endpoint-send.ts
@@ -5,11 +5,14 @@
     ServiceDeclaration,
     TrackedSend,
 } from "@gooseberrybend/core/dispatch";
+import type { Socket } from "node:net";
 import type { Dispatcher } from "undici";
+import type { AdmittedRequest } from "./admitted-request.js";
 import { ByteBuffer } from "./byte-buffer.js";
 import { observeConnection } from "./connection-use.js";
 import type { EndpointFields } from "./dialect.js";
 import type { GatewayContext } from "./gateway-context.js";
+import type { UnsentFigures } from "./outgoing-sends.js";
 
 /** One send to an endpoint, and its state so far. */
 export type Send = {
@@ -24,8 +27,10 @@
     startedAt: number | undefined;
     /** False only if the connection was opened for this request. */
     onReusedConnection: boolean;
-    /** Bytes of the request that have not been handed to the operating system. */
-    unsentBytes: () => number;
+    /** Connection that carries it; undefined before it has begun. */
+    socket: Socket | undefined;
+    /** End of its bytes among those that left the router; undefined before it has begun. */
+    linkMark: number | undefined;
     hasResponded: boolean;
     /** Time in ms at which the response head arrived; undefined before. */
     respondedAt: number | undefined;
@@ -56,7 +61,8 @@
         requestStarted: false,
         startedAt: undefined,
         onReusedConnection: true,
-        unsentBytes: () => 0,
+        socket: undefined,
+        linkMark: undefined,
         hasResponded: false,
         respondedAt: undefined,
         ended: false,
@@ -72,16 +78,6 @@
     };
 }
 
-/** Records that the bytes of a send leave; to be called while its connection is being used. */
-export function beginSend(send: Send, now: number): void {
-    send.requestStarted = true;
-    send.startedAt = now;
-    observeConnection(({ isReused, unsentBytes }) => {
-        send.onReusedConnection = isReused;
-        send.unsentBytes = unsentBytes;
-    });
-}
-
 /** Why a send could not begin. Nothing was sent. */
 export type DispatchFault = {
     /** The endpoint's address can't be connected to, or the request is not valid HTTP. */
@@ -113,3 +109,20 @@
         return { cause: "bad-request", detail: (error as Error).message };
     }
 }
+
+/** Records that a request is about to be written. `onUnsent` is called if it must not reach the endpoint any more. */
+export function recordStart(
+    context: GatewayContext,
+    { body, features }: AdmittedRequest,
+    send: Send,
+    onUnsent: (figures: UnsentFigures) => void,
+): void {
+    send.requestStarted = true;
+    send.startedAt = context.clock();
+    observeConnection(({ isReused, socket }) => {
+        send.onReusedConnection = isReused;
+        send.socket = socket;
+    });
+    send.trackedSend = context.suspects.track(send.row.entry, features);
+    context.outgoing.begin(send, body.length, onUnsent);
+}
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -6,28 +6,27 @@
     impliesNotRun,
     nextStep,
     type PlacementQuery,
-    recordConnectFailure,
     recordSend,
     returnDelayMs,
     type SendFailure,
     stillAcceptsRequests,
 } from "@gooseberrybend/core/dispatch";
 import type { Dispatcher } from "undici";
-import { checkAdmission, recordServedTimes } from "./admission-check.js";
+import { checkAdmission, findSendObstacle } from "./admission-check.js";
 import type { AdmittedRequest } from "./admitted-request.js";
 import { CallerAnswer } from "./caller-answer.js";
-import { REFUSED_CODE } from "./connection-check.js";
-import { beginSend, createSend, dispatchSend, type Send } from "./endpoint-send.js";
+import { createSend, dispatchSend, recordStart, type Send } from "./endpoint-send.js";
 import { EventSplitter } from "./event-splitter.js";
 import { ExchangeLog } from "./exchange-log.js";
 import type { GatewayContext } from "./gateway-context.js";
 import { guard, guardedHandler } from "./guarded-handler.js";
+import type { UnsentFigures } from "./outgoing-sends.js";
 import { logPlacement } from "./placement-log.js";
 import { rawHeadersOf, withoutContentLength } from "./raw-headers.js";
 import { noEndpointCause, type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
 import { readResponseHead, recordBytesReceived, recordLimits, recordResponseHead } from "./response-head.js";
 import { recordFirst, takeRetry } from "./retry-accounting.js";
-import { judgeSendEnd, recordSendEnd } from "./send-end.js";
+import { judgeSendEnd, recordSendEnd, recordServedResponse, recordUnreachable } from "./send-end.js";
 import { placementQueryOf, sendOptions } from "./send-options.js";
 import { TokenClaim } from "./token-claim.js";
 
@@ -101,10 +100,9 @@
             // The caller has given up, even if a busy router has not yet seen its disconnect.
             return this.handleDeadline();
         }
-        const isTrial = this.admitted.isTrial && this.sends === 0;
-        const conviction = isTrial ? undefined : this.context.suspects.convictionOf(this.admitted.features);
-        if (conviction !== undefined) {
-            return this.refuseOrAbort("poison-request", conviction.retryAfterMs);
+        const obstacle = findSendObstacle(this.context, this.admitted, this.sends === 0, this.deadline - now);
+        if (obstacle !== undefined) {
+            return this.refuseOrAbort(obstacle.cause, obstacle.retryAfterMs, obstacle.figures);
         }
         const query = { ...this.query, isRepeat: this.sends > 0 && !this.answer.isHeadSent };
         const placement = chooseEndpoint(this.context.endpoints, query, this.context.random, now);
@@ -152,12 +150,20 @@
             this.log.left(send);
             return this.handleFailure(send, "unreachable");
         }
-        beginSend(send, this.context.clock());
-        send.trackedSend = this.context.suspects.track(send.row.entry, this.admitted.features);
+        recordStart(this.context, this.admitted, send, (figures) => this.resetUnsent(send, figures));
         this.sends++;
         this.tried.add(send.row.entry.id);
     }
 
+    // A part of it may have arrived, so it may have run.
+    private resetUnsent(send: Send, figures: UnsentFigures): void {
+        this.log.unsent(send, figures, this.context.clock());
+        this.mayHaveRun = true;
+        this.endSend(send, false);
+        this.abort(send);
+        this.handleFailure(send, "broken");
+    }
+
     private guarded(callback: () => void, send?: Send): () => void {
         return guard(callback, (error) => this.handleUnexpectedError(error, send));
     }
@@ -210,6 +216,7 @@
         if (this.isFinished || send.ended) {
             return;
         }
+        this.context.outgoing.recordBytes(chunk.length);
         if (!send.isStreaming) {
             this.buffer(send, chunk);
             return;
@@ -257,7 +264,7 @@
         }
         const verdict = judgeSendEnd(send, this.splitter);
         if (verdict === "broken") {
-            const unsent = send.unsentBytes();
+            const unsent = send.socket?.writableLength ?? 0;
             this.receiveError(
                 send,
                 new Error(unsent > 0 ? `ended with ${unsent} bytes unsent` : "ended inside a stream"),
@@ -268,9 +275,8 @@
         this.context.countResponse(send.end);
         const failed = send.status >= MIN_FAILURE_STATUS || send.verdict?.kind === "failure";
         this.endSend(send, failed, verdict === "complete");
-        if (send.fields!.sealed && !send.fields!.notRun && !failed) {
-            this.context.suspects.recordResponse(send.row.entry, send.trackedSend!, send.status, send.end);
-            recordServedTimes(this.context, this.query, send);
+        if (!failed) {
+            recordServedResponse(this.context, this.query, send, send.end);
         }
         if (verdict === "complete" || failed || send.verdict?.kind === "not-run") {
             this.handleEndedResponse(send);
@@ -358,10 +364,7 @@
     }
 
     private recordUnreachable(send: Send, code: string, now: number): void {
-        recordConnectFailure(this.context.endpoints, send.row, now);
-        if (code === REFUSED_CODE) {
-            this.context.suspects.recordUnreachable(send.row.entry, now);
-        }
+        recordUnreachable(this.context, send.row, code, now);
         this.tried.add(send.row.entry.id);
         this.log.unreachable(send, code);
         this.handleFailure(send, "unreachable");
@@ -401,12 +404,12 @@
     }
 
     // Called when the request can't be sent to any endpoint.
-    private refuseOrAbort(cause: RefusalCause, waitMs: number): void {
+    private refuseOrAbort(cause: RefusalCause, waitMs: number, figures: object = {}): void {
         if (this.answer.isHeadSent) {
             this.abortAnswer(cause);
             return;
         }
-        this.refuse(this.mayHaveRun ? "may-have-run" : cause, this.mayHaveRun ? undefined : waitMs);
+        this.refuse(this.mayHaveRun ? "may-have-run" : cause, this.mayHaveRun ? undefined : waitMs, figures);
     }
 
     // Time in ms after which an endpoint may accept the request.
@@ -458,6 +461,10 @@
     }
 
     private abort(send: Send): void {
+        if (!send.hasResponded) {
+            // A close would still deliver the request's bytes in the send buffer, however late; a reset drops them.
+            send.socket?.resetAndDestroy();
+        }
         send.controller?.abort(new Error("request ended or is no longer needed at this endpoint"));
     }
 
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -36,6 +36,7 @@
 import { LOAD_SAMPLE_INTERVAL_MS, LoadMonitor } from "./load-monitor.js";
 import { createGatewayLogs, type GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoreChange, StoredItem } from "./metadata-store.js";
+import { LEAVING_CHECK_INTERVAL_MS, OutgoingSends } from "./outgoing-sends.js";
 import { PeerCalls } from "./peer-calls.js";
 import { CHANGE_FEED_METHOD, ChangeHistory, PeerChangeFeed } from "./peer-change-feed.js";
 import { PoisonRequestTracker, type SuspectEvent } from "./poison-request-tracker.js";
@@ -43,13 +44,12 @@
 import { ReserveMonitor } from "./reserve-monitor.js";
 import { SHARED_PREFIX } from "./shared-prefix.js";
 import { CHECKPOINT_PREFIX } from "./spending-checkpoints.js";
+import { STORE_SUMMARY_INTERVAL_MS, StoreCallSummary } from "./store-call-summary.js";
 import { StoreFollower } from "./store-follower.js";
 import { LEND_METHOD } from "./token-loans.js";
 
 /** Interval in ms of removing expired crash reports, which count for minutes, and limits of removed endpoints. */
 const REPORT_SWEEP_INTERVAL_MS = 60_000;
-/** Interval in ms of the log line that sums up the calls to the store. */
-const STORE_SUMMARY_INTERVAL_MS = 10_000;
 
 /** A router that serves the callers of a deployment. */
 export class Gateway {
@@ -67,6 +67,13 @@
     private readonly self: FleetMember;
     private readonly endpoints = createEndpointTable();
     private readonly connections = new EndpointConnections();
+    private readonly outgoing = new OutgoingSends(
+        this.endpoints,
+        () => this.settings,
+        (now) => this.follower.changesAgeMs(now),
+        () => this.metrics.lateSends.inc({ outcome: "reset" }),
+        this.clock,
+    );
     private readonly peers = new PeerCalls();
     private readonly peerServer: JSONRPCServer;
     private readonly registry: FleetRegistry;
@@ -76,9 +83,9 @@
     private readonly crashReports: CrashReports;
     private readonly suspects: PoisonRequestTracker;
     private readonly limitReports: LimitReports;
+    private readonly storeCalls: StoreCallSummary;
     private readonly coldEndpoints: ColdEndpointMonitor;
     private readonly evacuations: DomainEvacuations;
-    private readonly storeCalls = new Map<string, number>();
     /** Era of the store at the last read of all its items. */
     private storeEra: number | undefined;
     private readonly timers: NodeJS.Timeout[] = [];
@@ -90,8 +97,9 @@
         /** Wall-clock time in ms at which the process started. */
         startedAt: number = performance.timeOrigin,
     ) {
-        const store = new CountedStore(platformStore, (operation, result) => this.countStoreCall(operation, result));
         this.logs = createGatewayLogs(settings.log);
+        this.storeCalls = new StoreCallSummary(this.metrics, this.logs);
+        const store = new CountedStore(platformStore, (operation, result) => this.storeCalls.count(operation, result));
         this.load = new LoadMonitor(this.logs);
         this.reserve = new ReserveMonitor(this.metrics, this.logs);
         const incarnation = brand<Incarnation>(randomBytes(9).toString("base64url"));
@@ -226,8 +234,9 @@
         void this.follower.run();
         this.registry.start();
         this.prepaid.start();
-        this.timers.push(setInterval(() => this.logStoreCalls(), STORE_SUMMARY_INTERVAL_MS));
+        this.timers.push(setInterval(() => this.storeCalls.log(), STORE_SUMMARY_INTERVAL_MS));
         this.timers.push(setInterval(() => this.measureLoad(), LOAD_SAMPLE_INTERVAL_MS));
+        this.timers.push(setInterval(() => this.outgoing.check(), LEAVING_CHECK_INTERVAL_MS));
         this.timers.push(setInterval(() => this.sweepReports(), REPORT_SWEEP_INTERVAL_MS));
     }
 
@@ -255,20 +264,6 @@
         return Promise.resolve(this.peerServer.receive(call));
     }
 
-    private countStoreCall(operation: string, result: string): void {
-        this.metrics.storeCalls.inc({ operation, result });
-        const name = `${operation} ${result}`;
-        this.storeCalls.set(name, (this.storeCalls.get(name) ?? 0) + 1);
-    }
-
-    private logStoreCalls(): void {
-        this.logs.store.info("Store calls since the last summary.", {
-            lastMs: STORE_SUMMARY_INTERVAL_MS,
-            ...Object.fromEntries(this.storeCalls),
-        });
-        this.storeCalls.clear();
-    }
-
     private fleetShare(): number {
         return fleetShareOf(this.settings.name, this.registry.serving, this.registry.members.size);
     }
@@ -308,6 +303,7 @@
             endpoints: this.endpoints,
             retries: new Map(),
             admission: new Map(),
+            outgoing: this.outgoing,
             prepaid: this.prepaid,
             suspects: this.suspects,
             limitReports: this.limitReports,
@@ -333,6 +329,7 @@
                     connection: onReusedConnection ? "reused" : "new",
                 }),
             countLimitEvent: (event) => this.metrics.limits.inc({ event }),
+            countLateSend: (outcome) => this.metrics.lateSends.inc({ outcome }),
             countAdmission: (outcome) => this.metrics.admissions.inc({ outcome }),
             observeUnread: (unreadMs) => this.metrics.unreadSeconds.observe(unreadMs / 1_000),
             observeFirstByte: (request, now) =>
