Reject responses whose status is not that of a final response

Cause: judgeHead compared statuses with lower bounds only, and relied on the HTTP client for those below 200; these were taken for interim responses by the router.

A final response now has a status from 200 to 599. All else proves nothing about the request, whatever its headers state, and is rejected as a response of a faulty endpoint; only 100 to 199 are interim.

--- a/packages/core/src/dispatch/response-verdict.test.ts
+++ b/packages/core/src/dispatch/response-verdict.test.ts
@@ -56,6 +56,13 @@
         });
     });
 
+    // Guards against responses of faulty endpoints whose status is none.
+    it.each([0, 1, 20, 99, 100, 199, 600, 999, 1_000, 2_000, NaN])("proves nothing with status %d", (status) => {
+        fc.assert(fc.property(heads, situations, (anyHead, situation) => {
+            expect(judgeHead({ ...anyHead, status }, situation).kind).toBe("foreign");
+        }));
+    });
+
     it("proves that a request did not run only if it names the request, or nothing else can have been sent there", () => {
         fc.assert(fc.property(heads, situations, (anyHead, situation) => {
             if (judgeHead(anyHead, situation).kind === "not-run") {
--- a/packages/core/src/dispatch/response-verdict.ts
+++ b/packages/core/src/dispatch/response-verdict.ts
@@ -41,6 +41,8 @@
 const MIN_SUCCESS_STATUS = 200;
 const MIN_REDIRECTION_STATUS = 300;
 const MIN_SERVER_ERROR_STATUS = 500;
+/** First status after those that HTTP defines. */
+const FIRST_INVALID_STATUS = 600;
 
 /** Returns whether a status is that of a success. */
 export function isSuccess(status: number): boolean {
@@ -56,6 +58,9 @@
 export function judgeHead(head: ResponseHead, situation: ResponseSituation): HeadVerdict {
     const { status } = head;
     const succeeded = isSuccess(status);
+    if (!(status >= MIN_SUCCESS_STATUS && status < FIRST_INVALID_STATUS)) {
+        return { kind: "foreign", reason: "its status is not that of a final response" };
+    }
     if (head.requestId === undefined ? situation.onReusedConnection : head.requestId !== situation.requestId) {
         return { kind: "foreign", reason: "it does not name this request" };
     }
--- a/packages/router/src/gateway/guarded-handler.ts
+++ b/packages/router/src/gateway/guarded-handler.ts
@@ -4,6 +4,7 @@
 const MAX_PIECES_PER_TURN = 128;
 /** Interim responses (1xx) to one request; they are ignored, and an endpoint has no use for more. */
 const MAX_INTERIM_RESPONSES = 16;
+const FIRST_INTERIM_STATUS = 100;
 const FIRST_FINAL_STATUS = 200;
 
 /** Events of one send to an endpoint. */
@@ -43,7 +44,8 @@
     let interimResponses = 0;
     let piecesInTurn = 0;
     const receiveHead = (controller: Dispatcher.DispatchController, status: number): void => {
-        if (status >= FIRST_FINAL_STATUS) {
+        // A status below both is invalid, and is judged like that of a final response.
+        if (status < FIRST_INTERIM_STATUS || status >= FIRST_FINAL_STATUS) {
             return events.head(controller, status);
         }
         interimResponses++;
