Shorten the steps of large holders, and tell when tokens become usable

Cause: in the first 2.9 s of an outage of the store, large requests in a fleet of 25 routers needed more than a step; 9 in 100 of the requests of an outage of 9 s were refused at first, and sent back for up to twice the time of the outage.

Change: a router with a large part of an account's demand stores checkpoints as often as if as few routers held tokens as would have such a part, at least six; its steps end earlier and it lends to the others. A request refused for tokens that this router holds is told when they become usable. A router whose use fell by loans or transfers writes it to the record as one whose use rose, so that others don't take lent tokens for used ones and answer 402.

--- a/packages/core/src/dispatch/prepaid.test.ts
+++ b/packages/core/src/dispatch/prepaid.test.ts
@@ -23,6 +23,7 @@
     reservePrepaid,
     settlePrepaid,
     spendableTokens,
+    usableAfterMs,
 } from "./prepaid.js";
 
 const account = brand<AccountId>("press-floor");
@@ -74,6 +75,27 @@
             expect(reservePrepaid(row, 1_000, 0)).toBe("short");
         });
 
+        // Guards against retry times that send callers back before tokens are usable, or long after.
+        it("tells when its tokens become usable without another checkpoint", () => {
+            const row = readRow(100_000);
+            const policy = { ...defaultPrepaidPolicy, stepMs: 2_300 };
+            const write = planPrepaidWrite(row, holder, [], 10_000, policy, 1, at(0))!;
+            recordPrepaidWriteSent(row, write);
+            applyPrepaidRecord(row, 1, write.record, holder);
+            expect(reservePrepaid(row, 10_000, 0)).toBe("reserved");
+            settlePrepaid(row, 10_000, 8_000);
+            row.checkpoints = [{
+                sequence: 1,
+                committed: 8_000,
+                at: 0,
+                ramp: CALM_RAMP,
+                step: { ms: 2_300, tokens: 10 },
+            }];
+            expect(usableAfterMs(row, 800, 1_000)).toBe(1_300);
+            expect(usableAfterMs(row, 10, 1_000)).toBeUndefined();
+            expect(usableAfterMs(row, 2_001, 1_000)).toBeUndefined();
+        });
+
         it("covers running requests when the total is lowered", () => {
             const row = readRow(10_000);
             const write = planPrepaidWrite(row, holder, [], 8_000, defaultPrepaidPolicy, 1, at(0))!;
--- a/packages/core/src/dispatch/prepaid.ts
+++ b/packages/core/src/dispatch/prepaid.ts
@@ -139,6 +139,8 @@
 const JOIN_TOLERANCE = 0.15;
 /** Time in ms of demand that the step of a checkpoint covers: smaller requests need no checkpoint of their own. */
 const STEP_DEMAND_MS = 800;
+/** Precision in ms of the time after which tokens become usable. */
+const USABLE_STEP_MS = 100;
 /** Share of the remaining tokens that steps allow beyond that, as a loss of power of all routers may cost as much. */
 const STEP_REMAINING_SHARE = 0.01;
 
@@ -352,6 +354,26 @@
     return { ms: stepMs, tokens: Math.ceil(demandRate(row) * STEP_DEMAND_MS + left * ownShare * STEP_REMAINING_SHARE) };
 }
 
+/** Returns the share of this router in the recent demand of an account, by the record. */
+export function demandShare(row: PrepaidRow, holder: PrepaidHolder): number {
+    return remainingTokens(row, holder).ownShare;
+}
+
+/**
+ * Returns the time in ms until tokens that this router holds become usable without another checkpoint; undefined if it
+ * does not hold as many.
+ */
+export function usableAfterMs(row: PrepaidRow, tokens: number, now: number): number | undefined {
+    if (!isCheckpointMissing(row, tokens, now)) {
+        return undefined;
+    }
+    let ms = 0;
+    while (spendableTokens(row, now + ms) < tokens) {
+        ms += USABLE_STEP_MS;
+    }
+    return ms;
+}
+
 /** Records that a checkpoint is being written to the store. */
 export function recordCheckpointSent(
     row: PrepaidRow,
@@ -390,7 +412,7 @@
     }
     const target = allowanceTarget(row, policy, holder);
     return deviatesFrom(row, target, ALLOWANCE_TOLERANCE)
-        || row.used - row.usedInRecord > Math.max(target, row.maxWorstCase) / 2;
+        || Math.abs(row.used - row.usedInRecord) > Math.max(target, row.maxWorstCase) / 2;
 }
 
 /** Returns whether an allowance deviates enough to be part of a write that is sent anyway for another account. */
--- a/packages/router/src/gateway/mocks/fake-spending-fleet.ts
+++ b/packages/router/src/gateway/mocks/fake-spending-fleet.ts
@@ -343,8 +343,7 @@
     private async retry(process: RouterProcess, account: AccountId, tokens: number, sentAt: number): Promise<boolean> {
         const { patienceMs = 0 } = this.options;
         for (;;) {
-            const waitMs = process.accounts.retryAfterMs(Date.now() - process.startedAt);
-            await sleep(waitMs * (1 + randomFraction(this.random)));
+            await sleep(process.accounts.retryAfterMs(account, tokens, Date.now() - process.startedAt));
             if (process.hasEnded || Date.now() > sentAt + patienceMs) {
                 return false;
             }
--- a/packages/router/src/gateway/prepaid-accounts.ts
+++ b/packages/router/src/gateway/prepaid-accounts.ts
@@ -9,6 +9,7 @@
     conflictPauseMs,
     createPrepaidRow,
     defaultPrepaidPolicy,
+    demandShare,
     emptyPrepaidRecord,
     eraOf,
     hasCrashedPredecessor,
@@ -31,6 +32,7 @@
     settlePrepaid,
     SHORTAGE_RETURN_MS,
     shouldReturnTokens,
+    usableAfterMs,
 } from "@gooseberrybend/core/dispatch";
 import { CheckpointRequests } from "./checkpoint-requests.js";
 import { EraView } from "./era-view.js";
@@ -65,6 +67,11 @@
 /** Maximum time in ms, in a new era of the store, until a router writes its holdings again. */
 const MAX_RESTATEMENT_DELAY_MS = 1_000;
 
+/** Least number of holders by which a large part of the demand sets intervals: more checkpoints save little more. */
+const MIN_EFFECTIVE_HOLDERS = 6;
+/** Shortest retry time in ms while a checkpoint would make tokens usable, and the jitter on the time until they are. */
+const MIN_RETRY_MS = 200;
+const RETRY_JITTER_MS = 200;
 /** Shortest time in ms between two checks whether a checkpoint is due: one that is due may have nothing to store. */
 const MIN_CHECKPOINT_PAUSE_MS = 100;
 
@@ -76,6 +83,8 @@
     private waiters: Waiter[] = [];
     private flushing: Promise<void> | undefined;
     private isStopped = false;
+    /** Number of routers that would hold tokens if all had as much of the demand as this one; sets intervals. */
+    private effectiveHolders = 1;
     private storeRevision: number | undefined;
     private readonly era = new EraView();
     private readonly unconfiguredRecords = new Map<string, { revision: number; record: PrepaidRecord; }>();
@@ -163,7 +172,8 @@
         // Checkpoints that requests waited for serve as well.
         const dueInMs = (): number => {
             const ageMs = Math.max(0, this.clock().monotonic - this.checkpoints.sentAt);
-            return checkpointIntervalMs(this.holderCount()) - ageMs;
+            this.effectiveHolders = this.countEffectiveHolders();
+            return checkpointIntervalMs(this.effectiveHolders) - ageMs;
         };
         this.work.repeat(() => Math.max(MIN_CHECKPOINT_PAUSE_MS, dueInMs()), () => {
             if (dueInMs() <= 0) {
@@ -328,10 +338,15 @@
         });
     }
 
-    /** Returns the time in ms after which tokens may be available again. */
-    retryAfterMs(now: number): number {
+    /** Returns the time in ms after which tokens may be available again, with jitter so that callers come apart. */
+    retryAfterMs(account: AccountId, tokens: number, now: number): number {
+        const row = this.rows.get(account);
+        const usableMs = row === undefined ? undefined : usableAfterMs(row, tokens, now);
+        if (usableMs !== undefined) {
+            return Math.max(usableMs, MIN_RETRY_MS) + this.random() * RETRY_JITTER_MS;
+        }
         // On average, an outage goes on for as long as it has lasted so far.
-        return Math.max(SHORTAGE_RETURN_MS, this.health.failingMs(now) ?? 0);
+        return Math.max(SHORTAGE_RETURN_MS, this.health.failingMs(now) ?? 0) * (1 + this.random());
     }
 
     /** Settles a reservation by the tokens that were used. */
@@ -469,7 +484,14 @@
         const policy = now < this.cautiousUntil ? cautiousPrepaidPolicy : defaultPrepaidPolicy;
         return this.health.isSlow
             ? policy
-            : { ...policy, stepMs: checkpointStepMs(this.holderCount()) };
+            : { ...policy, stepMs: checkpointStepMs(this.effectiveHolders) };
+    }
+
+    // A router with a large part of an account's demand stores checkpoints as often as if few routers held tokens: it
+    // has more to lose, and the number of checkpoints of all stays bounded.
+    private countEffectiveHolders(): number {
+        const largestShare = Math.max(0, ...[...this.rows.values()].map((row) => demandShare(row, this.holder)));
+        return Math.min(this.holderCount(), Math.max(MIN_EFFECTIVE_HOLDERS, 1 / largestShare));
     }
 
     private rowsWithTokens(): readonly PrepaidRow[] {
--- a/packages/router/src/gateway/prepaid-loss.test.ts
+++ b/packages/router/src/gateway/prepaid-loss.test.ts
@@ -72,7 +72,7 @@
             const { outageOutcomes, mostUsedShare } = await playDay({ outage: [20_000, 29_000], routers: 6, seed: 1 });
             const { served = 0, "served later": later = 0, ...refused } = outageOutcomes;
             expect(mostUsedShare).toBeLessThanOrEqual(1);
-            expect(served).toBeGreaterThan(0.9 * (served + later));
+            expect(served).toBeGreaterThan(0.92 * (served + later));
             expect(Object.values(refused).reduce((sum, count) => sum + count, 0)).toBeLessThan(0.01 * served);
         });
     });
--- a/packages/router/src/gateway/token-claim.ts
+++ b/packages/router/src/gateway/token-claim.ts
@@ -20,14 +20,10 @@
         if (account?.prepaidTokens === undefined || fields.tokens === undefined) {
             return "reserved";
         }
-        const worstCaseTokens = fields.tokens.prompt + fields.tokens.output;
-        const reservation = await this.context.prepaid.reserve(
-            account.id,
-            worstCaseTokens,
-            targetMs * TOKEN_WAIT_SHARE,
-        );
+        const tokens = worstCaseTokens(fields);
+        const reservation = await this.context.prepaid.reserve(account.id, tokens, targetMs * TOKEN_WAIT_SHARE);
         if (reservation === "reserved") {
-            this.reserved = worstCaseTokens;
+            this.reserved = tokens;
         }
         return reservation;
     }
@@ -66,16 +62,24 @@
         }
     }
 
-    // Jitter keeps callers from retrying together.
-    private retryAfterMs(): number {
-        return this.context.prepaid.retryAfterMs(this.context.clock()) * (1 + this.context.random());
+    private retryAfterMs(): number | undefined {
+        const { account, fields } = this.admitted;
+        return account === undefined
+            ? undefined
+            : this.context.prepaid.retryAfterMs(account.id, worstCaseTokens(fields), this.context.clock());
     }
 
     /** Returns the log fields of the state behind a refusal. */
     figures(): Readonly<Record<string, number | undefined>> {
         const { account, fields } = this.admitted;
         const row = account === undefined ? undefined : this.context.prepaid.rows.get(account.id);
-        const worst = (fields.tokens?.prompt ?? 0) + (fields.tokens?.output ?? 0);
-        return { worst, ...(row === undefined ? {} : prepaidFigures(row, this.context.clock())) };
+        return {
+            worst: worstCaseTokens(fields),
+            ...(row === undefined ? {} : prepaidFigures(row, this.context.clock())),
+        };
     }
 }
+
+function worstCaseTokens({ tokens }: AdmittedRequest["fields"]): number {
+    return (tokens?.prompt ?? 0) + (tokens?.output ?? 0);
+}
