--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -40,13 +40,15 @@
 import { PeerCalls } from "./peer-calls.js";
 import { CHANGE_FEED_METHOD, ChangeHistory, PeerChangeFeed } from "./peer-change-feed.js";
 import { PoisonRequestTracker, type SuspectEvent } from "./poison-request-tracker.js";
-import { PREPAID_PREFIX, PrepaidAccounts } from "./prepaid-accounts.js";
+import { PrepaidAccounts } from "./prepaid-accounts.js";
+import { PREPAID_PREFIX } from "./prepaid-formats.js";
 import { ReserveMonitor } from "./reserve-monitor.js";
 import { SHARED_PREFIX } from "./shared-prefix.js";
 import { CHECKPOINT_PREFIX } from "./spending-checkpoints.js";
 import { STORE_SUMMARY_INTERVAL_MS, StoreCallSummary } from "./store-call-summary.js";
 import { StoreFollower } from "./store-follower.js";
 import { LEND_METHOD } from "./token-loans.js";
+import { TRANSFER_METHOD } from "./token-transfers.js";
 
 /** Interval in ms of removing expired crash reports, which count for minutes, and limits of removed endpoints. */
 const REPORT_SWEEP_INTERVAL_MS = 60_000;
@@ -192,6 +194,7 @@
             errorListener: (detail) => this.logs.fleet.warn("JSON-RPC call of another router failed.", { detail }),
         });
         this.peerServer.addMethod(LEND_METHOD, (parameters) => this.prepaid.lend(parameters));
+        this.peerServer.addMethod(TRANSFER_METHOD, (parameters) => this.prepaid.receiveTransfer(parameters));
         this.peerServer.addMethod(CRASH_METHOD, (parameters) => {
             const { crash, keep } = readCrashMessage(parameters);
             this.suspects.applyPeerReport(crash, keep && this.registry.isStoreWatcher);
