--- a/packages/router/src/gateway/gateway-settings.ts
+++ b/packages/router/src/gateway/gateway-settings.ts
@@ -1,5 +1,5 @@
 import { brand, type FailureDomain, type FileFault, parseFile } from "@gooseberrybend/core";
-import type { Region, RegionTable } from "@gooseberrybend/core/dispatch";
+import type { InstanceCapacity, Region, RegionTable } from "@gooseberrybend/core/dispatch";
 import { err, type Result } from "neverthrow";
 import { z } from "zod";
 import { readTextFile } from "../settings.js";
@@ -94,6 +94,12 @@
     return text.isErr() ? err([text.error]) : parseFile(file, text.value, gatewaySettingsSchema);
 }
 
+/** Returns the capacity of the router's instance. */
+export function capacityOf(settings: GatewaySettings): InstanceCapacity {
+    const { coreShare, coreSpeed, linkMbps } = settings.instance;
+    return { cores: coreShare * coreSpeed, linkMbps };
+}
+
 /** Splits an address into IP number and port. */
 export function splitAddress(text: string): { readonly host: string; readonly port: number; } {
     const colon = text.lastIndexOf(":");
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -8,7 +8,6 @@
     findConfigurationFault,
     type FleetMember,
     fleetShareOf,
-    type InstanceCapacity,
     ownerOf,
     recordLostContact,
     type RoutingTable,
@@ -29,7 +28,7 @@
 import { FLEET_PREFIX, FleetRegistry, SHORTEST_ROUTER_EXPIRY_MS } from "./fleet-registry.js";
 import type { GatewayContext } from "./gateway-context.js";
 import { createGatewayMetrics, type GatewayMetrics } from "./gateway-metrics.js";
-import { type GatewaySettings, regionTableOf } from "./gateway-settings.js";
+import { capacityOf, type GatewaySettings, regionTableOf } from "./gateway-settings.js";
 import { Ingress } from "./ingress.js";
 import { LARGE_VALUE_METHOD, LargeValues } from "./large-values.js";
 import { LIMIT_PREFIX, LimitReports } from "./limit-reports.js";
@@ -484,8 +483,3 @@
 function changeDeadlineMs({ bounds: { drainMs, configurationMs, evacuationMs = Infinity } }: GatewaySettings): number {
     return Math.min(drainMs, configurationMs, evacuationMs);
 }
-
-function capacityOf(settings: GatewaySettings): InstanceCapacity {
-    const { coreShare, coreSpeed, linkMbps } = settings.instance;
-    return { cores: coreShare * coreSpeed, linkMbps };
-}
