Count where the tokens of refused requests are, and unproven and moved tokens

Cause: a refusal for tokens did not tell whether these were held here, free, held by other routers or used, and what restarts cost had to be summed up from log lines of all routers.

Change: the field tokensAt of `Refused.` and the counter prepaid_shortages_total{tokens}; the counter prepaid_tokens_total{event} for tokens counted as used for earlier processes beyond those committed, by basis, and for those handed over and received at shutdowns.

Tests of prepaid, prepaid accounts, loans and transfers pass.

--- a/packages/core/src/dispatch/prepaid.test.ts
+++ b/packages/core/src/dispatch/prepaid.test.ts
@@ -22,6 +22,7 @@
     recordPrepaidWriteSent,
     reservePrepaid,
     settlePrepaid,
+    shortageCause,
     spendableTokens,
     usableAfterMs,
 } from "./prepaid.js";
@@ -75,6 +76,16 @@
             expect(reservePrepaid(row, 1_000, 0)).toBe("short");
         });
 
+        // Guards against operators who top up an account whose tokens other routers hold.
+        it("tells where the tokens of a refused request are", () => {
+            const row = readRow(10_000);
+            const other = { ...holdingOf(9_000, 0, 1, 0), incarnation: brand<Incarnation>("other"), used: 1_000 };
+            applyPrepaidRecord(row, 1, { closed: 500, holdings: { "router-2": other } }, holder);
+            expect(shortageCause(row, 500)).toBe("free");
+            expect(shortageCause(row, 8_500)).toBe("held-by-others");
+            expect(shortageCause(row, 8_501)).toBe("used");
+        });
+
         // Guards against retry times that send callers back before tokens are usable, or long after.
         it("tells when its tokens become usable without another checkpoint", () => {
             const row = readRow(100_000);
--- a/packages/core/src/dispatch/prepaid.ts
+++ b/packages/core/src/dispatch/prepaid.ts
@@ -556,6 +556,24 @@
     recordCheckpointFailed(row, write.mark.sequence);
 }
 
+/** Where the tokens of a refused request are, as far as this router knows. */
+export const shortageCauses = ["held-here", "free", "held-by-others", "used"] as const;
+
+/** Where the tokens of a refused request are, as far as this router knows. */
+export type ShortageCause = typeof shortageCauses[number];
+
+/** Returns where the tokens of a request are that this router can't reserve. */
+export function shortageCause(row: PrepaidRow, tokens: number): ShortageCause {
+    const held = heldTokens(row);
+    if (held >= tokens) {
+        return "held-here";
+    }
+    if (hasFreeTokens(row, tokens)) {
+        return "free";
+    }
+    return row.total - usedByAll(row) >= tokens ? "held-by-others" : "used";
+}
+
 /** Returns the values on which a refusal because of a token shortage was based. */
 export function prepaidFigures(row: PrepaidRow, now: number): Readonly<Record<string, number | undefined>> {
     const holdings = Object.values(row.record.holdings);
--- a/packages/router/src/gateway/gateway-context.ts
+++ b/packages/router/src/gateway/gateway-context.ts
@@ -6,6 +6,7 @@
     RetryQuota,
     SendFailure,
     ServiceDeclaration,
+    ShortageCause,
 } from "@gooseberrybend/core/dispatch";
 import type { Dispatcher } from "undici";
 import type { AdmittedRequest } from "./admitted-request.js";
@@ -48,6 +49,7 @@
     readonly countCutAnswer: () => void;
     readonly countResponse: (end: ResponseEnd | "broken") => void;
     readonly countEndpointRefusal: (hasId: boolean, onReusedConnection: boolean) => void;
+    readonly countShortage: (cause: ShortageCause) => void;
     readonly countLimitEvent: (event: LimitEvent) => void;
     readonly observeUnread: (unreadMs: number) => void;
     readonly observeFirstByte: (request: AdmittedRequest, now: number) => void;
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -1,5 +1,7 @@
+import { shortageCauses } from "@gooseberrybend/core/dispatch";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { suspectEvents } from "./poison-request-tracker.js";
+import { tokenEvents } from "./prepaid-log.js";
 import { refusalStatus } from "./refusal.js";
 
 const FIRST_BYTE_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1, 2, 5];
@@ -33,6 +35,10 @@
         "event",
     ]);
     limitEvents.forEach((event) => limits.inc({ event }, 0));
+    const prepaidTokens = counter("prepaid_tokens_total", "Prepaid tokens by what happened to them.", ["event"]);
+    tokenEvents.forEach((event) => prepaidTokens.inc({ event }, 0));
+    const shortages = counter("prepaid_shortages_total", "Requests refused for tokens by where these are.", ["tokens"]);
+    shortageCauses.forEach((cause) => shortages.inc({ tokens: cause }, 0));
     const responses = counter("endpoint_responses_total", "Responses of endpoints by how they ended.", ["end"]);
     responseEnds.forEach((end) => responses.inc({ end }, 0));
     return {
@@ -40,6 +46,8 @@
         refusals,
         suspects,
         limits,
+        prepaidTokens,
+        shortages,
         responses,
         endpointRefusals: counter(
             "endpoint_refusals_total",
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -149,6 +149,7 @@
             () => this.registry.serving.length,
             Math.random,
             () => this.follower.allChangesAgeMs(this.clock()),
+            (event, tokens) => this.metrics.prepaidTokens.inc({ event }, tokens),
         );
         const sources = (): string[] => changeSources(this.registry.storeWatchers, self);
         const changeFeed = new PeerChangeFeed(this.peers, sources, this.clock);
@@ -303,6 +304,7 @@
                     id: hasId ? "echoed" : "missing",
                     connection: onReusedConnection ? "reused" : "new",
                 }),
+            countShortage: (tokens) => this.metrics.shortages.inc({ tokens }),
             countLimitEvent: (event) => this.metrics.limits.inc({ event }),
             observeUnread: (unreadMs) => this.metrics.unreadSeconds.observe(unreadMs / 1_000),
             observeFirstByte: (request, now) =>
--- a/packages/router/src/gateway/prepaid-accounts.ts
+++ b/packages/router/src/gateway/prepaid-accounts.ts
@@ -41,6 +41,7 @@
 import type { PeerCalls } from "./peer-calls.js";
 import { PeriodicWork } from "./periodic-work.js";
 import { decodeItem, PREPAID_PREFIX, recordSchema } from "./prepaid-formats.js";
+import type { TokenCounter } from "./prepaid-log.js";
 import { RecordWriter } from "./record-writer.js";
 import { sleep } from "./sleep.js";
 import { SpendingCheckpoints } from "./spending-checkpoints.js";
@@ -115,12 +116,14 @@
         private readonly random: () => number,
         /** Returns the time in ms since this router read all changes of the store; undefined if it reads only some. */
         private readonly allChangesAgeMs: () => number | undefined,
+        count: TokenCounter = () => undefined,
     ) {
         this.health = new StoreHealth(store, logs, () => clock().monotonic);
         this.writer = new RecordWriter(
             { holder, rows: this.rows, applyRecord: (item) => this.applyRecord(item) },
             this.health,
             logs,
+            count,
         );
         this.loans = new TokenLoans(
             {
@@ -137,6 +140,7 @@
             { holder, rows: this.rows, addressOf, now: () => clock().monotonic },
             peers,
             logs,
+            count,
         );
         this.checkpointRequests = new CheckpointRequests(
             () => this.writeCheckpoints(),
--- a/packages/router/src/gateway/record-writer.ts
+++ b/packages/router/src/gateway/record-writer.ts
@@ -11,7 +11,7 @@
 import type { GatewayLogs } from "./log-sink.js";
 import type { StoredItem, StoreResult } from "./metadata-store.js";
 import { PREPAID_PREFIX } from "./prepaid-formats.js";
-import { logEarlierUse } from "./prepaid-log.js";
+import { logEarlierUse, type TokenCounter } from "./prepaid-log.js";
 import type { StoreHealth } from "./store-health.js";
 
 /** Outcome of a write of records. */
@@ -34,6 +34,7 @@
         private readonly host: RecordHost,
         private readonly health: StoreHealth,
         private readonly logs: GatewayLogs,
+        private readonly count: TokenCounter,
     ) {}
 
     /** Gives up writes without a response, as a new era of the store rules them out. */
@@ -70,7 +71,7 @@
             writes.forEach((write) =>
                 applyPrepaidRecord(this.rowOf(write), result.value, write.record, this.host.holder)
             );
-            writes.forEach((write) => logEarlierUse(this.logs, write));
+            writes.forEach((write) => logEarlierUse(this.logs, this.count, write));
             return "done";
         }
         if (result.kind === "conflict") {
@@ -80,7 +81,7 @@
             result.items.forEach((item) => this.host.applyRecord(item));
             for (const write of writes) {
                 if (this.isApplied(write)) {
-                    logEarlierUse(this.logs, write);
+                    logEarlierUse(this.logs, this.count, write);
                 }
                 else {
                     recordPrepaidWriteFailed(this.rowOf(write), write);
--- a/packages/router/src/gateway/token-claim.ts
+++ b/packages/router/src/gateway/token-claim.ts
@@ -1,4 +1,4 @@
-import { prepaidFigures, type Reservation } from "@gooseberrybend/core/dispatch";
+import { prepaidFigures, type Reservation, shortageCause } from "@gooseberrybend/core/dispatch";
 import type { AdmittedRequest } from "./admitted-request.js";
 import type { GatewayContext } from "./gateway-context.js";
 import type { RefusalCause } from "./refusal.js";
@@ -69,14 +69,17 @@
             : this.context.prepaid.retryAfterMs(account.id, worstCaseTokens(fields), this.context.clock());
     }
 
-    /** Returns the log fields of the state behind a refusal. */
-    figures(): Readonly<Record<string, number | undefined>> {
+    /** Returns the log fields of the state behind a refusal, and counts where the tokens are. */
+    figures(): Readonly<Record<string, number | string | undefined>> {
         const { account, fields } = this.admitted;
         const row = account === undefined ? undefined : this.context.prepaid.rows.get(account.id);
-        return {
-            worst: worstCaseTokens(fields),
-            ...(row === undefined ? {} : prepaidFigures(row, this.context.clock())),
-        };
+        const worst = worstCaseTokens(fields);
+        if (row === undefined) {
+            return { worst };
+        }
+        const tokensAt = shortageCause(row, worst);
+        this.context.countShortage(tokensAt);
+        return { worst, tokensAt, ...prepaidFigures(row, this.context.clock()) };
     }
 }
 
--- a/packages/router/src/gateway/token-transfers.ts
+++ b/packages/router/src/gateway/token-transfers.ts
@@ -9,6 +9,7 @@
 import { z } from "zod";
 import type { GatewayLogs } from "./log-sink.js";
 import type { PeerCalls } from "./peer-calls.js";
+import type { TokenCounter } from "./prepaid-log.js";
 
 /** JSON-RPC method by which a router that shuts down hands its tokens over to another one. */
 export const TRANSFER_METHOD = "transfer";
@@ -55,6 +56,7 @@
         private readonly host: TransferHost,
         private readonly peers: PeerCalls,
         private readonly logs: GatewayLogs,
+        private readonly count: TokenCounter = () => undefined,
     ) {}
 
     /** Handles a transfer from another router. A router that shuts down rejects it. */
@@ -72,6 +74,7 @@
             this.logs.prepaid.info("Tokens of a router that shuts down received.", { id, from, tokens });
         }
         for (const [account, count] of transferred) {
+            this.count("received", count);
             const row = this.host.rows.get(account as AccountId);
             if (row === undefined) {
                 this.unassigned.set(account, (this.unassigned.get(account) ?? 0) + count);
@@ -129,6 +132,7 @@
             const usable = Math.floor(spendableTokens(row, this.host.now()));
             if (usable > 0) {
                 row.used += usable;
+                this.count("handed-over", usable);
                 tokens[row.account] = usable;
             }
         }
