--- a/packages/core/src/dispatch/prepaid.ts
+++ b/packages/core/src/dispatch/prepaid.ts
@@ -139,6 +139,8 @@
 const JOIN_TOLERANCE = 0.15;
 /** Time in ms of demand that the step of a checkpoint covers: smaller requests need no checkpoint of their own. */
 const STEP_DEMAND_MS = 800;
+/** Greatest part of the remaining tokens that covers demand: near the end of an account, a second of it is much. */
+const MAX_STEP_SHARE = 0.01;
 /** Precision in ms of the time after which tokens become usable. */
 const USABLE_STEP_MS = 100;
 /** Share of the remaining tokens that steps allow beyond that, as a loss of power of all routers may cost as much. */
@@ -351,7 +353,9 @@
     }
     decayDemand(row, now);
     const { left, ownShare } = remainingTokens(row, holder);
-    return { ms: stepMs, tokens: Math.ceil(demandRate(row) * STEP_DEMAND_MS + left * ownShare * STEP_REMAINING_SHARE) };
+    const ownLeft = left * ownShare;
+    const forDemand = Math.min(demandRate(row) * STEP_DEMAND_MS, ownLeft * MAX_STEP_SHARE);
+    return { ms: stepMs, tokens: Math.ceil(forDemand + ownLeft * STEP_REMAINING_SHARE) };
 }
 
 /** Returns the share of this router in the recent demand of an account, by the record. */
@@ -552,6 +556,24 @@
     recordCheckpointFailed(row, write.mark.sequence);
 }
 
+/** Where the tokens of a refused request are, as far as this router knows. */
+export const shortageCauses = ["held-here", "free", "held-by-others", "used"] as const;
+
+/** Where the tokens of a refused request are, as far as this router knows. */
+export type ShortageCause = typeof shortageCauses[number];
+
+/** Returns where the tokens of a request are that this router can't reserve. */
+export function shortageCause(row: PrepaidRow, tokens: number): ShortageCause {
+    const held = heldTokens(row);
+    if (held >= tokens) {
+        return "held-here";
+    }
+    if (hasFreeTokens(row, tokens)) {
+        return "free";
+    }
+    return row.total - usedByAll(row) >= tokens ? "held-by-others" : "used";
+}
+
 /** Returns the values on which a refusal because of a token shortage was based. */
 export function prepaidFigures(row: PrepaidRow, now: number): Readonly<Record<string, number | undefined>> {
     const holdings = Object.values(row.record.holdings);
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -177,6 +177,7 @@
             () => this.registry.serving.length,
             Math.random,
             () => this.follower.allChangesAgeMs(this.clock()),
+            (event, tokens) => this.metrics.prepaidTokens.inc({ event }, tokens),
         );
         const sources = (): string[] => changeSources(this.registry.storeWatchers, this.self);
         const changeFeed = new PeerChangeFeed(this.peers, sources, this.clock);
@@ -330,6 +331,7 @@
                     id: hasId ? "echoed" : "missing",
                     connection: onReusedConnection ? "reused" : "new",
                 }),
+            countShortage: (tokens) => this.metrics.shortages.inc({ tokens }),
             countLimitEvent: (event) => this.metrics.limits.inc({ event }),
             countLateSend: (outcome) => this.metrics.lateSends.inc({ outcome }),
             countAdmission: (outcome) => this.metrics.admissions.inc({ outcome }),
