Bound the memory and the connections of a router

Cause: bodies were buffered in full before route, key and length were judged, in buffers that double, and nothing bounded bodies, unread responses and connections together.

The head of a request is judged first; a body without room is refused with 503 router-full, stalled bodies and then unread responses end when others need their room, and a refused body is read for 256 KB and 2 s at most before its connection is closed. Idle connections are closed first at the limit of a listener. Listeners for addresses and other routers have time-outs, and calls of other routers a maximum size on the peer address only. Load is shed by the head too. Bodies of announced length have one buffer; the digest of a request hashes the bytes and keeps its value. Without the settings there is no budget and no limit of connections.

--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -8,6 +8,7 @@
 export * from "./endpoint-limits.js";
 export * from "./endpoint-table.js";
 export * from "./fleet.js";
+export * from "./memory-budget.js";
 export * from "./placement.js";
 export * from "./prepaid-intervals.js";
 export * from "./prepaid-loan.js";
--- a/packages/core/src/support/digest.ts
+++ b/packages/core/src/support/digest.ts
@@ -1,4 +1,4 @@
-import { createHash } from "node:crypto";
+import { createHash, type Hash } from "node:crypto";
 import type { AccountId, BodyDigest, KeyDigest, RequestKey } from "../types/ids.js";
 import { brand } from "../types/ids.js";
 
@@ -18,3 +18,8 @@
 export function digestBody(account: AccountId, body: string): BodyDigest {
     return brand<BodyDigest>(digestText(`${account}\n${body}`).slice(0, KEY_DIGEST_LENGTH));
 }
+
+/** Returns the digest of all that a hash was updated with. */
+export function digestOf(hash: Hash): BodyDigest {
+    return brand<BodyDigest>(hash.digest("base64url").slice(0, KEY_DIGEST_LENGTH));
+}
--- a/packages/router/src/gateway/admitted-request.ts
+++ b/packages/router/src/gateway/admitted-request.ts
@@ -1,6 +1,7 @@
 import type { AccountDeclaration, RequestFeatures, Route, ServiceDeclaration } from "@gooseberrybend/core/dispatch";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { CallerFields } from "./dialect.js";
+import type { RequestCharge } from "./request-memory.js";
 
 /** A request with its caller, route and service resolved. */
 export type AdmittedRequest = {
@@ -16,4 +17,6 @@
     /** True if it shows whether a convicted part of its prompt still crashes endpoints; it is sent once. */
     readonly isTrial: boolean;
     readonly arrivedAt: number;
+    /** Bytes that the request holds in this router. */
+    readonly charge: RequestCharge;
 };
--- a/packages/router/src/gateway/caller-answer.ts
+++ b/packages/router/src/gateway/caller-answer.ts
@@ -6,6 +6,12 @@
 /** Delay in ms before a reset: Node.js reports one that arrives together with data as the end of the response. */
 export const RESET_DELAY_MS = 50;
 
+/** Is told when a caller has to read on before more is sent. */
+export type ReadingObserver = {
+    readonly startWaiting: (pendingBytes: number) => void;
+    readonly stopWaiting: () => void;
+};
+
 /** The response to a caller; a resumed stream is assembled from several endpoints. */
 export class CallerAnswer {
     /** Status of the response head; undefined until it is sent. */
@@ -13,8 +19,11 @@
     private endsWithConnection = false;
     private pausedSource: Dispatcher.DispatchController | undefined;
 
-    constructor(private readonly response: ServerResponse) {
-        response.on("drain", () => this.resumeSource());
+    constructor(private readonly response: ServerResponse, private readonly observer?: ReadingObserver) {
+        response.on("drain", () => {
+            observer?.stopWaiting();
+            this.resumeSource();
+        });
     }
 
     /** Whether the response head has been sent. */
@@ -35,6 +44,7 @@
         if (bytes !== undefined && !this.response.write(bytes)) {
             this.pausedSource = source;
             source?.pause();
+            this.observer?.startWaiting(this.response.writableLength);
         }
     }
 
@@ -62,6 +72,7 @@
         this.applyEnd(end);
         this.response.writeHead(status, hasLength ? [...headers, "Content-Length", String(body.length)] : headers);
         this.response.end(body);
+        this.observer?.startWaiting(0);
     }
 
     /** Destroys the connection of a partial response, so that the caller can't mistake it for a complete one. */
@@ -69,6 +80,14 @@
         if (this.response.writableEnded) {
             return;
         }
+        this.cut();
+    }
+
+    /** Destroys the connection of a response that has not been sent in full, even if all of it has been written. */
+    cut(): void {
+        if (this.response.writableFinished) {
+            return;
+        }
         if (!this.endsWithConnection) {
             this.response.destroy();
             return;
--- a/packages/router/src/gateway/exchange-log.ts
+++ b/packages/router/src/gateway/exchange-log.ts
@@ -75,6 +75,19 @@
         });
     }
 
+    /** Logs and counts that a response is cut, because its caller does not read it and others need the memory. */
+    cut(send: Send | undefined, isWritten: boolean): void {
+        this.context.countResourceEvent("response-cut");
+        if (isWritten) {
+            // One that is not is aborted, which counts it.
+            this.context.countCutAnswer();
+        }
+        this.context.logs.requests.warn("Cutting a response that its caller does not read, as memory is needed.", {
+            ...this.figures(send),
+            ...this.context.memory.figures,
+        });
+    }
+
     /** Logs an error that no part of the code expects. */
     unexpectedError(send: Send | undefined, error: Error): void {
         this.context.logs.requests.error("Request ended by an unexpected error.", {
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -3,7 +3,6 @@
     type AttemptState,
     chooseEndpoint,
     impliesNotRun,
-    judgeEnd,
     nextStep,
     type PlacementQuery,
     recordConnectFailure,
@@ -25,15 +24,14 @@
 import { logPlacement } from "./placement-log.js";
 import { rawHeadersOf, withoutContentLength } from "./raw-headers.js";
 import { noEndpointCause, type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
+import { bufferResponse, takeBuffered } from "./response-buffer.js";
 import { readResponseHead, recordBytesReceived, recordRequestLimit, recordResponseHead } from "./response-head.js";
 import { recordFirst, takeRetry } from "./retry-accounting.js";
-import { recordSendEnd } from "./send-end.js";
+import { judgeSendEnd, recordSendEnd } from "./send-end.js";
 import { placementQueryOf, sendOptions } from "./send-options.js";
 import { TokenClaim } from "./token-claim.js";
 
 const MIN_FAILURE_STATUS = 500;
-/** Bytes of a response that are buffered until complete; responses of plain services have a few KB. */
-const MAX_BUFFERED_BYTES = 256 * 1024;
 /** Time in ms to wait for a connection before trying another endpoint; connecting usually takes a few ms. */
 const CONNECT_TIMEOUT_MS = 200;
 
@@ -57,7 +55,8 @@
         const { route, fields, arrivedAt } = admitted;
         this.deadline = arrivedAt + Math.min(fields.callerTimeoutMs ?? Infinity, route.timeoutMs);
         this.tokenClaim = new TokenClaim(context, admitted);
-        this.answer = new CallerAnswer(admitted.response);
+        this.answer = new CallerAnswer(admitted.response, admitted.charge);
+        admitted.charge.onEnd = () => this.cutForMemory();
         this.splitter = new EventSplitter(fields.resumeAfter, fields.tokens?.output);
         const progress = () => ({ sends: this.sends, mayHaveRun: this.mayHaveRun });
         this.log = new ExchangeLog(context, admitted, this.splitter, progress);
@@ -118,6 +117,7 @@
         const send = createSend(row, units, now);
         const options = sendOptions(this.context, this.admitted, row, this.deadline - now, this.splitter.lastEventId);
         this.send = send;
+        this.admitted.charge.hold();
         logPlacement(this.context, this.admitted, row, this.sends + 1, now);
         setTimeout(this.guarded(() => this.handleConnectTimeout(send), send), CONNECT_TIMEOUT_MS);
         recordSend(this.context.endpoints, row, this.query, this.context.random, now);
@@ -236,16 +236,14 @@
 
     // While a response is buffered, the request can still be retried at another endpoint.
     private buffer(send: Send, chunk: Buffer): void {
-        send.body.add(chunk);
-        if (send.body.length <= MAX_BUFFERED_BYTES) {
-            return;
-        }
-        if (send.verdict!.kind !== "whole" || !send.fields!.sealed) {
+        const result = bufferResponse(this.context.memory, this.admitted.charge, send, chunk);
+        if (result === "too-long") {
             this.rejectAnswer(send, "it is a failure and exceeds the buffer limit");
-            return;
         }
-        this.startStreaming(send);
-        this.answer.write(send.body.take(), send.controller);
+        else if (result === "pass-on") {
+            this.startStreaming(send);
+            this.answer.write(takeBuffered(this.admitted.charge, send), send.controller);
+        }
     }
 
     private rejectAnswer(send: Send, reason: string): void {
@@ -260,12 +258,7 @@
         if (send.ended) {
             return;
         }
-        const isStream = send.verdict?.kind === "stream";
-        const verdict = judgeEnd({
-            end: send.framing,
-            hasPartialEvent: isStream && this.splitter.hasPartialEvent,
-            isEmptyContinuation: isStream && this.splitter.isWithoutContinuation,
-        });
+        const verdict = judgeSendEnd(send, this.splitter);
         if (verdict === "broken") {
             this.receiveError(send, new Error("stream ended inside an event or without an event"));
             return;
@@ -390,6 +383,7 @@
         this.log.failed(send, failure, step.kind);
         switch (step.kind) {
             case "retry":
+                takeBuffered(this.admitted.charge, send);
                 return this.dispatch();
             case "resume":
                 this.splitter.breakOff();
@@ -442,6 +436,12 @@
         this.refuse(mayHaveRun ? causeIfRun : causeIfNotRun, mayHaveRun ? undefined : waitMs);
     }
 
+    // The caller does not read its response, and others need the memory.
+    private cutForMemory(): void {
+        this.log.cut(this.send, this.isFinished);
+        return this.isFinished ? this.answer.cut() : this.giveUp("may-have-run", "router-full", false);
+    }
+
     private handleCallerDisconnect(): void {
         if (this.isFinished) {
             return;
@@ -469,6 +469,7 @@
     private endSend(send: Send, failed: boolean, answered = send.hasResponded): void {
         send.ended = true;
         recordSendEnd(this.context, this.query, send, failed, answered);
+        this.admitted.charge.drop();
     }
 
     private refuse(cause: RefusalCause, retryAfterMs: number | undefined, figures: object = {}): void {
--- a/packages/router/src/gateway/gateway-context.ts
+++ b/packages/router/src/gateway/gateway-context.ts
@@ -17,6 +17,7 @@
 import type { PoisonRequestTracker } from "./poison-request-tracker.js";
 import type { PrepaidAccounts } from "./prepaid-accounts.js";
 import type { RefusalCause } from "./refusal.js";
+import type { RequestMemory, ResourceEvent } from "./request-memory.js";
 
 /** Dependencies shared by the exchanges of one router. */
 export type GatewayContext = {
@@ -27,6 +28,7 @@
     readonly prepaid: PrepaidAccounts;
     readonly suspects: PoisonRequestTracker;
     readonly limitReports: LimitReports;
+    readonly memory: RequestMemory;
     readonly logs: GatewayLogs;
     /** Monotonic time in ms. */
     readonly clock: () => number;
@@ -49,6 +51,9 @@
     readonly countResponse: (end: ResponseEnd | "broken") => void;
     readonly countEndpointRefusal: (hasId: boolean, onReusedConnection: boolean) => void;
     readonly countLimitEvent: (event: LimitEvent) => void;
+    /** Counts and logs what the limit of a listener's connections did. */
+    readonly recordConnectionEvent: (event: ResourceEvent, listener: string) => void;
+    readonly countResourceEvent: (event: ResourceEvent) => void;
     readonly observeUnread: (unreadMs: number) => void;
     readonly observeFirstByte: (request: AdmittedRequest, now: number) => void;
     readonly observeRequestEnd: (outcome: string, tookMs: number) => void;
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -1,6 +1,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { suspectEvents } from "./poison-request-tracker.js";
 import { refusalStatus } from "./refusal.js";
+import { resourceEvents } from "./request-memory.js";
 
 const FIRST_BYTE_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1, 2, 5];
 const CHANGES_AGE_BUCKETS_SECONDS = [0.2, 0.5, 1, 1.5, 2, 2.5, 3, 4, 6, 10];
@@ -33,6 +34,8 @@
         "event",
     ]);
     limitEvents.forEach((event) => limits.inc({ event }, 0));
+    const resources = counter("resource_events_total", "What the limits of memory and connections did.", ["event"]);
+    resourceEvents.forEach((event) => resources.inc({ event }, 0));
     const responses = counter("endpoint_responses_total", "Responses of endpoints by how they ended.", ["end"]);
     responseEnds.forEach((end) => responses.inc({ end }, 0));
     return {
@@ -40,6 +43,7 @@
         refusals,
         suspects,
         limits,
+        resources,
         responses,
         endpointRefusals: counter(
             "endpoint_refusals_total",
@@ -54,6 +58,7 @@
             "result",
         ]),
         configurationVersion: gauge("configuration_version", "Version of the configuration in force."),
+        chargedBytes: gauge("charged_bytes", "Bytes that requests hold in this router."),
         endpoints: gauge("endpoints", "Endpoints that are known."),
         members: gauge("fleet_members", "Routers that are known."),
         firstByteSeconds: new Histogram({
--- a/packages/router/src/gateway/gateway-settings.ts
+++ b/packages/router/src/gateway/gateway-settings.ts
@@ -42,13 +42,20 @@
         /** Maximum time in ms that a caller may use an address. */
         addressLifetimeMs: positive.default(5_000),
     }).prefault({}),
-    /** Capacity of this instance; callers are directed to the larger instances. */
+    /**
+     * Capacity of this instance; callers are directed to the larger instances. Memory and descriptors are read at the
+     * start of the process only.
+     */
     instance: z.object({
         /** Share of a processor core that the router may use. */
         coreShare: positive.default(1),
         /** Speed of that core relative to a standard one. */
         coreSpeed: positive.default(1),
         linkMbps: positive.default(1_000),
+        /** Memory in MB (10^6 bytes) that the process may use; undefined for no limit. */
+        memoryMb: positive.optional(),
+        /** File descriptors that the process may use; undefined for no limit. */
+        maxDescriptors: positive.optional(),
     }).prefault({}),
     log: z.object({ level: z.enum(["debug", "info", "warn", "error"]).default("info") }).prefault({}),
 });
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -2,6 +2,8 @@
 import {
     addressesForCaller,
     changeSources,
+    type ConnectionLimits,
+    connectionLimitsOf,
     createEndpointTable,
     createRoutingTable,
     type Drain,
@@ -9,6 +11,7 @@
     findConfigurationFault,
     fleetShareOf,
     type InstanceCapacity,
+    memoryLimitsOf,
     ownerOf,
     type RoutingTable,
     updateSharers,
@@ -36,6 +39,7 @@
 import { CHANGE_FEED_METHOD, ChangeHistory, PeerChangeFeed } from "./peer-change-feed.js";
 import { PoisonRequestTracker, type SuspectEvent } from "./poison-request-tracker.js";
 import { PREPAID_PREFIX, PrepaidAccounts } from "./prepaid-accounts.js";
+import { RequestMemory } from "./request-memory.js";
 import { SHARED_PREFIX } from "./shared-prefix.js";
 import { CHECKPOINT_PREFIX } from "./spending-checkpoints.js";
 import { StoreFollower } from "./store-follower.js";
@@ -55,6 +59,7 @@
     readonly logs: GatewayLogs;
     readonly context: GatewayContext;
     readonly ingress: Ingress;
+    readonly connectionLimits: ConnectionLimits;
     readonly load: LoadMonitor;
     readonly clock = (): number => performance.now();
     table: RoutingTable | undefined;
@@ -181,7 +186,9 @@
             feedPrefixes,
             new LargeValues(this.peers, sources, store, this.logs),
         );
-        this.context = this.createContext(domain);
+        const { maxDescriptors, memoryMb } = settings.instance;
+        this.connectionLimits = connectionLimitsOf(maxDescriptors, memoryMb);
+        this.context = this.createContext(domain, new RequestMemory(memoryLimitsOf(memoryMb), this.clock));
         this.ingress = new Ingress(this);
     }
 
@@ -255,6 +262,7 @@
 
     private measureLoad(): void {
         this.metrics.members.set(this.registry.members.size);
+        this.metrics.chargedBytes.set(this.context.memory.figures.chargedBytes);
         const hasOtherServingRouters = this.registry.serving.some((member) => member.name !== this.settings.name);
         this.load.measure(hasOtherServingRouters, this.clock());
         this.registry.publishHighLoad(this.load.isUnderHighLoad);
@@ -270,7 +278,7 @@
         }
     }
 
-    private createContext(domain: FailureDomain): GatewayContext {
+    private createContext(domain: FailureDomain, memory: RequestMemory): GatewayContext {
         return {
             dialect: this.dialect,
             domain,
@@ -279,6 +287,7 @@
             prepaid: this.prepaid,
             suspects: this.suspects,
             limitReports: this.limitReports,
+            memory,
             logs: this.logs,
             clock: this.clock,
             random: Math.random,
@@ -301,6 +310,11 @@
                     connection: onReusedConnection ? "reused" : "new",
                 }),
             countLimitEvent: (event) => this.metrics.limits.inc({ event }),
+            recordConnectionEvent: (event, listener) => {
+                this.metrics.resources.inc({ event });
+                this.logs.host.warn("Limit of connections reached.", { event, listener, ...this.connectionLimits });
+            },
+            countResourceEvent: (event) => this.metrics.resources.inc({ event }),
             observeUnread: (unreadMs) => this.metrics.unreadSeconds.observe(unreadMs / 1_000),
             observeFirstByte: (request, now) =>
                 this.metrics.firstByteSeconds.observe((now - request.arrivedAt) / 1_000),
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -1,24 +1,32 @@
 import { type AccountId, brand } from "@gooseberrybend/core";
 import {
     acceptsWhileDraining,
+    type AccountDeclaration,
+    type ConnectionLimits,
     digestRequest,
     type Drain,
     findRoute,
     pickService,
+    REQUEST_BYTES,
     type Route,
     type RoutingTable,
     type ServiceDeclaration,
     sharedParts,
     shedChance,
+    SMALL_BODY_BYTES,
+    STALL_MS,
 } from "@gooseberrybend/core/dispatch";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { ByteBuffer } from "./byte-buffer.js";
+import { ConnectionLimit } from "./connection-limit.js";
 import type { CallerFields } from "./dialect.js";
 import { Exchange } from "./exchange.js";
 import type { GatewayContext } from "./gateway-context.js";
 import type { LoadMonitor } from "./load-monitor.js";
-import { type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
+import { type RefusalCause, retryAfterMs, sendRefusal, writeRefusal } from "./refusal.js";
+import { discardBody, isShortRest } from "./refused-body.js";
+import type { RequestCharge } from "./request-memory.js";
 
 /** Interval in ms of checking for connections that are too slow. */
 const CONNECTION_CHECK_INTERVAL_MS = 250;
@@ -26,9 +34,12 @@
 const INITIAL_MAX_HEADER_BYTES = 16 * 1024;
 const INITIAL_HEADER_TIMEOUT_MS = 3_000;
 const INITIAL_IDLE_TIMEOUT_MS = 15_000;
-const INITIAL_MAX_BODY_BYTES = 4 * 1024 * 1024;
 /** Retry delay in ms for callers of a router that lacks a configuration or an endpoint. */
 const STARTING_RETRY_AFTER_MS = 400;
+/** Retry delay in ms while memory or connections are used up; until then, stalled bodies can be ended. */
+const FULL_RETRY_AFTER_MS = STALL_MS;
+/** Bytes of a large body of unknown length that are charged at once. */
+const CHARGE_STEP_BYTES = 256 * 1_024;
 /** Account of requests that have none. */
 const NO_ACCOUNT = brand<AccountId>("");
 
@@ -44,8 +55,31 @@
 const UNREADABLE_REQUEST = "400 Bad Request";
 const RESET_BY_CALLER = "ECONNRESET";
 
+/** A request whose head has arrived. */
+type Arrival = {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly charge: RequestCharge;
+    readonly arrivedAt: number;
+    /** Length of its body; undefined if the head does not state it. */
+    readonly length: number | undefined;
+    /** Whether the caller sends the body only once it is told to. */
+    readonly expectsContinue: boolean;
+};
+
+/** What the head of a request is allowed by. */
+type Admission = {
+    readonly table: RoutingTable;
+    readonly route: Route;
+    readonly account: AccountDeclaration | undefined;
+};
+
+/** Why a request is refused before it runs. */
+type HeadRefusal = { readonly cause: RefusalCause; readonly waitMs?: number; readonly logFields?: object; };
+
 /** What the ingress needs of its gateway. */
 export type IngressHost = {
+    readonly connectionLimits: ConnectionLimits;
     readonly context: GatewayContext;
     readonly table: RoutingTable | undefined;
     readonly drain: Drain | undefined;
@@ -62,6 +96,7 @@
     private readonly respondingSockets = new Set<Socket>();
     /** Requests that have not arrived in full, with their responses. */
     private readonly arriving = new Map<IncomingMessage, ServerResponse>();
+    private readonly connections: ConnectionLimit;
 
     constructor(private readonly gateway: IngressHost) {
         this.server = createServer({
@@ -73,6 +108,16 @@
             noDelay: true,
             highWaterMark: 64 * 1024,
         }, (request, response) => this.receive(request, response));
+        this.server.on(
+            "checkContinue",
+            (request: IncomingMessage, response: ServerResponse) => this.receive(request, response, true),
+        );
+        this.connections = new ConnectionLimit(
+            this.server,
+            gateway.connectionLimits.callers,
+            (event) => this.gateway.context.recordConnectionEvent(event, "callers"),
+            () => this.gateway.context.memory.endStalled() !== undefined,
+        );
         this.server.on("clientError", (error: ParserError, socket: Socket) => this.rejectConnection(error, socket));
     }
 
@@ -102,41 +147,108 @@
         server.keepAliveTimeout = limits.idleTimeoutMs;
     }
 
-    private receive(request: IncomingMessage, response: ServerResponse): void {
-        const now = this.gateway.context.clock();
+    private receive(request: IncomingMessage, response: ServerResponse, expectsContinue = false): void {
+        const { context } = this.gateway;
+        const now = context.clock();
         const unreadMs = this.gateway.load.unreadMs(now);
-        const arrivedAt = now - unreadMs;
-        this.gateway.context.observeUnread(unreadMs);
+        context.observeUnread(unreadMs);
         this.openRequests++;
         this.arriving.set(request, response);
         const { socket } = request;
+        const charge = context.memory.open();
         response.once("close", () => {
             this.openRequests--;
             this.respondingSockets.delete(socket);
             this.arriving.delete(request);
+            charge.drop();
         });
         response.on("error", () => undefined);
+        request.on("error", () => undefined);
         if (this.gateway.drain !== undefined) {
             response.shouldKeepAlive = false;
         }
-        const limit = this.gateway.table?.configuration.limits.bodyBytes ?? INITIAL_MAX_BODY_BYTES;
-        const body = new ByteBuffer();
+        const arrival: Arrival = {
+            request,
+            response,
+            charge,
+            arrivedAt: now - unreadMs,
+            length: announcedLength(request),
+            expectsContinue,
+        };
+        const fields = context.dialect.readCaller(request.rawHeaders);
+        const judgement = this.judge(request, fields, arrival.length);
+        const refusal = "cause" in judgement ? judgement : this.overload(judgement) ?? this.reserve(arrival);
+        if (refusal !== undefined) {
+            this.refuseArriving(arrival, fields, refusal, 0);
+            return;
+        }
+        if (expectsContinue) {
+            response.writeContinue();
+        }
+        this.readBody(arrival, fields, judgement as Admission);
+    }
+
+    private readBody(arrival: Arrival, fields: CallerFields, admission: Admission): void {
+        const { request, charge, length } = arrival;
+        const { bodyBytes } = admission.table.configuration.limits;
+        const body = new ByteBuffer(length === undefined ? { max: bodyBytes } : { exact: length });
+        // Bytes that are charged; those of a body of unknown length are charged as they arrive.
+        let reserved = length ?? 0;
+        charge.onEnd = () => this.endBody(arrival, fields, body);
         request.on("data", (piece: Buffer) => {
-            if (body.length + piece.length > limit) {
+            const received = body.length + piece.length;
+            if (received > bodyBytes) {
                 body.clear();
-                this.refuseBody(request, response);
+                this.refuseArriving(arrival, fields, { cause: "too-large" }, received);
                 return;
             }
+            if (received > reserved) {
+                const missing = received - reserved;
+                const step = received > SMALL_BODY_BYTES ? Math.max(missing, CHARGE_STEP_BYTES) : missing;
+                if (!charge.reserve(step, received > SMALL_BODY_BYTES)) {
+                    body.clear();
+                    this.refuseArriving(arrival, fields, this.full("body-ended"), received);
+                    return;
+                }
+                reserved += step;
+            }
+            charge.recordProgress(piece.length);
+            this.gateway.context.memory.recordReceived(piece.length);
             body.add(piece);
         });
         request.on("end", () => {
             // A body that was refused is no longer among the arriving ones.
             if (this.arriving.delete(request)) {
-                this.respondingSockets.add(socket);
-                this.admit(request, response, body.take(), arrivedAt);
+                this.respondingSockets.add(request.socket);
+                charge.startRunning();
+                this.admit(arrival, fields, admission, body.take());
             }
         });
-        request.on("error", () => undefined);
+    }
+
+    // Others need the room of a body that makes no progress.
+    private endBody(arrival: Arrival, fields: CallerFields, body: ByteBuffer): void {
+        const received = body.length;
+        body.clear();
+        this.refuseArriving(arrival, fields, this.full("body-ended"), received);
+    }
+
+    // Charges a request whose body may be read. Its charge is released with the refusal that is returned otherwise.
+    private reserve({ charge, length = 0 }: Arrival): HeadRefusal | undefined {
+        const { memory } = this.gateway.context;
+        const isFull = (): boolean => this.arriving.size + this.exchanges.size > this.gateway.connectionLimits.requests;
+        const hasRoom = !isFull() || (memory.endStalled() !== undefined && !isFull());
+        return hasRoom && charge.reserve(REQUEST_BYTES + length, length > SMALL_BODY_BYTES)
+            ? undefined
+            : this.full("body-refused", { length });
+    }
+
+    private full(event: "body-refused" | "body-ended", logFields: object = {}): HeadRefusal {
+        const { memory, random, countResourceEvent } = this.gateway.context;
+        countResourceEvent(event);
+        const waitMs = FULL_RETRY_AFTER_MS + retryAfterMs(random());
+        const requests = this.arriving.size + this.exchanges.size;
+        return { cause: "router-full", waitMs, logFields: { event, requests, ...memory.figures, ...logFields } };
     }
 
     /** Ends all open requests because the router stops; their callers' connections end soon after. */
@@ -157,78 +269,111 @@
         this.exchanges.forEach((exchange) => exchange.answer.resetIfUnframed());
     }
 
-    private refuseBody(request: IncomingMessage, response: ServerResponse): void {
+    /**
+     * Refuses a request whose body has not arrived in full, `received` bytes of it so far. Its caller may still send,
+     * and receives the refusal only if the connection stays open meanwhile.
+     */
+    private refuseArriving(arrival: Arrival, fields: CallerFields, refusal: HeadRefusal, received: number): void {
+        const { request, response, charge, length, expectsContinue } = arrival;
+        const { cause, waitMs, logFields = {} } = refusal;
         this.arriving.delete(request);
-        if (!response.headersSent) {
-            response.shouldKeepAlive = false;
-            const fields = this.gateway.context.dialect.readCaller(request.rawHeaders);
-            if (this.gateway.table === undefined) {
-                this.refuse(fields, response, "no-configuration", STARTING_RETRY_AFTER_MS, {});
-            }
-            else {
-                this.refuse(fields, response, "too-large", undefined, {});
-            }
+        this.respondingSockets.add(request.socket);
+        charge.release();
+        if (length === 0) {
+            this.refuse(fields, response, cause, waitMs, logFields);
+            request.resume();
+            return;
         }
-        request.removeAllListeners("data");
-        request.resume();
+        const isShort = isShortRest(length === undefined ? undefined : length - received);
+        response.shouldKeepAlive &&= isShort && !expectsContinue;
+        this.refuse(fields, response, cause, waitMs, { ...logFields, length, received }, writeRefusal);
+        this.connections.startClosing(request.socket);
+        const { memory, countResourceEvent } = this.gateway.context;
+        discardBody(request, response, (bytes) => memory.recordReceived(bytes), () => {
+            countResourceEvent("discard-ended");
+        });
     }
 
-    private admit(request: IncomingMessage, response: ServerResponse, body: Buffer, arrivedAt: number): void {
-        const { table, context } = this.gateway;
-        const fields = context.dialect.readCaller(request.rawHeaders);
+    // Judges what the head of a request says.
+    private judge(request: IncomingMessage, fields: CallerFields, length = 0): Admission | HeadRefusal {
+        const { table } = this.gateway;
         if (table === undefined) {
-            this.refuse(fields, response, "no-configuration", STARTING_RETRY_AFTER_MS, {});
-            return;
+            return { cause: "no-configuration", waitMs: STARTING_RETRY_AFTER_MS };
+        }
+        if (length > table.configuration.limits.bodyBytes) {
+            return { cause: "too-large" };
         }
-        const route = findRoute(table, hostOf(request), request.url ?? "/");
+        const host = hostOf(request);
+        const route = findRoute(table, host, request.url ?? "/");
         if (route === undefined) {
-            this.refuse(fields, response, "no-route", undefined, { host: hostOf(request), path: request.url });
-            return;
+            return { cause: "no-route", logFields: { host, path: request.url } };
         }
         const account = fields.accessKey === undefined ? undefined : table.accountsByKey.get(fields.accessKey);
         if (account === undefined && !route.open && table.configuration.accounts !== undefined) {
-            this.refuse(fields, response, "unknown-key", undefined, { route: route.name });
-            return;
+            return { cause: "unknown-key", logFields: { route: route.name } };
+        }
+        return { table, route, account };
+    }
+
+    // Refuses a share of the requests while the router is overloaded, before their bodies are read.
+    private overload({ table, route, account }: Admission): HeadRefusal | undefined {
+        const { context, load: { shedShare } } = this.gateway;
+        const priority = account?.priority ?? route.priority;
+        if (context.random() >= shedChance(shedShare, priority, table.lowestPriority)) {
+            return undefined;
         }
+        const waitMs = retryAfterMs(context.random());
+        return { cause: "router-overloaded", waitMs, logFields: { route: route.name, priority, shedShare } };
+    }
+
+    private admit(arrival: Arrival, fields: CallerFields, atHead: Admission, body: Buffer): void {
+        const { request, response, charge, arrivedAt } = arrival;
+        const { context, table } = this.gateway;
+        const refuse = ({ cause, waitMs, logFields = {} }: HeadRefusal): void => {
+            charge.release();
+            this.refuse(fields, response, cause, waitMs, logFields);
+        };
+        // The configuration may have changed while the body arrived.
+        const judgement = table === atHead.table ? atHead : this.judge(request, fields, body.length);
+        if ("cause" in judgement) {
+            return refuse(judgement);
+        }
+        const { route, account } = judgement;
         const service = this.serviceOf(route);
         if (service === undefined) {
-            this.refuse(fields, response, "no-endpoint", STARTING_RETRY_AFTER_MS, { route: route.name });
-            return;
+            return refuse({
+                cause: "no-endpoint",
+                waitMs: STARTING_RETRY_AFTER_MS,
+                logFields: { route: route.name },
+            });
         }
         const { drain } = this.gateway;
         const now = context.clock();
         // The time that its body took to arrive has passed.
         const longestMs = arrivedAt + Math.min(route.timeoutMs, fields.callerTimeoutMs ?? Infinity) - now;
         if (drain !== undefined && !acceptsWhileDraining(drain, longestMs, now)) {
-            this.refuse(fields, response, "draining", retryAfterMs(context.random()), {
-                route: route.name,
-                longestMs,
+            return refuse({
+                cause: "draining",
+                waitMs: retryAfterMs(context.random()),
+                logFields: { route: route.name, longestMs },
             });
-            return;
         }
-        const { shedShare } = this.gateway.load;
-        const priority = account?.priority ?? route.priority;
-        if (context.random() < shedChance(shedShare, priority, table.lowestPriority)) {
-            const waitMs = retryAfterMs(context.random());
-            this.refuse(fields, response, "router-overloaded", waitMs, { route: route.name, priority, shedShare });
-            return;
-        }
-        const content = { method: request.method!, target: request.url!, body: body.toString("latin1") };
+        const content = { method: request.method!, target: request.url!, body };
         const features = {
             request: digestRequest(account?.id ?? NO_ACCOUNT, content),
             parts: sharedParts(fields.parts),
         };
         const admission = context.suspects.admit(features);
         if (admission.kind === "convicted") {
-            this.refuse(fields, response, "poison-request", admission.retryAfterMs, {
-                route: route.name,
-                part: admission.part,
-                ...context.suspects.figures(features),
+            return refuse({
+                cause: "poison-request",
+                waitMs: admission.retryAfterMs,
+                logFields: { route: route.name, part: admission.part, ...context.suspects.figures(features) },
             });
-            return;
         }
         const isTrial = admission.kind === "trial";
-        const admitted = { request, response, body, fields, route, service, account, features, isTrial, arrivedAt };
+        const of = { route, service, account, features, isTrial };
+        const admitted = { request, response, body, fields, ...of, arrivedAt, charge };
         const exchange = new Exchange(context, admitted);
         this.exchanges.add(exchange);
         response.once("close", () => this.exchanges.delete(exchange));
@@ -246,15 +391,20 @@
         cause: RefusalCause,
         retryAfterMs: number | undefined,
         logFields: object,
+        send = sendRefusal,
     ): void {
         const { context } = this.gateway;
         context.countRefusal(cause);
         const configuration = context.configurationVersion();
         context.logs.requests.info("Refused.", { id, cause, configuration, ...logFields });
-        sendRefusal(response, cause, retryAfterMs);
+        send(response, cause, retryAfterMs);
     }
 }
 
 function hostOf(request: IncomingMessage): string {
     return (request.headers.host ?? "").split(":")[0]!.toLowerCase();
 }
+
+function announcedLength({ headers }: IncomingMessage): number | undefined {
+    return headers["transfer-encoding"] === undefined ? Number(headers["content-length"] ?? 0) : undefined;
+}
--- a/packages/router/src/gateway/refusal.ts
+++ b/packages/router/src/gateway/refusal.ts
@@ -16,6 +16,8 @@
     "deadline-exceeded": 503,
     "draining": 503,
     "router-overloaded": 503,
+    /** The router lacks memory or connections for the request. */
+    "router-full": 503,
     "poison-request": 503,
     "may-have-run": 502,
     "timed-out": 504,
@@ -31,13 +33,23 @@
 
 /** Refuses a request. Statuses 429 and 503 state that it has not run and never will. */
 export function sendRefusal(response: ServerResponse, cause: RefusalCause, retryAfterMs: number | undefined): void {
+    response.end(writeRefusalHead(response, cause, retryAfterMs));
+}
+
+/** Refuses a request whose body still arrives: the response is whole, but not ended, so that its connection stays. */
+export function writeRefusal(response: ServerResponse, cause: RefusalCause, retryAfterMs: number | undefined): void {
+    response.write(writeRefusalHead(response, cause, retryAfterMs));
+}
+
+// Returns the body.
+function writeRefusalHead(response: ServerResponse, cause: RefusalCause, retryAfterMs: number | undefined): string {
     const body = JSON.stringify({ error: cause });
     response.writeHead(refusalStatus[cause], {
         "content-type": "application/json",
         "content-length": Buffer.byteLength(body),
         ...(retryAfterMs === undefined ? {} : { "retry-after": (retryAfterMs / 1_000).toFixed(3) }),
     });
-    response.end(body);
+    return body;
 }
 
 /** Range in ms of the retry delay, so that callers don't retry at the same time. */
--- a/packages/router/src/gateway/run-gateway.ts
+++ b/packages/router/src/gateway/run-gateway.ts
@@ -8,6 +8,7 @@
 import { createServer, type RequestListener, type Server } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { RESET_DELAY_MS } from "./caller-answer.js";
+import { ConnectionLimit } from "./connection-limit.js";
 import type { Dialect } from "./dialect.js";
 import { readGatewaySettings, splitAddress } from "./gateway-settings.js";
 import { ADDRESS_LIFETIME_MS, Gateway } from "./gateway.js";
@@ -33,6 +34,13 @@
 /** Interval in ms of checking the settings file for changes without a signal. */
 const SETTINGS_CHECK_INTERVAL_MS = 2_000;
 
+/** Maximum bytes of a call of another router; they have a few KB, only their responses may be large. */
+const MAX_PEER_CALL_BYTES = 256 * 1_024;
+/** Times in ms for the head and the whole of a request for addresses, readiness or metrics, or of another router. */
+const INTERNAL_HEADER_TIMEOUT_MS = 3_000;
+const INTERNAL_REQUEST_TIMEOUT_MS = 10_000;
+const INTERNAL_CHECK_INTERVAL_MS = 500;
+
 /** What a deployment supplies to a gateway. */
 export type GatewayParts = {
     readonly settingsFile: string | undefined;
@@ -103,21 +111,54 @@
     let requestListener: RequestListener | undefined;
     const serverFactory = (handler: RequestListener): Server => {
         requestListener = handler;
-        return createServer(handler);
+        return createInternalServer(gateway, distinctAddresses[0]!, handler);
     };
-    const adapter = new FastifyAdapter({ serverFactory: serverFactory as never, schemaController: noSchemaCompilers });
+    const adapter = new FastifyAdapter({
+        serverFactory: serverFactory as never,
+        schemaController: noSchemaCompilers,
+        bodyLimit: MAX_PEER_CALL_BYTES,
+    });
     const options = { bodyParser: false, logger: false, abortOnError: false } as const;
     const application = await NestFactory.create<NestFastifyApplication>(GatewayModule.of(gateway), adapter, options);
+    refuseForeignCalls(application, gateway);
     const [first, ...others] = distinctAddresses;
     const { host, port } = splitAddress(first!);
     await application.listen(port, host);
     await Promise.all(
         others.map((address) =>
-            listen(createServer((request, response) => requestListener!(request, response)), address)
+            listen(
+                createInternalServer(gateway, address, (request, response) => requestListener!(request, response)),
+                address,
+            )
         ),
     );
 }
 
+// A call on a listener that is open to callers is refused before its body is read.
+function refuseForeignCalls(application: NestFastifyApplication, gateway: Gateway): void {
+    const peerPort = splitAddress(gateway.settings.listen.peers).port;
+    application.getHttpAdapter().getInstance().addHook("onRequest", async (request, reply) => {
+        if (request.method === "POST" && request.socket.localPort !== peerPort) {
+            await reply.status(404).header("connection", "close").send();
+        }
+    });
+}
+
+// A server with the bounds of all listeners but the one for callers.
+function createInternalServer(gateway: Gateway, address: string, handler: RequestListener): Server {
+    const server = createServer({
+        connectionsCheckingInterval: INTERNAL_CHECK_INTERVAL_MS,
+        headersTimeout: INTERNAL_HEADER_TIMEOUT_MS,
+        requestTimeout: INTERNAL_REQUEST_TIMEOUT_MS,
+    }, handler);
+    new ConnectionLimit(
+        server,
+        gateway.connectionLimits.others,
+        (event) => gateway.context.recordConnectionEvent(event, address),
+    );
+    return server;
+}
+
 async function listen(server: Server, address: string): Promise<void> {
     const { host, port } = splitAddress(address);
     server.listen({ host, port, backlog: 1_024 });
--- a/packages/router/src/gateway/send-end.ts
+++ b/packages/router/src/gateway/send-end.ts
@@ -1,5 +1,12 @@
-import { type PlacementQuery, recordFirstByte, recordOutcome } from "@gooseberrybend/core/dispatch";
+import {
+    type EndVerdict,
+    judgeEnd,
+    type PlacementQuery,
+    recordFirstByte,
+    recordOutcome,
+} from "@gooseberrybend/core/dispatch";
 import type { Send } from "./endpoint-send.js";
+import type { EventSplitter } from "./event-splitter.js";
 import type { GatewayContext } from "./gateway-context.js";
 
 /** Records the end of a send with its endpoint: load, health, and evidence of what it survived. */
@@ -22,3 +29,13 @@
     }
     recordOutcome(row, failed, now);
 }
+
+/** Judges how a response ended, with the events of its stream. */
+export function judgeSendEnd(send: Send, splitter: EventSplitter): EndVerdict {
+    const isStream = send.verdict?.kind === "stream";
+    return judgeEnd({
+        end: send.framing,
+        hasPartialEvent: isStream && splitter.hasPartialEvent,
+        isEmptyContinuation: isStream && splitter.isWithoutContinuation,
+    });
+}
