--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -13,6 +13,7 @@
 export * from "./fleet.js";
 export * from "./link-backlog.js";
 export * from "./load-report.js";
+export * from "./memory-budget.js";
 export * from "./placement.js";
 export * from "./prepaid-intervals.js";
 export * from "./prepaid-loan.js";
--- a/packages/router/src/gateway/endpoint-send.ts
+++ b/packages/router/src/gateway/endpoint-send.ts
@@ -78,6 +78,15 @@
     };
 }
 
+/** Ends a send before its response is complete. */
+export function abortSend(send: Send): void {
+    if (!send.hasResponded) {
+        // A close would still deliver the request's bytes in the send buffer, however late; a reset drops them.
+        send.socket?.resetAndDestroy();
+    }
+    send.controller?.abort(new Error("request ended or is no longer needed at this endpoint"));
+}
+
 /** Why a send could not begin. Nothing was sent. */
 export type DispatchFault = {
     /** The endpoint's address can't be connected to, or the request is not valid HTTP. */
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -15,7 +15,7 @@
 import { checkAdmission, findSendObstacle } from "./admission-check.js";
 import type { AdmittedRequest } from "./admitted-request.js";
 import { CallerAnswer } from "./caller-answer.js";
-import { createSend, dispatchSend, recordStart, type Send } from "./endpoint-send.js";
+import { abortSend, createSend, dispatchSend, recordStart, type Send } from "./endpoint-send.js";
 import { EventSplitter } from "./event-splitter.js";
 import { ExchangeLog } from "./exchange-log.js";
 import type { GatewayContext } from "./gateway-context.js";
@@ -24,6 +24,7 @@
 import { logPlacement } from "./placement-log.js";
 import { rawHeadersOf, withoutContentLength } from "./raw-headers.js";
 import { noEndpointCause, type RefusalCause, retryAfterMs, sendRefusal } from "./refusal.js";
+import { bufferResponse, takeBuffered } from "./response-buffer.js";
 import { readResponseHead, recordBytesReceived, recordLimits, recordResponseHead } from "./response-head.js";
 import { recordFirst, takeRetry } from "./retry-accounting.js";
 import { judgeSendEnd, recordSendEnd, recordServedResponse, recordUnreachable } from "./send-end.js";
@@ -31,8 +32,6 @@
 import { TokenClaim } from "./token-claim.js";
 
 const MIN_FAILURE_STATUS = 500;
-/** Bytes of a response that are buffered until complete; responses of plain services have a few KB. */
-const MAX_BUFFERED_BYTES = 256 * 1024;
 /** Time in ms to wait for a connection before trying another endpoint; connecting usually takes a few ms. */
 const CONNECT_TIMEOUT_MS = 200;
 
@@ -58,7 +57,8 @@
         const { route, fields, arrivedAt } = admitted;
         this.deadline = arrivedAt + Math.min(fields.callerTimeoutMs ?? Infinity, route.timeoutMs);
         this.tokenClaim = new TokenClaim(context, admitted);
-        this.answer = new CallerAnswer(admitted.response);
+        this.answer = new CallerAnswer(admitted.response, admitted.charge);
+        admitted.charge.onEnd = () => this.cutForMemory();
         this.splitter = new EventSplitter(fields.resumeAfter, fields.tokens?.output);
         const progress = () => ({ sends: this.sends, mayHaveRun: this.mayHaveRun });
         this.log = new ExchangeLog(context, admitted, this.splitter, progress);
@@ -114,6 +114,7 @@
         const send = createSend(row, units, now);
         const options = sendOptions(this.context, this.admitted, row, this.deadline - now, this.splitter.lastEventId);
         this.send = send;
+        this.admitted.charge.hold();
         logPlacement(this.context, this.admitted, row, this.sends + 1, this.shortage, now);
         setTimeout(this.guarded(() => this.handleConnectTimeout(send), send), CONNECT_TIMEOUT_MS);
         recordSend(this.context.endpoints, row, this.query, this.context.random, now);
@@ -141,12 +142,12 @@
     private startSend(send: Send, controller: Dispatcher.DispatchController): void {
         send.controller = controller;
         if (send.ended || this.isFinished) {
-            return this.abort(send);
+            return abortSend(send);
         }
         // It may have left, asked for no requests, or become cold, while the request waited for a connection.
         if (!stillAcceptsRequests(this.context.endpoints, send.row, send.sentAt, this.context.clock())) {
             this.endSend(send, false);
-            this.abort(send);
+            abortSend(send);
             this.log.left(send);
             return this.handleFailure(send, "unreachable");
         }
@@ -160,7 +161,7 @@
         this.log.unsent(send, figures, this.context.clock());
         this.mayHaveRun = true;
         this.endSend(send, false);
-        this.abort(send);
+        abortSend(send);
         this.handleFailure(send, "broken");
     }
 
@@ -174,7 +175,7 @@
             if (!send.ended) {
                 this.endSend(send, true);
             }
-            this.abort(send);
+            abortSend(send);
         }
         if (this.isFinished) {
             return this.answer.abort();
@@ -238,23 +239,21 @@
 
     // While a response is buffered, the request can still be retried at another endpoint.
     private buffer(send: Send, chunk: Buffer): void {
-        send.body.add(chunk);
-        if (send.body.length <= MAX_BUFFERED_BYTES) {
-            return;
-        }
-        if (send.verdict!.kind !== "whole" || !send.fields!.sealed) {
+        const result = bufferResponse(this.context.memory, this.admitted.charge, send, chunk);
+        if (result === "too-long") {
             this.rejectAnswer(send, "it is a failure and exceeds the buffer limit");
-            return;
         }
-        this.startStreaming(send);
-        this.answer.write(send.body.take(), send.controller);
+        else if (result === "pass-on") {
+            this.startStreaming(send);
+            this.answer.write(takeBuffered(this.admitted.charge, send), send.controller);
+        }
     }
 
     private rejectAnswer(send: Send, reason: string): void {
         this.log.rejected(send, reason);
         this.mayHaveRun ||= send.fields?.notRun !== true;
         this.endSend(send, true);
-        this.abort(send);
+        abortSend(send);
         this.handleFailure(send, "garbled");
     }
 
@@ -388,6 +387,7 @@
         this.log.failed(send, failure, step.kind);
         switch (step.kind) {
             case "retry":
+                takeBuffered(this.admitted.charge, send);
                 return this.dispatch();
             case "resume":
                 this.splitter.breakOff();
@@ -430,7 +430,7 @@
         const mayHaveRun = this.mayHaveRun || send?.requestStarted === true;
         if (send !== undefined && !send.ended) {
             this.endSend(send, isFailure);
-            this.abort(send);
+            abortSend(send);
         }
         if (this.answer.isHeadSent) {
             this.abortAnswer(causeIfRun);
@@ -440,6 +440,12 @@
         this.refuse(mayHaveRun ? causeIfRun : causeIfNotRun, mayHaveRun ? undefined : waitMs);
     }
 
+    // The caller does not read its response, and others need the memory.
+    private cutForMemory(): void {
+        this.log.cut(this.send, this.isFinished);
+        return this.isFinished ? this.answer.cut() : this.giveUp("may-have-run", "router-full", false);
+    }
+
     private handleCallerDisconnect(): void {
         if (this.isFinished) {
             return;
@@ -457,20 +463,13 @@
             return;
         }
         this.endSend(send, false);
-        this.abort(send);
-    }
-
-    private abort(send: Send): void {
-        if (!send.hasResponded) {
-            // A close would still deliver the request's bytes in the send buffer, however late; a reset drops them.
-            send.socket?.resetAndDestroy();
-        }
-        send.controller?.abort(new Error("request ended or is no longer needed at this endpoint"));
+        abortSend(send);
     }
 
     private endSend(send: Send, failed: boolean, answered = send.hasResponded): void {
         send.ended = true;
         recordSendEnd(this.context, this.query, send, failed, answered);
+        this.admitted.charge.drop();
     }
 
     private refuse(cause: RefusalCause, retryAfterMs: number | undefined, figures: object = {}): void {
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -3,6 +3,7 @@
 import { suspectEvents } from "./poison-request-tracker.js";
 import { tokenEvents } from "./prepaid-log.js";
 import { refusalStatus } from "./refusal.js";
+import { resourceEvents } from "./request-memory.js";
 
 const FIRST_BYTE_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1, 2, 5];
 const CHANGES_AGE_BUCKETS_SECONDS = [0.2, 0.5, 1, 1.5, 2, 2.5, 3, 4, 6, 10];
@@ -67,6 +68,8 @@
     tokenEvents.forEach((event) => prepaidTokens.inc({ event }, 0));
     const shortages = counter("prepaid_shortages_total", "Requests refused for tokens by where these are.", ["tokens"]);
     shortageCauses.forEach((cause) => shortages.inc({ tokens: cause }, 0));
+    const resources = counter("resource_events_total", "What the limits of memory and connections did.", ["event"]);
+    resourceEvents.forEach((event) => resources.inc({ event }, 0));
     const responses = counter("endpoint_responses_total", "Responses of endpoints by how they ended.", ["end"]);
     responseEnds.forEach((end) => responses.inc({ end }, 0));
     const addressAnswers = counter("address_answers_total", "Answers to address queries by choice of the routers.", [
@@ -82,6 +85,7 @@
         lateSends,
         prepaidTokens,
         shortages,
+        resources,
         responses,
         addressAnswers,
         endpointRefusals: counter(
@@ -97,6 +101,7 @@
             "result",
         ]),
         configurationVersion: gauge("configuration_version", "Version of the configuration in force."),
+        chargedBytes: gauge("charged_bytes", "Bytes that requests hold in this router."),
         endpoints: gauge("endpoints", "Endpoints that are known."),
         movesCallers: gauge("moves_callers", "1 while the router is not ready so that callers move to others, else 0."),
         evacuatedDomains: gauge("evacuated_domains", "Failure domains that are evacuated."),
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -1,6 +1,8 @@
 import { brand, type FailureDomain, type Incarnation } from "@gooseberrybend/core";
 import {
     changeSources,
+    type ConnectionLimits,
+    connectionLimitsOf,
     createEndpointTable,
     createRoutingTable,
     type Drain,
@@ -8,6 +10,7 @@
     findConfigurationFault,
     type FleetMember,
     fleetShareOf,
+    memoryLimitsOf,
     ownerOf,
     recordLostContact,
     type RoutingTable,
@@ -18,6 +21,7 @@
 import { performance } from "node:perf_hooks";
 import { AddressAnswers } from "./address-answers.js";
 import { ColdEndpointMonitor } from "./cold-endpoint-monitor.js";
+import { contextCounters } from "./context-counters.js";
 import { CountedStore } from "./counted-store.js";
 import { CRASH_METHOD, CrashNotifier, readCrashMessage } from "./crash-notifier.js";
 import { CrashReports, SUSPECT_PREFIX } from "./crash-reports.js";
@@ -41,6 +45,7 @@
 import { PoisonRequestTracker, type SuspectEvent } from "./poison-request-tracker.js";
 import { PrepaidAccounts } from "./prepaid-accounts.js";
 import { PREPAID_PREFIX } from "./prepaid-formats.js";
+import { RequestMemory } from "./request-memory.js";
 import { ReserveMonitor } from "./reserve-monitor.js";
 import { SHARED_PREFIX } from "./shared-prefix.js";
 import { CHECKPOINT_PREFIX } from "./spending-checkpoints.js";
@@ -58,6 +63,7 @@
     readonly logs: GatewayLogs;
     readonly context: GatewayContext;
     readonly ingress: Ingress;
+    readonly connectionLimits: ConnectionLimits;
     readonly load: LoadMonitor;
     readonly clock = (): number => performance.now();
     table: RoutingTable | undefined;
@@ -218,7 +224,9 @@
             feedPrefixes,
             new LargeValues(this.peers, sources, store, this.logs),
         );
-        this.context = this.createContext(domain);
+        const { maxDescriptors, memoryMb } = settings.instance;
+        this.connectionLimits = connectionLimitsOf(maxDescriptors, memoryMb);
+        this.context = this.createContext(domain, new RequestMemory(memoryLimitsOf(memoryMb), this.clock));
         this.ingress = new Ingress(this);
         this.addresses = new AddressAnswers(this, this.registry);
     }
@@ -275,6 +283,7 @@
         const now = this.clock();
         const { members, serving } = this.registry;
         this.metrics.members.set(members.size);
+        this.metrics.chargedBytes.set(this.context.memory.figures.chargedBytes);
         this.load.measure(now);
         this.reserve.update({
             self: this.self,
@@ -299,7 +308,7 @@
         }
     }
 
-    private createContext(domain: FailureDomain): GatewayContext {
+    private createContext(domain: FailureDomain, memory: RequestMemory): GatewayContext {
         return {
             dialect: this.dialect,
             domain,
@@ -310,6 +319,7 @@
             prepaid: this.prepaid,
             suspects: this.suspects,
             limitReports: this.limitReports,
+            memory,
             logs: this.logs,
             clock: this.clock,
             random: Math.random,
@@ -322,26 +332,7 @@
             observeChangesAge: (ageMs) => this.metrics.changesAgeSeconds.observe(ageMs / 1_000),
             configurationAgeMs: (now) => this.configurationAgeMs(now),
             observeConfigurationAge: (ageMs) => this.metrics.configurationAgeSeconds.observe(ageMs / 1_000),
-            countRefusal: (cause) => this.metrics.refusals.inc({ cause }),
-            countFailedSend: (next, failure) => this.metrics.failedSends.inc({ next, failure }),
-            countCutAnswer: () => this.metrics.cutAnswers.inc(),
-            countResponse: (end) => this.metrics.responses.inc({ end }),
-            countEndpointRefusal: (hasId, onReusedConnection) =>
-                this.metrics.endpointRefusals.inc({
-                    id: hasId ? "echoed" : "missing",
-                    connection: onReusedConnection ? "reused" : "new",
-                }),
-            countShortage: (tokens) => this.metrics.shortages.inc({ tokens }),
-            countLimitEvent: (event) => this.metrics.limits.inc({ event }),
-            countLateSend: (outcome) => this.metrics.lateSends.inc({ outcome }),
-            countAdmission: (outcome) => this.metrics.admissions.inc({ outcome }),
-            observeUnread: (unreadMs) => this.metrics.unreadSeconds.observe(unreadMs / 1_000),
-            observeFirstByte: (request, now) =>
-                this.metrics.firstByteSeconds.observe((now - request.arrivedAt) / 1_000),
-            observeRequestEnd: (outcome, tookMs) => {
-                this.metrics.endedRequests.inc({ outcome });
-                this.metrics.requestSeconds.observe(tookMs / 1_000);
-            },
+            ...contextCounters(this.metrics, this.logs, this.connectionLimits),
         };
     }
 
