--- a/packages/router/src/gateway/endpoint-send.ts
+++ b/packages/router/src/gateway/endpoint-send.ts
@@ -14,6 +14,11 @@
 import type { GatewayContext } from "./gateway-context.js";
 import type { UnsentFigures } from "./outgoing-sends.js";
 
+/** Time in ms to wait for a connection before trying another endpoint; connecting usually takes a few ms. */
+const CONNECT_TIMEOUT_MS = 200;
+/** Delay in ms of a timer from which the router was held, so that it says little about the endpoint. */
+const MAX_TIMER_DELAY_MS = 100;
+
 /** One send to an endpoint, and its state so far. */
 export type Send = {
     readonly row: EndpointState;
@@ -78,6 +83,28 @@
     };
 }
 
+/**
+ * Calls back if a send has no connection in time, unless it has ended. A router that was held looks at connections that
+ * were made meanwhile first, and waits for others once more: hundreds of requests that gave up connections which had
+ * been made opened new ones elsewhere and kept an overloaded router busy for seconds.
+ */
+export function watchConnecting(send: Send, clock: () => number, onTimeout: () => void): void {
+    const wait = (mayRepeat: boolean): void => {
+        const dueAt = clock() + CONNECT_TIMEOUT_MS;
+        setTimeout(() => {
+            const isHeld = clock() - dueAt > MAX_TIMER_DELAY_MS;
+            // Events of connections come after timers in a turn of the event loop, and before immediates.
+            setImmediate(() => {
+                if (send.requestStarted || send.ended) {
+                    return;
+                }
+                return isHeld && mayRepeat ? wait(false) : onTimeout();
+            });
+        }, CONNECT_TIMEOUT_MS);
+    };
+    wait(true);
+}
+
 /** Ends a send before its response is complete. */
 export function abortSend(send: Send): void {
     if (!send.hasResponded) {
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -15,7 +15,7 @@
 import { checkAdmission, findSendObstacle } from "./admission-check.js";
 import type { AdmittedRequest } from "./admitted-request.js";
 import { CallerAnswer } from "./caller-answer.js";
-import { abortSend, createSend, dispatchSend, recordStart, type Send } from "./endpoint-send.js";
+import { abortSend, createSend, dispatchSend, recordStart, type Send, watchConnecting } from "./endpoint-send.js";
 import { EventSplitter } from "./event-splitter.js";
 import { ExchangeLog } from "./exchange-log.js";
 import type { GatewayContext } from "./gateway-context.js";
@@ -32,9 +32,6 @@
 import { TokenClaim } from "./token-claim.js";
 
 const MIN_FAILURE_STATUS = 500;
-/** Time in ms to wait for a connection before trying another endpoint; connecting usually takes a few ms. */
-const CONNECT_TIMEOUT_MS = 200;
-
 /** Forwards one request from its caller to an endpoint, and the response back. */
 export class Exchange {
     private readonly deadline: number;
@@ -116,7 +113,7 @@
         this.send = send;
         this.admitted.charge.hold();
         logPlacement(this.context, this.admitted, row, this.sends + 1, this.shortage, now);
-        setTimeout(this.guarded(() => this.handleConnectTimeout(send), send), CONNECT_TIMEOUT_MS);
+        watchConnecting(send, this.context.clock, this.guarded(() => this.handleConnectTimeout(send), send));
         recordSend(this.context.endpoints, row, this.query, this.context.random, now);
         const fault = dispatchSend(this.context, this.admitted.service, send, options, this.handlerOf(send));
         if (fault !== undefined) {
@@ -356,7 +353,7 @@
 
     // Nothing was sent yet, so the request can go to another endpoint immediately.
     private handleConnectTimeout(send: Send): void {
-        if (!send.requestStarted && !send.ended && !this.isFinished) {
+        if (!this.isFinished) {
             this.endSend(send, true);
             this.recordUnreachable(send, "no connection in time", this.context.clock());
         }
