Keep bodies without a length in blocks, and collect large bodies

Cause: beyond 64 KB a body without a length had one buffer of the maximum size, which was to occupy only what had been written of it. Once the allocator reuses memory, all of it is occupied. Ended bodies survive collections of young objects and wait for a full one.

Change: such bodies are kept in blocks of 64 KB. With a known memory, all objects are collected each 16 MB of large bodies that are given back.

--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -18,6 +18,7 @@
 } from "@gooseberrybend/core/dispatch";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { BlockBuffer } from "./block-buffer.js";
 import { ByteBuffer } from "./byte-buffer.js";
 import { ConnectionLimit } from "./connection-limit.js";
 import type { CallerFields } from "./dialect.js";
@@ -55,6 +56,9 @@
 const UNREADABLE_REQUEST = "400 Bad Request";
 const RESET_BY_CALLER = "ECONNRESET";
 
+/** Body of a request that arrives. */
+type BodyBuffer = BlockBuffer | ByteBuffer;
+
 /** A request whose head has arrived. */
 type Arrival = {
     readonly request: IncomingMessage;
@@ -191,7 +195,7 @@
     private readBody(arrival: Arrival, fields: CallerFields, admission: Admission): void {
         const { request, charge, length } = arrival;
         const { bodyBytes } = admission.table.configuration.limits;
-        const body = new ByteBuffer(length === undefined ? { max: bodyBytes } : { exact: length });
+        const body = length === undefined ? new BlockBuffer() : new ByteBuffer(length);
         // Bytes that are charged; those of a body of unknown length are charged as they arrive.
         let reserved = length ?? 0;
         charge.onEnd = () => this.endBody(arrival, fields, body);
@@ -227,7 +231,7 @@
     }
 
     // Others need the room of a body that makes no progress.
-    private endBody(arrival: Arrival, fields: CallerFields, body: ByteBuffer): void {
+    private endBody(arrival: Arrival, fields: CallerFields, body: BodyBuffer): void {
         const received = body.length;
         body.clear();
         this.refuseArriving(arrival, fields, this.full("body-ended"), received);
--- a/packages/router/src/gateway/request-memory.ts
+++ b/packages/router/src/gateway/request-memory.ts
@@ -1,5 +1,12 @@
-import { type ChargeState, MemoryBudget, type MemoryCharge, type MemoryLimits } from "@gooseberrybend/core/dispatch";
-import { ReceivedGarbage } from "./garbage-collection.js";
+import {
+    type ChargeState,
+    MemoryBudget,
+    type MemoryCharge,
+    type MemoryLimits,
+    REQUEST_BYTES,
+    SMALL_BODY_BYTES,
+} from "@gooseberrybend/core/dispatch";
+import { BodyGarbage } from "./garbage-collection.js";
 
 /** What the limits of memory and connections did, as counted in the metrics. */
 export const resourceEvents = [
@@ -24,10 +31,13 @@
 /** Charges the bytes that requests hold to the memory budget of this router, and ends requests as it decides. */
 export class RequestMemory {
     private readonly budget: MemoryBudget<RequestCharge>;
-    private readonly garbage = new ReceivedGarbage();
+    private readonly garbage = new BodyGarbage();
 
-    constructor(private readonly limits: MemoryLimits, private readonly clock: () => number) {
+    private readonly isLimited: boolean;
+
+    constructor(limits: MemoryLimits, private readonly clock: () => number) {
         this.budget = new MemoryBudget(limits);
+        this.isLimited = limits.totalBytes !== Infinity;
     }
 
     /** Returns the state of the budget, for logs and metrics. */
@@ -42,13 +52,13 @@
 
     /** Opens the charge of a request that arrives. */
     open(): RequestCharge {
-        return new RequestCharge(this.budget, this.clock);
+        return new RequestCharge(this.budget, this.clock, this.isLimited ? this.garbage : undefined);
     }
 
     /** Records that bytes of a body have arrived, whether or not they are held. */
     recordReceived(bytes: number): void {
-        if (this.limits.totalBytes !== Infinity) {
-            this.garbage.add(bytes);
+        if (this.isLimited) {
+            this.garbage.addReceived(bytes);
         }
     }
 
@@ -70,7 +80,11 @@
     /** The response and the sends that hold the bytes. */
     private holders = 1;
 
-    constructor(private readonly budget: MemoryBudget<RequestCharge>, private readonly clock: () => number) {
+    constructor(
+        private readonly budget: MemoryBudget<RequestCharge>,
+        private readonly clock: () => number,
+        private readonly garbage: BodyGarbage | undefined,
+    ) {
         this.charge = budget.open(this, clock());
     }
 
@@ -137,6 +151,9 @@
 
     /** Gives back all bytes; nothing is charged any more. */
     release(): void {
+        if (this.charge.bytes > SMALL_BODY_BYTES + REQUEST_BYTES) {
+            this.garbage?.addReleased(this.charge.bytes);
+        }
         this.budget.release(this.charge);
     }
 
