Refuse large bodies rather than cut responses for them

Cause: a large body without room had responses cut whose callers had not read them for a second, although it should be refused first. Connections that could be used again after a refusal stayed among those that are closed first at the limit of connections, also with a new request.

Change: only small bodies and responses themselves make unread responses end. A connection that is kept after a refusal, or starts a request, is not among those that are closing.

--- a/packages/core/src/dispatch/memory-budget.ts
+++ b/packages/core/src/dispatch/memory-budget.ts
@@ -106,9 +106,9 @@
     }
 
     /**
-     * Returns the requests to end so that bytes of a body have room: first bodies, then unread responses, each by the
-     * longest time without progress and at least `STALL_MS`. Returns undefined if these would not be enough; the body
-     * is refused or ended then, and no other in vain.
+     * Returns the requests to end so that bytes of a body have room: bodies, and for a small one then unread responses,
+     * each by the longest time without progress and at least `STALL_MS`. Returns undefined if these would not be
+     * enough; the body is refused or ended then, and no other in vain.
      */
     roomForBody(
         charge: MemoryCharge<Owner>,
@@ -117,7 +117,8 @@
         now: number,
     ): MemoryCharge<Owner>[] | undefined {
         const limit = this.limits.totalBytes - (isLarge ? this.limits.reservedBytes : 0);
-        const ended = this.stalledUntil(limit - bytes, charge, now - STALL_MS);
+        const states: ChargeState[] = isLarge ? ["arriving"] : ["arriving", "unread"];
+        const ended = this.stalledUntil(limit - bytes, charge, states, now - STALL_MS);
         return ended.isEnough ? ended.charges : undefined;
     }
 
@@ -129,7 +130,12 @@
         if (this.chargedBytes <= this.limits.totalBytes) {
             return [];
         }
-        const { charges, isEnough } = this.stalledUntil(this.limits.totalBytes, undefined, now - STALL_MS);
+        const { charges, isEnough } = this.stalledUntil(
+            this.limits.totalBytes,
+            undefined,
+            ["arriving", "unread"],
+            now - STALL_MS,
+        );
         if (isEnough) {
             return charges;
         }
@@ -153,11 +159,12 @@
     private stalledUntil(
         maxBytes: number,
         except: MemoryCharge<Owner> | undefined,
+        states: readonly ChargeState[],
         stalledSince: number,
     ): { readonly charges: MemoryCharge<Owner>[]; readonly isEnough: boolean; } {
         const charges: MemoryCharge<Owner>[] = [];
         let left = this.chargedBytes;
-        for (const charge of [...this.oldest("arriving", stalledSince), ...this.oldest("unread", stalledSince)]) {
+        for (const charge of states.flatMap((state) => this.oldest(state, stalledSince))) {
             if (left <= maxBytes) {
                 break;
             }
--- a/packages/router/src/gateway/connection-limit.ts
+++ b/packages/router/src/gateway/connection-limit.ts
@@ -73,6 +73,7 @@
     private startRequest(socket: Socket, response: ServerResponse): void {
         this.unused.delete(socket);
         this.idle.delete(socket);
+        this.closing.delete(socket);
         this.openRequests.set(socket, (this.openRequests.get(socket) ?? 0) + 1);
         response.once("close", () => this.endResponse(socket));
     }
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -291,7 +291,9 @@
         const isShort = isShortRest(length === undefined ? undefined : length - received);
         response.shouldKeepAlive &&= isShort && !expectsContinue;
         this.refuse(fields, response, cause, waitMs, { ...logFields, length, received }, writeRefusal);
-        this.connections.startClosing(request.socket);
+        if (!response.shouldKeepAlive) {
+            this.connections.startClosing(request.socket);
+        }
         const { memory, countResourceEvent } = this.gateway.context;
         discardBody(request, response, (bytes) => memory.recordReceived(bytes), () => {
             countResourceEvent("discard-ended");
