Keep refused connections among those that are closed first

Cause: a listener that starts a request ran after the one that refuses it, and took its connection out of those that are closing.

Change: it runs before.

Measured: the added test fails without the change and passes with it; the tests of hostile clients and of the gateway pass (56).

--- a/packages/router/src/gateway/connection-limit.test.ts
+++ b/packages/router/src/gateway/connection-limit.test.ts
@@ -6,19 +6,26 @@
 import type { ResourceEvent } from "./request-memory.js";
 
 const MAX_CONNECTIONS = 2;
-const REQUEST = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+const REFUSED_PATH = "/refused";
+const requestFor = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: a\r\n\r\n`;
 
 describe("the limit of connections", () => {
     let server: Server;
     let responses: ServerResponse[];
     let events: ResourceEvent[];
+    let limit: ConnectionLimit;
     const sockets: Socket[] = [];
 
     beforeEach(async () => {
         responses = [];
         events = [];
-        server = createServer((unused, response) => void responses.push(response));
-        new ConnectionLimit(server, MAX_CONNECTIONS, (event) => void events.push(event));
+        server = createServer((request, response) => {
+            responses.push(response);
+            if (request.url === REFUSED_PATH) {
+                limit.startClosing(request.socket);
+            }
+        });
+        limit = new ConnectionLimit(server, MAX_CONNECTIONS, (event) => void events.push(event));
         server.listen(0, "127.0.0.1");
         await once(server, "listening");
     });
@@ -35,9 +42,9 @@
         await accepted;
         return socket;
     };
-    const startRequest = async (socket: Socket): Promise<void> => {
+    const startRequest = async (socket: Socket, path = "/"): Promise<void> => {
         const received = once(server, "request");
-        socket.write(REQUEST);
+        socket.write(requestFor(path));
         await received;
     };
 
@@ -63,4 +70,16 @@
         expect(events).toEqual(["connection-refused"]);
         expect(sockets.filter((socket) => !socket.destroyed)).toHaveLength(MAX_CONNECTIONS);
     });
+
+    // Guards against callers that are kept out by connections which only wait for the end of a refused body.
+    it("closes connections of refused requests rather than refuse new ones", async () => {
+        const busy = await open();
+        await startRequest(busy);
+        const refused = await open();
+        await startRequest(refused, REFUSED_PATH);
+        await open();
+        await once(refused, "close");
+        expect(busy.destroyed).toBe(false);
+        expect(events).toEqual(["idle-connection-closed"]);
+    });
 });
--- a/packages/router/src/gateway/connection-limit.ts
+++ b/packages/router/src/gateway/connection-limit.ts
@@ -27,7 +27,8 @@
         // A listener for "checkContinue" replaces the server's own response to "Expect: 100-continue".
         const handlesExpectations = server.listenerCount("checkContinue") > 0;
         for (const event of handlesExpectations ? ["request", "checkContinue"] : ["request"]) {
-            server.on(
+            // Before the request is handled, which may make its connection one that is closed soon.
+            server.prependListener(
                 event,
                 (request: IncomingMessage, response: ServerResponse) => this.startRequest(request.socket, response),
             );
