--- a/packages/router/src/gateway/connection-limit.ts
+++ b/packages/router/src/gateway/connection-limit.ts
@@ -27,7 +27,8 @@
         // A listener for "checkContinue" replaces the server's own response to "Expect: 100-continue".
         const handlesExpectations = server.listenerCount("checkContinue") > 0;
         for (const event of handlesExpectations ? ["request", "checkContinue"] : ["request"]) {
-            server.on(
+            // Before the request is handled, which may make its connection one that is closed soon.
+            server.prependListener(
                 event,
                 (request: IncomingMessage, response: ServerResponse) => this.startRequest(request.socket, response),
             );
@@ -73,6 +74,7 @@
     private startRequest(socket: Socket, response: ServerResponse): void {
         this.unused.delete(socket);
         this.idle.delete(socket);
+        this.closing.delete(socket);
         this.openRequests.set(socket, (this.openRequests.get(socket) ?? 0) + 1);
         response.once("close", () => this.endResponse(socket));
     }
