Read evacuations only where the settings state a bound for them

A router that gets no changes from others reads each prefix of the change feed by a call of its own, so the prefix of evacuations cost every deployment one call in four there; each call has a price.

--- a/packages/router/src/gateway/gateway-settings.ts
+++ b/packages/router/src/gateway/gateway-settings.ts
@@ -37,7 +37,7 @@
         drainMs: positive.default(2_000),
         /** Time in ms within which a changed configuration must be in force. */
         configurationMs: positive.default(2_000),
-        /** Time in ms within which an evacuation must be in force; missing if the deployment states none. */
+        /** Time in ms within which an evacuation must be in force; missing if the deployment has none. Read at the start. */
         evacuationMs: positive.optional(),
         /** Time in ms within which a router must exit after SIGTERM. */
         shutdownMs: positive.default(8_000),
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -189,12 +189,10 @@
         const changeFeed = new PeerChangeFeed(this.peers, sources, this.clock);
         // Token records and spending checkpoints are left out: they make up most changes, and a write conflict
         // returns the newest record.
-        const feedPrefixes = [
-            dialect.endpointPrefix,
-            dialect.evacuationPrefix,
-            SHARED_PREFIX,
-            dialect.configurationKey,
-        ];
+        // Each prefix costs a call where no other router relays changes, so unused ones are left out as well.
+        const evacuationPrefixes = settings.bounds.evacuationMs === undefined ? [] : [dialect.evacuationPrefix];
+        const sharedPrefixes = [SHARED_PREFIX, dialect.configurationKey];
+        const feedPrefixes = [dialect.endpointPrefix, ...evacuationPrefixes, ...sharedPrefixes];
         const changeHistory = new ChangeHistory(feedPrefixes, this.clock);
         this.peerServer = new JSONRPCServer({
             errorListener: (detail) => this.logs.fleet.warn("JSON-RPC call of another router failed.", { detail }),
