Do not start a send after its caller's time-out

Callers that give up close their connections, which a busy router reads late. A turn of the event loop may last beyond the time-out, whose timer comes in the next one.

The time left is looked at again when the bytes leave.

--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -141,8 +141,13 @@
         if (send.ended || this.isFinished) {
             return abortSend(send);
         }
+        const now = this.context.clock();
+        if (now >= this.deadline) {
+            // The caller has given up in this turn of the event loop; the timer comes in the next one.
+            return this.handleDeadline();
+        }
         // It may have left, asked for no requests, or become cold, while the request waited for a connection.
-        if (!stillAcceptsRequests(this.context.endpoints, send.row, send.sentAt, this.context.clock())) {
+        if (!stillAcceptsRequests(this.context.endpoints, send.row, send.sentAt, now)) {
             this.endSend(send, false);
             abortSend(send);
             this.log.left(send);
@@ -471,12 +476,8 @@
 
     private refuse(cause: RefusalCause, retryAfterMs: number | undefined, figures: object = {}): void {
         this.context.countRefusal(cause);
-        this.context.logs.requests.info("Refused.", {
-            ...this.log.figures(this.send),
-            cause,
-            retryAfterMs,
-            ...figures,
-        });
+        const fields = { ...this.log.figures(this.send), cause, retryAfterMs, ...figures };
+        this.context.logs.requests.info("Refused.", fields);
         this.finish(cause, this.send);
         sendRefusal(this.admitted.response, cause, retryAfterMs);
     }
