--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -103,6 +103,8 @@
         configurationVersion: gauge("configuration_version", "Version of the configuration in force."),
         chargedBytes: gauge("charged_bytes", "Bytes that requests hold in this router."),
         endpoints: gauge("endpoints", "Endpoints that are known."),
+        acceptedConnections: counter("accepted_connections_total", "Accepted connections of callers.", []),
+        eventLoopTurns: counter("event_loop_turns_total", "Turns of the event loop, if Node.js reports them.", []),
         movesCallers: gauge("moves_callers", "1 while the router is not ready so that callers move to others, else 0."),
         evacuatedDomains: gauge("evacuated_domains", "Failure domains that are evacuated."),
         members: gauge("fleet_members", "Routers that are known."),
@@ -130,6 +132,12 @@
             buckets: REQUEST_BUCKETS_SECONDS,
             registers,
         }),
+        callerGoneSeconds: new Histogram({
+            name: "gooseberrybend_caller_gone_seconds",
+            help: "Time from reading a request until its caller left without a response.",
+            buckets: REQUEST_BUCKETS_SECONDS,
+            registers,
+        }),
         requestSeconds: new Histogram({
             name: "gooseberrybend_request_seconds",
             help: "Time from arrival to the end of a request.",
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -20,6 +20,7 @@
 import { randomBytes } from "node:crypto";
 import { performance } from "node:perf_hooks";
 import { AddressAnswers } from "./address-answers.js";
+import { ArrivalMonitor } from "./arrival-monitor.js";
 import { ColdEndpointMonitor } from "./cold-endpoint-monitor.js";
 import { contextCounters } from "./context-counters.js";
 import { CountedStore } from "./counted-store.js";
@@ -65,6 +66,7 @@
     readonly ingress: Ingress;
     readonly connectionLimits: ConnectionLimits;
     readonly load: LoadMonitor;
+    readonly arrivals: ArrivalMonitor;
     readonly clock = (): number => performance.now();
     table: RoutingTable | undefined;
     /** Set once the router drains. */
@@ -108,6 +110,7 @@
         this.storeCalls = new StoreCallSummary(this.metrics, this.logs);
         const store = new CountedStore(platformStore, (operation, result) => this.storeCalls.count(operation, result));
         this.load = new LoadMonitor(this.logs);
+        this.arrivals = new ArrivalMonitor(this.metrics, this.logs);
         this.reserve = new ReserveMonitor(this.metrics, this.logs);
         const incarnation = brand<Incarnation>(randomBytes(9).toString("base64url"));
         const domain = brand<FailureDomain>(settings.domain);
@@ -283,6 +286,7 @@
         this.metrics.members.set(members.size);
         this.metrics.chargedBytes.set(this.context.memory.figures.chargedBytes);
         this.load.measure(now);
+        this.arrivals.report(this.load.isUnderHighLoad, now);
         this.reserve.update({
             self: this.self,
             serving,
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -20,6 +20,7 @@
 } from "@gooseberrybend/core/dispatch";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { ArrivalMonitor } from "./arrival-monitor.js";
 import { BlockBuffer } from "./block-buffer.js";
 import { ByteBuffer } from "./byte-buffer.js";
 import { ConnectionLimit } from "./connection-limit.js";
@@ -93,6 +94,7 @@
     readonly drain: Drain | undefined;
     readonly reserve: Pick<ReserveMonitor, "movesCallers" | "recordRequest">;
     readonly load: Pick<LoadMonitor, "shedShare" | "unreadMs">;
+    readonly arrivals: Pick<ArrivalMonitor, "recordConnection" | "recordRequest" | "recordCallerGone">;
 };
 
 /** HTTP server for callers. Its limits follow the configuration. */
@@ -103,6 +105,8 @@
     private readonly exchanges = new Set<Exchange>();
     /** Connections with a request that has arrived in full and has no complete response. */
     private readonly respondingSockets = new Set<Socket>();
+    /** Connections that have carried a request. */
+    private readonly usedSockets = new WeakSet<Socket>();
     /** Requests that have not arrived in full, with their responses. */
     private readonly arriving = new Map<IncomingMessage, ServerResponse>();
     private readonly connections: ConnectionLimit;
@@ -127,6 +131,7 @@
             (event) => this.gateway.context.recordConnectionEvent(event, "callers"),
             () => this.gateway.context.memory.endStalled() !== undefined,
         );
+        this.server.on("connection", () => this.gateway.arrivals.recordConnection());
         this.server.on("clientError", (error: ParserError, socket: Socket) => this.rejectConnection(error, socket));
     }
 
@@ -163,11 +168,16 @@
         context.observeUnread(unreadMs);
         this.openRequests++;
         this.gateway.reserve.recordRequest();
+        this.gateway.arrivals.recordRequest(!this.usedSockets.has(request.socket));
+        this.usedSockets.add(request.socket);
         this.arriving.set(request, response);
         const { socket } = request;
         const charge = context.memory.open();
         response.once("close", () => {
             this.openRequests--;
+            if (!response.writableFinished) {
+                this.gateway.arrivals.recordCallerGone(context.clock() - now);
+            }
             this.respondingSockets.delete(socket);
             this.arriving.delete(request);
             charge.drop();
@@ -318,15 +328,25 @@
         const host = hostOf(request);
         const route = findRoute(table, host, request.url ?? "/");
         if (route === undefined) {
-            return { cause: "no-route", logFields: { host, path: request.url } };
+            return { cause: "no-route", logFields: { host, path: request.url, ...this.viewAges() } };
         }
         const account = fields.accessKey === undefined ? undefined : table.accountsByKey.get(fields.accessKey);
         if (account === undefined && !route.open && table.configuration.accounts !== undefined) {
-            return { cause: "unknown-key", logFields: { route: route.name } };
+            return { cause: "unknown-key", logFields: { route: route.name, ...this.viewAges() } };
         }
         return { table, route, account };
     }
 
+    // Ages of what a refusal by the configuration rests on.
+    private viewAges(): object {
+        const { clock, changesAgeMs, configurationAgeMs } = this.gateway.context;
+        const now = clock();
+        return {
+            changesAgeMs: Math.round(changesAgeMs(now)),
+            configurationAgeMs: Math.round(configurationAgeMs(now)),
+        };
+    }
+
     // Refuses a share of the requests while the router is overloaded, before their bodies are read.
     private overload({ table, route, account }: Admission): HeadRefusal | undefined {
         const { context, load: { shedShare }, reserve: { movesCallers } } = this.gateway;
--- a/packages/router/src/gateway/large-values.ts
+++ b/packages/router/src/gateway/large-values.ts
@@ -67,7 +67,13 @@
 
     private async run(key: string, onValue: (item: StoredItem) => void): Promise<void> {
         while (!this.stopped && this.missing.has(key)) {
+            const startedAt = performance.now();
+            const requested = this.missing.get(key)!.at(-1)!.revision;
             const item = await this.fromPeers(key) ?? await this.fromStore(key);
+            this.logs.store.info(
+                item === undefined ? "Large value not fetched." : "Large value fetched.",
+                { key, requested, revision: item?.revision, tookMs: Math.round(performance.now() - startedAt) },
+            );
             if (item === undefined) {
                 await sleep(RETRY_MS);
             }
@@ -91,6 +97,7 @@
     private async fromPeers(key: string): Promise<StoredItem | undefined> {
         const parameters = { key, revision: this.missing.get(key)!.at(-1)!.revision };
         for (const source of this.sources()) {
+            const startedAt = performance.now();
             const response = await this.peers.call(source, LARGE_VALUE_METHOD, parameters, RESPONSE_TIMEOUT_MS);
             const parsed = responseSchema.safeParse(response.unwrapOr(undefined));
             const { revision, deflated } = parsed.data ?? {};
@@ -98,6 +105,13 @@
             if (revision !== undefined && value !== undefined) {
                 return { key, revision, value };
             }
+            this.logs.store.info("Large value not available from another router; asking the next source.", {
+                key,
+                source,
+                requested: parameters.revision,
+                failure: response.isErr() ? response.error.detail : "not there",
+                tookMs: Math.round(performance.now() - startedAt),
+            });
         }
         return undefined;
     }
