Look once more whether a caller is there before its request is sent

Callers saw: none; endpoints ran requests of callers that had left (GONE). A router that reads late finds a request and, right behind it in the same socket, the close of its caller. The request was sent in the turn of the event loop that read it, the close noticed one turn later.

A request is now admitted after the sockets have been read once more, two immediates later, and dropped if its caller has left. An idle router loses one empty turn of the event loop; there is no threshold and no timer, so it holds however long a turn takes.

--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -29,6 +29,7 @@
 import type { GatewayContext } from "./gateway-context.js";
 import { regionTableOf } from "./gateway-settings.js";
 import type { LoadMonitor } from "./load-monitor.js";
+import { afterNextRead } from "./next-read.js";
 import { moveRetryMs, type RefusalCause, retryAfterMs, sendRefusal, writeRefusal } from "./refusal.js";
 import { discardBody, isShortRest } from "./refused-body.js";
 import type { RequestCharge } from "./request-memory.js";
@@ -238,14 +239,29 @@
         });
         request.on("end", () => {
             // A body that was refused is no longer among the arriving ones.
-            if (this.arriving.delete(request)) {
+            if (this.arriving.has(request)) {
                 this.respondingSockets.add(request.socket);
                 charge.startRunning();
-                this.admit(arrival, fields, admission, body.take());
+                afterNextRead(() => this.admitIfPresent(arrival, fields, admission, body));
             }
         });
     }
 
+    // The close of a caller that left before its request was read lies behind it and has been read by now.
+    private admitIfPresent(arrival: Arrival, fields: CallerFields, admission: Admission, body: BodyBuffer): void {
+        const { request, arrivedAt } = arrival;
+        if (!this.arriving.delete(request)) {
+            return;
+        }
+        if (request.socket.readableEnded) {
+            const { clock, logs } = this.gateway.context;
+            const tookMs = Math.round(clock() - arrivedAt);
+            logs.requests.info("Request dropped, as its caller has left.", { id: fields.requestId, tookMs });
+            return;
+        }
+        this.admit(arrival, fields, admission, body.take());
+    }
+
     // Others need the room of a body that makes no progress.
     private endBody(arrival: Arrival, fields: CallerFields, body: BodyBuffer): void {
         const received = body.length;
