Bound the connections that wait to be accepted by what an instance can accept

Callers saw: requests held past their route's time-out (CONFIG), requests that nobody read while they waited, and endpoints that ran requests of callers that had left (GONE).

Cause: libuv 1.46 accepts one connection per turn of the event loop. Under overload a turn takes 7 ms on a small instance, so that it accepts some 140 connections a second, and up to 1,024 waited before it: longer than their callers did. First in, first out, such a queue never empties.

The backlog of the listeners for callers and for address queries now follows from the cores: 300 ms under overload, 27 connections for 0.324 cores. Further callers are not connected and try another router, as they do for one that is down. The listener for other routers keeps 1,024: they are as many as the fleet, and may all come at once after a partition.

--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -1,3 +1,4 @@
+export * from "./accept-backlog.js";
 export * from "./admission.js";
 export * from "./attempts.js";
 export * from "./change-deadline.js";
--- a/packages/router/src/gateway/run-gateway.ts
+++ b/packages/router/src/gateway/run-gateway.ts
@@ -1,4 +1,5 @@
 import "reflect-metadata";
+import { acceptBacklogOf } from "@gooseberrybend/core/dispatch";
 import { type DynamicModule, Module } from "@nestjs/common";
 import { NestFactory } from "@nestjs/core";
 import { FastifyAdapter, type NestFastifyApplication } from "@nestjs/platform-fastify";
@@ -11,7 +12,7 @@
 import { RESET_DELAY_MS } from "./caller-answer.js";
 import { ConnectionLimit } from "./connection-limit.js";
 import type { Dialect } from "./dialect.js";
-import { readGatewaySettings, splitAddress } from "./gateway-settings.js";
+import { capacityOf, readGatewaySettings, splitAddress } from "./gateway-settings.js";
 import { Gateway } from "./gateway.js";
 import { GATEWAY, InternalController } from "./internal.controller.js";
 import type { MetadataStore } from "./metadata-store.js";
@@ -43,6 +44,8 @@
 const INTERNAL_HEADER_TIMEOUT_MS = 3_000;
 const INTERNAL_REQUEST_TIMEOUT_MS = 10_000;
 const INTERNAL_CHECK_INTERVAL_MS = 500;
+/** Connections of other routers that may wait to be accepted: all of a fleet may come at once after a partition. */
+const FLEET_BACKLOG = 1_024;
 
 /** What a deployment supplies to a gateway. */
 export type GatewayParts = {
@@ -79,8 +82,9 @@
     const gateway = new Gateway(settings.value, parts.dialect, parts.openStore(settings.value.store.address));
     process.once("uncaughtException", (error) => void endAfterError(gateway, error));
     gateway.start();
-    await listenInternally(gateway);
-    await listen(gateway.ingress.server, settings.value.listen.callers);
+    const callerBacklog = acceptBacklogOf(capacityOf(settings.value).cores);
+    await listenInternally(gateway, callerBacklog);
+    await listen(gateway.ingress.server, settings.value.listen.callers, callerBacklog);
     gateway.logs.host.info("Router started.", { router: settings.value.name, address: settings.value.listen.callers });
     signals.onReload(() => reload(gateway, file));
     watchFile(file, { interval: SETTINGS_CHECK_INTERVAL_MS, persistent: false }, () => reload(gateway, file));
@@ -108,8 +112,9 @@
     },
 } as unknown as FastifyServerOptions["schemaController"];
 
-async function listenInternally(gateway: Gateway): Promise<void> {
+async function listenInternally(gateway: Gateway, callerBacklog: number): Promise<void> {
     const { ready, addresses, metrics, peers } = gateway.settings.listen;
+    const backlogOf = (address: string): number => address === addresses ? callerBacklog : FLEET_BACKLOG;
     const distinctAddresses = [...new Set([ready, addresses, metrics, peers])];
     let requestListener: RequestListener | undefined;
     const serverFactory = (handler: RequestListener): Server => {
@@ -126,12 +131,13 @@
     refuseForeignCalls(application, gateway);
     const [first, ...others] = distinctAddresses;
     const { host, port } = splitAddress(first!);
-    await application.listen(port, host);
+    await application.listen({ host, port, backlog: backlogOf(first!) });
     await Promise.all(
         others.map((address) =>
             listen(
                 createInternalServer(gateway, address, (request, response) => requestListener!(request, response)),
                 address,
+                backlogOf(address),
             )
         ),
     );
@@ -162,9 +168,9 @@
     return server;
 }
 
-async function listen(server: Server, address: string): Promise<void> {
+async function listen(server: Server, address: string, backlog: number): Promise<void> {
     const { host, port } = splitAddress(address);
-    server.listen({ host, port, backlog: 1_024 });
+    server.listen({ host, port, backlog });
     await once(server, "listening");
 }
 
