Fetch large values within the deadline of changes

Callers saw: a route that a new configuration added was refused with 404 by some routers seconds after its acknowledgement (CONFIG).

Cause: a configuration over 8 KB is fetched apart from other changes. One source was asked after the other, each until it had failed: 400 ms until a response begins, 1 s for each pause in it; the store came last. Nothing compared the sum, 5 s and more, with the deadline.

The next source is now asked once one has made no progress for 0.07 of the deadline, the store after three; a response that is arriving is not fetched twice. An older value in the store's listing is not taken, and asked for again after a pause instead of at once.

large-value-deadline.test.ts: nothing within 750 ms with two slow or silent sources, and 200 calls in 2 s to a store that lists an older value, before; both hold now.

--- a/packages/core/src/dispatch/change-deadline.ts
+++ b/packages/core/src/dispatch/change-deadline.ts
@@ -20,6 +20,11 @@
     readonly relayMarginMs: number;
     /** Age of this router's view of the store at which it no longer waits for other routers. */
     readonly relayEndMs: number;
+    /**
+     * Time without progress after which a large value is also fetched from the next source. Three sources and the store
+     * have their turn between `relayEndMs`, at which its change is known at the latest, and the send.
+     */
+    readonly valueHedgeMs: number;
     /** Time after an outage of the store for which other routers are expected to be up to date. */
     readonly peersOnlyMs: number;
 };
@@ -42,6 +47,7 @@
         hedgeDelayMs: 0.05 * totalMs,
         relayMarginMs: 0.15 * totalMs,
         relayEndMs: 0.6 * totalMs,
+        valueHedgeMs: 0.07 * totalMs,
         peersOnlyMs: 0.3 * totalMs,
     };
 }
--- a/packages/router/src/gateway/first-result.ts
+++ b/packages/router/src/gateway/first-result.ts
@@ -1,13 +1,13 @@
-/** An attempt to get a result; undefined if it fails. */
-export type Attempt<Result> = () => Promise<Result | undefined>;
+/** An attempt to get a result; undefined if it fails. It may report that its result is arriving. */
+export type Attempt<Result> = (reportProgress: () => void) => Promise<Result | undefined>;
 
 /** When to start further attempts. Times in ms. */
 export type AttemptTiming = {
-    /** Time after the first attempt, and after each later one, at which the next one starts too. */
+    /** Time after the first attempt, and after each later one or its last progress, at which the next one starts too. */
     readonly firstDelayMs: number;
     readonly nextDelayMs: number;
-    /** Time after which none is awaited any longer. */
-    readonly giveUpMs: number;
+    /** Time after which none is awaited any longer; undefined if each one ends by itself. */
+    readonly giveUpMs?: number;
 };
 
 /**
@@ -38,7 +38,14 @@
             nextTimer = setTimeout(startNext, started === 0 ? firstDelayMs : nextDelayMs);
             started++;
             running++;
-            void attempt().then((result) => {
+            const number = started;
+            const reportProgress = (): void => {
+                if (!isFinished && number === started) {
+                    clearTimeout(nextTimer);
+                    nextTimer = setTimeout(startNext, nextDelayMs);
+                }
+            };
+            void attempt(reportProgress).then((result) => {
                 running--;
                 if (isFinished) {
                     return;
@@ -51,7 +58,7 @@
                 }
             });
         };
-        const endTimer = setTimeout(() => finish(undefined), giveUpMs);
+        const endTimer = giveUpMs === undefined ? undefined : setTimeout(() => finish(undefined), giveUpMs);
         startNext();
     });
 }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -5,6 +5,7 @@
     connectionLimitsOf,
     createEndpointTable,
     createRoutingTable,
+    divideDeadline,
     type Drain,
     eraOf,
     findConfigurationFault,
@@ -223,7 +224,13 @@
             () => this.registry.isStoreWatcher,
             changeHistory,
             feedPrefixes,
-            new LargeValues(this.peers, sources, store, this.logs),
+            new LargeValues(
+                this.peers,
+                sources,
+                store,
+                this.logs,
+                () => divideDeadline(changeDeadlineMs(this.settings)),
+            ),
         );
         const { maxDescriptors, memoryMb } = settings.instance;
         this.connectionLimits = connectionLimitsOf(maxDescriptors, memoryMb);
--- a/packages/router/src/gateway/large-value-deadline.test.ts
+++ b/packages/router/src/gateway/large-value-deadline.test.ts
@@ -79,6 +79,7 @@
             () => sources.map((unused, index) => String(index)),
             metadataStore,
             logs,
+            () => divideDeadline(DEADLINE_MS),
         );
         const fetched: StoredItem[] = [];
         values.fetch(KEY, REVISION, 0, (item) => fetched.push(item));
--- a/packages/router/src/gateway/large-values.test.ts
+++ b/packages/router/src/gateway/large-values.test.ts
@@ -1,3 +1,4 @@
+import { divideDeadline } from "@gooseberrybend/core/dispatch";
 import { ok } from "neverthrow";
 import { describe, expect, it, vi } from "vitest";
 import { LargeValues } from "./large-values.js";
@@ -6,6 +7,7 @@
 import type { PeerCalls } from "./peer-calls.js";
 import { ChangeHistory } from "./peer-change-feed.js";
 
+const deadline = () => divideDeadline(3_000);
 const logs = createGatewayLogs({ level: "error" });
 
 function itemAt(revision: number, size = 20_000): StoredItem {
@@ -64,6 +66,7 @@
                 () => ["router-1:1"],
                 storeWith([itemAt(3)]),
                 logs,
+                deadline,
             );
             const item = await new Promise<StoredItem>((resolve) => values.fetch("configuration", 3, 0, resolve));
             expect(item).toEqual(itemAt(3));
@@ -74,7 +77,7 @@
         const fetched = (peers: PeerCalls, store: MetadataStore, revisions: number[]): Promise<StoredItem[]> =>
             new Promise((resolve) => {
                 const items: StoredItem[] = [];
-                const values = new LargeValues(peers, () => ["near"], store, logs);
+                const values = new LargeValues(peers, () => ["near"], store, logs, deadline);
                 revisions.forEach((revision) =>
                     values.fetch("configuration", revision, 0, (item) => {
                         items.push(item);
@@ -93,7 +96,13 @@
 
         // Guards against an age of the router's view that leaves out a configuration which is still being fetched.
         it("counts as old as the view before the oldest change that is missing", async () => {
-            const values = new LargeValues(peersWith(historyWith(itemAt(3))), () => ["near"], storeWith([]), logs);
+            const values = new LargeValues(
+                peersWith(historyWith(itemAt(3))),
+                () => ["near"],
+                storeWith([]),
+                logs,
+                deadline,
+            );
             expect(values.missingSince("configuration")).toBeUndefined();
             await new Promise<StoredItem>((resolve) => {
                 values.fetch("configuration", 3, 100, resolve);
--- a/packages/router/src/gateway/large-values.ts
+++ b/packages/router/src/gateway/large-values.ts
@@ -1,5 +1,7 @@
+import type { ChangeDeadline } from "@gooseberrybend/core/dispatch";
 import { inflateRawSync } from "node:zlib";
 import { z } from "zod";
+import { type Attempt, firstResult } from "./first-result.js";
 import type { GatewayLogs } from "./log-sink.js";
 import type { MetadataStore, StoredItem } from "./metadata-store.js";
 import type { PeerCalls } from "./peer-calls.js";
@@ -10,6 +12,8 @@
 
 /** Time in ms within which another router begins to respond. */
 const RESPONSE_TIMEOUT_MS = 400;
+/** Maximum number of routers that are asked before the store. */
+const MAX_SOURCES = 3;
 /** Pause in ms after no source had the value. */
 const RETRY_MS = 250;
 /** Maximum bytes of a value. */
@@ -39,6 +43,7 @@
         private readonly sources: () => readonly string[],
         private readonly store: MetadataStore,
         private readonly logs: GatewayLogs,
+        private readonly deadline: () => ChangeDeadline,
     ) {}
 
     /**
@@ -69,7 +74,7 @@
         while (!this.stopped && this.missing.has(key)) {
             const startedAt = performance.now();
             const requested = this.missing.get(key)!.at(-1)!.revision;
-            const item = await this.fromPeers(key) ?? await this.fromStore(key);
+            const item = await this.fetchOnce(key, requested);
             this.logs.store.info(
                 item === undefined ? "Large value not fetched." : "Large value fetched.",
                 { key, requested, revision: item?.revision, tookMs: Math.round(performance.now() - startedAt) },
@@ -84,8 +89,20 @@
         }
     }
 
+    // A source may be slow or silent, so the next one is asked before it has failed, and the store last.
+    private fetchOnce(key: string, requested: number): Promise<StoredItem | undefined> {
+        const attempts = this.sources().slice(0, MAX_SOURCES).map((source): Attempt<StoredItem> => (reportProgress) =>
+            this.fromPeer(source, key, requested, reportProgress)
+        );
+        const { valueHedgeMs } = this.deadline();
+        return firstResult([...attempts, () => this.fromStore(key, requested)], {
+            firstDelayMs: valueHedgeMs,
+            nextDelayMs: valueHedgeMs,
+        });
+    }
+
     private recordFetched({ key, revision }: StoredItem): void {
-        const later = this.missing.get(key)!.filter((change) => change.revision > revision);
+        const later = (this.missing.get(key) ?? []).filter((change) => change.revision > revision);
         if (later.length === 0) {
             this.missing.delete(key);
         }
@@ -94,25 +111,33 @@
         }
     }
 
-    private async fromPeers(key: string): Promise<StoredItem | undefined> {
-        const parameters = { key, revision: this.missing.get(key)!.at(-1)!.revision };
-        for (const source of this.sources()) {
-            const startedAt = performance.now();
-            const response = await this.peers.call(source, LARGE_VALUE_METHOD, parameters, RESPONSE_TIMEOUT_MS);
-            const parsed = responseSchema.safeParse(response.unwrapOr(undefined));
-            const { revision, deflated } = parsed.data ?? {};
-            const value = deflated === undefined ? undefined : this.inflate(key, source, deflated);
-            if (revision !== undefined && value !== undefined) {
-                return { key, revision, value };
-            }
-            this.logs.store.info("Large value not available from another router; asking the next source.", {
-                key,
-                source,
-                requested: parameters.revision,
-                failure: response.isErr() ? response.error.detail : "not there",
-                tookMs: Math.round(performance.now() - startedAt),
-            });
+    private async fromPeer(
+        source: string,
+        key: string,
+        requested: number,
+        reportProgress: () => void,
+    ): Promise<StoredItem | undefined> {
+        const startedAt = performance.now();
+        const parameters = { key, revision: requested };
+        const response = await this.peers.call(
+            source,
+            LARGE_VALUE_METHOD,
+            parameters,
+            RESPONSE_TIMEOUT_MS,
+            reportProgress,
+        );
+        const { revision, deflated } = responseSchema.safeParse(response.unwrapOr(undefined)).data ?? {};
+        const value = deflated === undefined ? undefined : this.inflate(key, source, deflated);
+        if (revision !== undefined && value !== undefined) {
+            return { key, revision, value };
         }
+        this.logs.store.info("Large value not available from another router.", {
+            key,
+            source,
+            requested,
+            failure: response.isErr() ? response.error.detail : "not there",
+            tookMs: Math.round(performance.now() - startedAt),
+        });
         return undefined;
     }
 
@@ -131,18 +156,21 @@
         }
     }
 
-    private async fromStore(key: string): Promise<StoredItem | undefined> {
+    private async fromStore(key: string, requested: number): Promise<StoredItem | undefined> {
         const result = await this.store.list(key);
         const item = result.kind === "done" ? result.value.items.find((listed) => listed.key === key) : undefined;
-        if (item === undefined) {
-            this.logs.store.warn("Large value not available from other routers or the store; retrying.", {
-                key,
-                result: result.kind,
-            });
-            if (result.kind === "done") {
-                this.missing.delete(key);
-            }
+        if (item !== undefined && item.revision >= requested) {
+            return item;
         }
-        return item;
+        this.logs.store.warn("Large value not available from the store.", {
+            key,
+            requested,
+            result: result.kind,
+            revision: item?.revision,
+        });
+        if (result.kind === "done" && item === undefined) {
+            this.missing.delete(key);
+        }
+        return undefined;
     }
 }
--- a/packages/router/src/gateway/mocks/fake-following-fleet.ts
+++ b/packages/router/src/gateway/mocks/fake-following-fleet.ts
@@ -12,6 +12,7 @@
     acceptsRequests,
     changeSources,
     createEndpointTable,
+    divideDeadline,
     type EndpointEntry,
     type EndpointTable,
     type FleetMember,
@@ -266,7 +267,7 @@
             () => isWatcher,
             history,
             [PREFIX],
-            new LargeValues(calls, () => [], store, logs),
+            new LargeValues(calls, () => [], store, logs, () => divideDeadline(this.options.deadlineMs)),
         );
         const router: FollowingRouter = {
             member,
--- a/packages/router/src/gateway/peer-calls.ts
+++ b/packages/router/src/gateway/peer-calls.ts
@@ -15,12 +15,16 @@
 export class PeerCalls {
     private readonly agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, pipelining: 1 });
 
-    /** Calls a method of the router at an address. The response must begin within `timeoutMs`. */
+    /**
+     * Calls a method of the router at an address. The response must begin within `timeoutMs`; `onProgress` is called
+     * while it arrives.
+     */
     async call(
         address: string,
         method: string,
         parameters: object,
         timeoutMs: number,
+        onProgress?: () => void,
     ): Promise<Result<unknown, PeerFailure>> {
         const client: JSONRPCClient = new JSONRPCClient(async (payload) => {
             const { text } = await requestText(`http://${address}/peer`, {
@@ -30,6 +34,7 @@
                 timeoutMs,
                 stallMs: STALL_TIMEOUT_MS,
                 dispatcher: this.agent,
+                onProgress,
             });
             client.receive(JSON.parse(text) as never);
         });
--- a/packages/router/src/gateway/peer-change-feed.test.ts
+++ b/packages/router/src/gateway/peer-change-feed.test.ts
@@ -16,7 +16,13 @@
 }
 
 const logs = createGatewayLogs({ level: "error" });
-const noLargeValues = new LargeValues({} as PeerCalls, () => [], {} as MetadataStore, logs);
+const noLargeValues = new LargeValues(
+    {} as PeerCalls,
+    () => [],
+    {} as MetadataStore,
+    logs,
+    () => divideDeadline(CHANGE_DEADLINE_MS),
+);
 
 describe("change feed between routers", () => {
     describe("a router that relays changes", () => {
--- a/packages/router/src/gateway/request-text.ts
+++ b/packages/router/src/gateway/request-text.ts
@@ -14,6 +14,8 @@
     readonly timeoutMs: number;
     /** Longest pause in ms in a response that has begun: a slow link may take long for a large one. */
     readonly stallMs: number;
+    /** Called when the response begins and for each part of it. */
+    readonly onProgress?: () => void;
 };
 
 /** A response that has arrived in full. */
@@ -25,7 +27,7 @@
 
 /** Sends a request and reads its response. Rejects if the response does not begin in time, or stalls. */
 export async function requestText(url: string, options: TextRequest): Promise<TextResponse> {
-    const { timeoutMs, stallMs, ...rest } = options;
+    const { timeoutMs, stallMs, onProgress, ...rest } = options;
     const controller = new AbortController();
     const abort = (): void => controller.abort(new Error(`no response from ${new URL(url).host} in time`));
     let timer = setTimeout(abort, timeoutMs);
@@ -33,12 +35,14 @@
         const response = await request(url, { ...rest, signal: controller.signal });
         const body = new ByteBuffer();
         timer = restart(timer, abort, stallMs);
+        onProgress?.();
         for await (const chunk of response.body) {
             body.add(chunk as Buffer);
             if (body.length > MAX_RESPONSE_BYTES) {
                 throw new Error(`response from ${new URL(url).host} exceeds ${MAX_RESPONSE_BYTES} bytes`);
             }
             timer = restart(timer, abort, stallMs);
+            onProgress?.();
         }
         return { status: response.statusCode, headers: response.headers, text: body.take().toString() };
     }
--- a/packages/router/src/gateway/store-follower.test.ts
+++ b/packages/router/src/gateway/store-follower.test.ts
@@ -1,3 +1,4 @@
+import { divideDeadline } from "@gooseberrybend/core/dispatch";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { LargeValues } from "./large-values.js";
 import { createGatewayLogs } from "./log-sink.js";
@@ -71,7 +72,7 @@
             () => false,
             history,
             [ENDPOINTS, CONFIGURATION],
-            new LargeValues(noPeers, () => [], store, logs),
+            new LargeValues(noPeers, () => [], store, logs, () => divideDeadline(DEADLINE_MS)),
         );
         void follower.run();
         await vi.advanceTimersByTimeAsync(1_500);
