Do not count a view as read while the read of one prefix has not ended

Callers saw: a router goes on with an old configuration, and neither it nor the routers that read from it take notice (CONFIG).

Cause: a router that reads the store by prefix counted its whole view as new once the endpoints were read, though the read of the configuration was still running or had failed to end in time. The age went into its log lines and to the routers that it relays to, which then saw no reason to ask another source. The same age told evacuations since when they may have been in force.

The age of a value now includes the prefixes that were not read, and a view that lacks one is not relayed as new. Endpoints are used as before.

--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -388,14 +388,14 @@
             }
         }
         else if (key.startsWith(this.dialect.evacuationPrefix)) {
-            this.evacuations.apply(change, this.follower.changesMadeAfter, now);
+            this.evacuations.apply(change, this.follower.changesMadeAfter(key), now);
         }
         else if (key.startsWith(this.dialect.endpointPrefix)) {
             if (item === undefined) {
                 this.registrations.remove(key, this.endpointGraceMs(now), now);
             }
             else {
-                this.registrations.put(item, now, this.follower.changesMadeAfter);
+                this.registrations.put(item, now, this.follower.changesMadeAfter(key));
             }
         }
         else if (key.startsWith(FLEET_PREFIX)) {
--- a/packages/router/src/gateway/store-follower.ts
+++ b/packages/router/src/gateway/store-follower.ts
@@ -39,6 +39,8 @@
     private isHistoryGone = false;
     /** Prefixes whose read takes long. */
     private readonly readingPrefixes = new Set<string>();
+    /** Prefixes that were not read with the others, and the time before which no change of them is missing. */
+    private readonly unreadSince = new Map<string, number>();
     private stopped = false;
     /** True while changes of keys outside the feed prefixes may have been missed. */
     private isPartial = false;
@@ -90,14 +92,15 @@
         return now - this.confirmedAt;
     }
 
-    /** Time before which no change was made that is being applied: earlier ones had been read. */
-    get changesMadeAfter(): number {
-        return this.confirmedBefore;
+    /** Time before which no change of a key was made that is being applied: earlier ones had been read. */
+    changesMadeAfter(key: string): number {
+        return Math.min(this.confirmedBefore, this.unreadSinceOf(key));
     }
 
     /** Returns the age in ms of a key's value: no change of it that is older is missing. */
     valueAgeMs(key: string, now: number): number {
-        return now - Math.min(this.confirmedAt, this.largeValues.missingSince(key) ?? Infinity);
+        return now
+            - Math.min(this.confirmedAt, this.unreadSinceOf(key), this.largeValues.missingSince(key) ?? Infinity);
     }
 
     /**
@@ -183,6 +186,7 @@
         this.recordSuccess();
         this.limitOutage(relayed.readingSince);
         const { confirmedAt } = this;
+        this.recordAllRead(relayed.readAt);
         this.recordConfirmed(relayed.readAt, "other-router");
         const { changes, deferred, revision, readAt } = relayed;
         this.history.add(changes, revision, readAt, deferred);
@@ -245,6 +249,7 @@
         if (this.revision !== undefined && eraOf(revision) > eraOf(this.revision)) {
             this.recordRestored(this.revision, revision);
         }
+        this.recordAllRead(startedAt);
         this.recordConfirmed(startedAt, "store");
         this.newerRevisions.clear();
         this.prefixRevisions.clear();
@@ -309,6 +314,7 @@
         const now = this.clock();
         const readAt = changes.length === 0 ? Math.min(now, startedAt + waitMs) : startedAt;
         this.recordSuccess();
+        this.recordAllRead(readAt);
         this.recordConfirmed(readAt, "store");
         this.allConfirmedAt = Math.max(this.allConfirmedAt, readAt);
         this.history.add(changes, revision, readAt);
@@ -332,8 +338,14 @@
             return first;
         }
         const waitMs = isLate ? 0 : watchWaitMs / this.feedPrefixes.length;
-        const others = otherPrefixes.filter((prefix) => !this.readingPrefixes.has(prefix))
-            .map((prefix) => this.readPrefix(prefix, waitMs));
+        const unread = new Set(otherPrefixes);
+        const others = otherPrefixes.filter((prefix) => !this.readingPrefixes.has(prefix)).map(async (prefix) => {
+            const result = await this.readPrefix(prefix, waitMs);
+            if (result.kind === "done") {
+                unread.delete(prefix);
+            }
+            return result;
+        });
         const results = await Promise.race([Promise.all(others), sleep(waitMs + storeMarginMs)]);
         const failure = results?.find((result) => result.kind !== "done");
         if (failure !== undefined) {
@@ -342,9 +354,11 @@
         const current = this.revision!;
         const revision = Math.min(...this.feedPrefixes.map((prefix) => this.prefixRevisions.get(prefix) ?? current));
         this.isPartial = true;
+        this.recordUnread(unread);
         this.recordConfirmed(startedAt, "store");
         this.recordRevision(revision);
-        this.history.add([], revision, startedAt);
+        // A view that lacks a prefix is not new for others.
+        this.history.add([], revision, unread.size === 0 ? startedAt : -Infinity);
         return { kind: "done", value: undefined };
     }
 
@@ -394,6 +408,35 @@
         return { kind: "done", value: undefined };
     }
 
+    private unreadSinceOf(key: string): number {
+        const times = [...this.unreadSince].filter(([prefix]) => key.startsWith(prefix)).map(([, since]) => since);
+        return Math.min(Infinity, ...times);
+    }
+
+    // Records that all changes up to a time were read, before this time is confirmed.
+    private recordAllRead(readAt: number): void {
+        for (const [prefix, since] of this.unreadSince) {
+            if (readAt >= this.confirmedAt) {
+                this.unreadSince.delete(prefix);
+            }
+            else {
+                this.unreadSince.set(prefix, Math.max(since, readAt));
+            }
+        }
+    }
+
+    // Records which prefixes are not covered by the next time up to which changes are confirmed.
+    private recordUnread(prefixes: ReadonlySet<string>): void {
+        for (const prefix of this.unreadSince.keys()) {
+            if (!prefixes.has(prefix)) {
+                this.unreadSince.delete(prefix);
+            }
+        }
+        for (const prefix of prefixes) {
+            this.unreadSince.set(prefix, this.unreadSince.get(prefix) ?? this.confirmedAt);
+        }
+    }
+
     private recordConfirmed(readAt: number, source: string): void {
         const now = this.clock();
         const ageMs = this.changesAgeMs(now);
