Handle the pieces of a caller's body by turns

Callers saw: reads answered up to 2.2 s after they were sent, 1.7 s allowed, while another caller sends its body in chunks of one byte.

After 4,096 pieces the body and its socket are paused until other events have had their turn.

--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -47,6 +47,8 @@
 const FULL_RETRY_AFTER_MS = STALL_MS;
 /** Bytes of a large body of unknown length that are charged at once. */
 const CHARGE_STEP_BYTES = 256 * 1_024;
+/** Pieces of one body that are handled before other events: one read of a socket may hold 10,000. */
+const MAX_PIECES_PER_TURN = 4_096;
 /** Account of requests that have none. */
 const NO_ACCOUNT = brand<AccountId>("");
 
@@ -216,7 +218,12 @@
         // Bytes that are charged; those of a body of unknown length are charged as they arrive.
         let reserved = length ?? 0;
         charge.onEnd = () => this.endBody(arrival, fields, body);
+        let piecesInTurn = 0;
         request.on("data", (piece: Buffer) => {
+            piecesInTurn++;
+            if (piecesInTurn === MAX_PIECES_PER_TURN) {
+                pauseBody(request, () => piecesInTurn = 0);
+            }
             const received = body.length + piece.length;
             if (received > bodyBytes) {
                 body.clear();
@@ -462,6 +469,18 @@
     }
 }
 
+// Pauses a body until other events have had their turn. The parser goes on to the end of what it has read, so that the
+// socket is paused as well.
+function pauseBody(request: IncomingMessage, onResume: () => void): void {
+    request.pause();
+    request.socket.pause();
+    setImmediate(() => {
+        onResume();
+        request.socket.resume();
+        request.resume();
+    });
+}
+
 function hostOf(request: IncomingMessage): string {
     return (request.headers.host ?? "").split(":")[0]!.toLowerCase();
 }
