--- a/packages/router/src/gateway/arrival-monitor.ts
+++ b/packages/router/src/gateway/arrival-monitor.ts
@@ -1,5 +1,7 @@
-import { type EventLoopUtilization, performance } from "node:perf_hooks";
+import type { Socket } from "node:net";
+import { performance } from "node:perf_hooks";
 import type { GatewayMetrics } from "./gateway-metrics.js";
+import type { LoadMonitor } from "./load-monitor.js";
 import type { GatewayLogs } from "./log-sink.js";
 
 /**
@@ -30,7 +32,8 @@
     private counts = { ...NO_ARRIVALS };
     private turnsBefore = eventLoopTurns();
     private reportedAt: number | undefined;
-    private utilizationBefore: EventLoopUtilization = performance.eventLoopUtilization();
+    /** Connections that have carried a request. */
+    private readonly usedConnections = new WeakSet<Socket>();
 
     constructor(
         private readonly metrics: Pick<GatewayMetrics, "acceptedConnections" | "eventLoopTurns" | "callerGoneSeconds">,
@@ -43,10 +46,11 @@
         this.metrics.acceptedConnections.inc();
     }
 
-    /** Records that a request was read; `isFirst` if it is the first one of its connection. */
-    recordRequest(isFirst: boolean): void {
+    /** Records that a request was read from a connection. */
+    recordRequest(connection: Socket): void {
         this.counts.requests++;
-        this.counts.firstRequests += isFirst ? 1 : 0;
+        this.counts.firstRequests += this.usedConnections.has(connection) ? 0 : 1;
+        this.usedConnections.add(connection);
     }
 
     /** Records that a caller left without a response, a time in ms after its request was read. */
@@ -57,23 +61,20 @@
     }
 
     /** Starts the next interval; logs the last one if this router is under high load. */
-    report(isUnderHighLoad: boolean, now: number): void {
+    report({ isUnderHighLoad, utilization }: Pick<LoadMonitor, "isUnderHighLoad" | "utilization">, now: number): void {
         const turnsNow = eventLoopTurns();
         const turns = turnsNow - this.turnsBefore;
-        const utilizationNow = performance.eventLoopUtilization();
         if (isUnderHighLoad && this.reportedAt !== undefined && this.counts.requests > 0) {
-            const { utilization } = performance.eventLoopUtilization(utilizationNow, this.utilizationBefore);
             this.logs.host.info("Arrivals under high load.", {
                 ...this.counts,
                 turns,
                 intervalMs: Math.round(now - this.reportedAt),
-                utilization: Math.round(utilization * 100) / 100,
+                utilization,
             });
         }
         this.metrics.eventLoopTurns.inc(turns);
         this.counts = { ...NO_ARRIVALS };
         this.turnsBefore = turnsNow;
-        this.utilizationBefore = utilizationNow;
         this.reportedAt = now;
     }
 }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -293,7 +293,7 @@
         this.metrics.members.set(members.size);
         this.metrics.chargedBytes.set(this.context.memory.figures.chargedBytes);
         this.load.measure(now);
-        this.arrivals.report(this.load.isUnderHighLoad, now);
+        this.arrivals.report(this.load, now);
         this.reserve.update({
             self: this.self,
             serving,
--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -47,8 +47,8 @@
 const FULL_RETRY_AFTER_MS = STALL_MS;
 /** Bytes of a large body of unknown length that are charged at once. */
 const CHARGE_STEP_BYTES = 256 * 1_024;
-/** Pieces of one body that are handled before other events: one read of a socket may hold 10,000. */
-const MAX_PIECES_PER_TURN = 4_096;
+/** Pieces of one body after which other events have their turn: one read of a socket may hold 10,000. */
+const MAX_PIECES_WITHOUT_PAUSE = 4_096;
 /** Account of requests that have none. */
 const NO_ACCOUNT = brand<AccountId>("");
 
@@ -108,8 +108,6 @@
     private readonly exchanges = new Set<Exchange>();
     /** Connections with a request that has arrived in full and has no complete response. */
     private readonly respondingSockets = new Set<Socket>();
-    /** Connections that have carried a request. */
-    private readonly usedSockets = new WeakSet<Socket>();
     /** Requests that have not arrived in full, with their responses. */
     private readonly arriving = new Map<IncomingMessage, ServerResponse>();
     private readonly connections: ConnectionLimit;
@@ -171,8 +169,7 @@
         context.observeUnread(unreadMs);
         this.openRequests++;
         this.gateway.reserve.recordRequest();
-        this.gateway.arrivals.recordRequest(!this.usedSockets.has(request.socket));
-        this.usedSockets.add(request.socket);
+        this.gateway.arrivals.recordRequest(request.socket);
         this.arriving.set(request, response);
         const { socket } = request;
         const charge = context.memory.open();
@@ -218,11 +215,11 @@
         // Bytes that are charged; those of a body of unknown length are charged as they arrive.
         let reserved = length ?? 0;
         charge.onEnd = () => this.endBody(arrival, fields, body);
-        let piecesInTurn = 0;
+        let piecesSincePause = 0;
         request.on("data", (piece: Buffer) => {
-            piecesInTurn++;
-            if (piecesInTurn === MAX_PIECES_PER_TURN) {
-                pauseBody(request, () => piecesInTurn = 0);
+            piecesSincePause++;
+            if (piecesSincePause === MAX_PIECES_WITHOUT_PAUSE) {
+                pauseBody(request, () => piecesSincePause = 0);
             }
             const received = body.length + piece.length;
             if (received > bodyBytes) {
--- a/packages/router/src/gateway/large-value-deadline.test.ts
+++ b/packages/router/src/gateway/large-value-deadline.test.ts
@@ -20,7 +20,7 @@
 const ITEM: StoredItem = { key: KEY, revision: REVISION, value: Buffer.alloc(12_000, "route ") };
 
 /** How a router or the store handles a request for the value; the last is slower than the deadline allows. */
-type Source = "has it" | "lacks it" | "has an older one" | "silent" | "stalls" | "slow";
+type Source = "has it" | "lacks it" | "has an older one" | "silent" | "stalls" | "slow" | "arrives slowly";
 
 // Responses begin within 400 ms, or else the call has failed; a pause of 1 s in a response ends it.
 const callMs: Readonly<Record<Source, number>> = {
@@ -30,7 +30,10 @@
     "silent": 400,
     "stalls": 1_350,
     "slow": 1_300,
+    "arrives slowly": 1_300,
 };
+/** Time in ms between two parts of a response that arrives slowly. */
+const PART_MS = 100;
 
 const logs = createGatewayLogs({ level: "error" });
 
@@ -45,15 +48,30 @@
     });
 
     let storeCalls = 0;
+    let peerCalls = 0;
     const fetchFrom = async (sources: readonly Source[], store: Source, forMs: number): Promise<StoredItem[]> => {
         storeCalls = 0;
+        peerCalls = 0;
         const peers = {
-            call: async (address: string) => {
+            call: async (
+                address: string,
+                method: string,
+                parameters: object,
+                timeoutMs: number,
+                onProgress: () => void,
+            ) => {
                 const source = sources[Number(address)]!;
-                await sleep(callMs[source]);
+                peerCalls++;
+                for (let waitedMs = 0; waitedMs < callMs[source]; waitedMs += PART_MS) {
+                    await sleep(Math.min(PART_MS, callMs[source] - waitedMs));
+                    if (source === "arrives slowly") {
+                        onProgress();
+                    }
+                }
                 switch (source) {
                     case "has it":
                     case "slow":
+                    case "arrives slowly":
                         return ok({ revision: REVISION, deflated: deflateRawSync(ITEM.value).toString("base64") });
                     case "lacks it":
                     case "has an older one":
@@ -112,6 +130,12 @@
         });
     });
 
+    // Guards against a slow link that carries the same large value several times.
+    it("is fetched once while a response arrives slowly", async () => {
+        expect(await fetchFrom(["arrives slowly", "has it"], "has it", 2_000)).toEqual([ITEM]);
+        expect([peerCalls, storeCalls]).toEqual([1, 0]);
+    });
+
     it("is fetched once while the first source responds at once", async () => {
         expect(await fetchFrom(["has it", "has it"], "has it", DEADLINE_MS)).toEqual([ITEM]);
         expect(storeCalls).toBe(0);
