Look once more only where a request may have lain unread

When the event loop last waited for events, nothing was unread, neither in sockets nor in the queue of connections. The time since then bounds the age of what is read now; only if it exceeds 50 ms is there a second look. A saturated event loop never waits, so its requests are looked at again.

--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -49,6 +49,11 @@
 const CHARGE_STEP_BYTES = 256 * 1_024;
 /** Pieces of one body after which other events have their turn: one read of a socket may hold 10,000. */
 const MAX_PIECES_WITHOUT_PAUSE = 4_096;
+/**
+ * Time in ms for which a request may have lain unread without another look whether its caller is still there. The look
+ * takes a turn of the event loop, which makes responses of routers under normal load late.
+ */
+const MAX_UNNOTICED_MS = 50;
 /** Account of requests that have none. */
 const NO_ACCOUNT = brand<AccountId>("");
 
@@ -96,7 +101,7 @@
     readonly table: RoutingTable | undefined;
     readonly drain: Drain | undefined;
     readonly reserve: Pick<ReserveMonitor, "movesCallers" | "recordRequest">;
-    readonly load: Pick<LoadMonitor, "shedShare" | "unreadMs">;
+    readonly load: Pick<LoadMonitor, "shedShare" | "unreadMs" | "maxUnreadMs">;
     readonly arrivals: Pick<ArrivalMonitor, "recordConnection" | "recordRequest" | "recordCallerGone">;
 };
 
@@ -246,12 +251,18 @@
             if (this.arriving.has(request)) {
                 this.respondingSockets.add(request.socket);
                 charge.startRunning();
-                afterNextRead(() => this.admitIfPresent(arrival, fields, admission, body));
+                const admit = (): void => this.admitIfPresent(arrival, fields, admission, body);
+                if (this.gateway.load.maxUnreadMs(this.gateway.context.clock()) > MAX_UNNOTICED_MS) {
+                    afterNextRead(admit);
+                }
+                else {
+                    admit();
+                }
             }
         });
     }
 
-    // The close of a caller that left before its request was read lies behind it and has been read by now.
+    // The close of a caller that left long before its request was read lies behind it and has been read by now.
     private admitIfPresent(arrival: Arrival, fields: CallerFields, admission: Admission, body: BodyBuffer): void {
         const { request, arrivedAt } = arrival;
         if (!this.arriving.delete(request)) {
--- a/packages/router/src/gateway/load-monitor.test.ts
+++ b/packages/router/src/gateway/load-monitor.test.ts
@@ -2,6 +2,27 @@
 import { LOAD_SAMPLE_INTERVAL_MS, LoadMonitor } from "./load-monitor.js";
 import { createGatewayLogs } from "./log-sink.js";
 
+describe("the maximum time that requests lie unread", () => {
+    const monitorWith = (...admitted: [now: number, idleMs: number][]): number[] => {
+        const monitor = new LoadMonitor(createGatewayLogs({ level: "error" }));
+        return admitted.map(([now, idleMs]) => monitor.maxUnreadMs(now, idleMs));
+    };
+
+    it("is the time since the request before if the event loop has waited in between", () => {
+        expect(monitorWith([0, 0], [10, 5], [30, 20]).slice(1)).toEqual([10, 20]);
+    });
+
+    // Guards against requests of callers that left while an overloaded router read others.
+    it("grows while the event loop does not wait, though each read takes some time", () => {
+        const reads = Array.from({ length: 100 }, (unused, index): [number, number] => [100 + index, 50 + index / 100]);
+        expect(monitorWith([0, 0], ...reads).at(-1)).toBe(199);
+    });
+
+    it("is not known before the event loop has waited", () => {
+        expect(monitorWith([5, 0])).toEqual([Infinity]);
+    });
+});
+
 describe("the time that requests lie unread", () => {
     const monitorAt = (...samples: number[]): LoadMonitor => {
         const monitor = new LoadMonitor(createGatewayLogs({ level: "error" }));
--- a/packages/router/src/gateway/load-monitor.ts
+++ b/packages/router/src/gateway/load-monitor.ts
@@ -6,6 +6,8 @@
 export const LOAD_SAMPLE_INTERVAL_MS = 500;
 /** Maximum time in ms that a request is assumed to have waited in the turn of the event loop before the current one. */
 const MAX_LAG_MS = 1_000;
+/** Minimum time in ms that the event loop waits between two requests if nothing is left to read. */
+const MIN_IDLE_MS = 0.5;
 
 /** Measures the load of this router, and derives the share of requests to refuse. */
 export class LoadMonitor {
@@ -18,6 +20,11 @@
     private highLoad: HighLoadState = { strained: false, since: -Infinity };
     private previousSample: EventLoopUtilization = performance.eventLoopUtilization();
     private measuredAt: number | undefined;
+    /** Total time in ms for which the event loop had waited for events at the last admitted request, and its time. */
+    private idleMs = 0;
+    private admittedAt = -Infinity;
+    /** Time after which the event loop has waited for events. */
+    private idleAfter = -Infinity;
 
     constructor(private readonly logs: GatewayLogs) {}
 
@@ -35,6 +42,19 @@
         return this.lastLagMs + Math.max(0, overdueMs);
     }
 
+    /**
+     * Returns the maximum time in ms for which a request that is admitted now, or the end of its body, has lain unread,
+     * also in the queue of connections to accept: nothing was there when the event loop last waited for events.
+     */
+    maxUnreadMs(now: number, idleMs = performance.eventLoopUtilization().idle): number {
+        if (idleMs - this.idleMs >= MIN_IDLE_MS) {
+            this.idleAfter = this.admittedAt;
+        }
+        this.idleMs = idleMs;
+        this.admittedAt = now;
+        return now - this.idleAfter;
+    }
+
     /** Takes the next sample; to be called every `LOAD_SAMPLE_INTERVAL_MS`. */
     measure(now: number): void {
         const sample = performance.eventLoopUtilization();
