Let only large routers watch the store while small ones serve as well

Cause: three routers watch the store for all others, chosen by hash among those that callers are sent to. Once large routers are under high load, nearly all small ones serve as well, and all three watchers may be small. A watcher reads the changes of all keys; after a partition of 8 s these take more than a second on a link of 10 Mbit/s, its other calls fail meanwhile, and 56 routers find no source. Evidence: in the three routers that had the version last (a-18, b-11 and c-10, one in each failure domain) were the ones that logged "no response within 1050 ms", which only watchers do, at 16.8 s; the others logged 1,000 times that no router relayed changes in time.

Watchers are now large ones (half of the largest capacity or more), in different failure domains; others only if there are fewer than three. fleet.test.ts: two tests fail before.

--- a/packages/core/src/dispatch/fleet.test.ts
+++ b/packages/core/src/dispatch/fleet.test.ts
@@ -109,6 +109,24 @@
             expect(storeWatchersOf(equalFleet(2))).toHaveLength(2);
         });
 
+        // Guards against news that come late to all routers: small ones that serve while the large ones are under high
+        // load became the watchers, and read the changes of all keys for seconds after a partition.
+        it("are large ones while small ones serve as well", () => {
+            const strained = unequalFleet().map((member) => ({ ...member, strained: member.capacity === large }));
+            const serving = servingRouters(strained);
+            expect(serving.some(({ capacity }) => capacity === small)).toBe(true);
+            const storeWatchers = storeWatchersOf(serving);
+            expect(storeWatchers.map(({ capacity }) => capacity)).toEqual([large, large, large]);
+            expect(new Set(storeWatchers.map(({ domain }) => domain)).size).toBe(3);
+        });
+
+        it("are three, small ones among them, if only one is large", () => {
+            const serving = unequalFleet().filter(({ name, capacity }) => capacity === small || name === "large-a1");
+            const storeWatchers = storeWatchersOf(serving);
+            expect(storeWatchers).toHaveLength(3);
+            expect(storeWatchers[0]!.name).toBe("large-a1");
+        });
+
         it("stay the same when another router leaves", () => {
             const fleet = equalFleet(60);
             const storeWatchers = storeWatchersOf(fleet);
--- a/packages/core/src/dispatch/fleet.ts
+++ b/packages/core/src/dispatch/fleet.ts
@@ -108,15 +108,22 @@
 /** Number of routers that read changes from the store for all others: one remains after two crashes. */
 const STORE_WATCHER_COUNT = 3;
 
+/** Capacity relative to the largest router from which one may watch the store: a watcher reads all keys. */
+const MIN_WATCHER_CAPACITY = 0.5;
+
 /**
- * Chooses the routers that watch the store themselves, in different failure domains where there are any.
- * They are among those that callers are sent to, which are the largest.
+ * Chooses the routers that watch the store themselves among those that callers are sent to, in different failure
+ * domains where there are any. Small routers, which serve while others are under high load, only watch if there are
+ * no others: the changes of all keys take seconds on their links, and all other routers wait for them.
  */
 export function storeWatchersOf(serving: readonly FleetMember[]): FleetMember[] {
+    const isLarge = ({ capacity }: FleetMember): boolean => relativeCapacity(capacity, serving) >= MIN_WATCHER_CAPACITY;
     const ordered = orderedFor("followers", serving);
     const domains = new Set<string>();
-    const firsts = ordered.filter((member) => !domains.has(member.domain) && domains.add(member.domain));
-    return [...new Set([...firsts, ...ordered])].slice(0, STORE_WATCHER_COUNT);
+    const firsts = ordered.filter((member) =>
+        isLarge(member) && !domains.has(member.domain) && domains.add(member.domain)
+    );
+    return [...new Set([...firsts, ...ordered.filter(isLarge), ...ordered])].slice(0, STORE_WATCHER_COUNT);
 }
 
 /**
