--- a/packages/core/src/dispatch/fleet.ts
+++ b/packages/core/src/dispatch/fleet.ts
@@ -114,7 +114,7 @@
 /**
  * Chooses the routers that watch the store themselves among those that callers are sent to, in different failure
  * domains where there are any. Small routers, which serve while others are under high load, only watch if there are
- * no others: the changes of all keys take seconds on their links, and all other routers wait for them.
+ * too few others: the changes of all keys take seconds on their links, and all other routers wait for them.
  */
 export function storeWatchersOf(serving: readonly FleetMember[]): FleetMember[] {
     const isLarge = ({ capacity }: FleetMember): boolean => relativeCapacity(capacity, serving) >= MIN_WATCHER_CAPACITY;
