End the registration of a leaving router for certain

Callers could be sent to a router for up to 2 s after it had left (15 s if its long lease was not ended). A renewal that was waiting for the store when the router left went on: it stored the registration again with a new lease, and the old lease, given up for the move, was not ended. An end that the store did not confirm was not repeated.

All leases that the registration may be attached to are kept until a later one has replaced them. Leaving ends all of them, repeats this until the store has confirmed it, and a renewal looks again whether the router has left after each answer.

--- a/packages/router/src/gateway/fleet-registry.test.ts
+++ b/packages/router/src/gateway/fleet-registry.test.ts
@@ -16,6 +16,7 @@
     const grantLease = vi.fn(async (unusedMs: number): Promise<object> => ({ kind: "unavailable", detail: "" }));
     const renewLease = vi.fn(async () => ({ kind: "done", value: undefined }));
     const transact = vi.fn(async () => ({ kind: "done", value: 2 }));
+    const endLease = vi.fn(async (unusedLease: number): Promise<object> => ({ kind: "done", value: undefined }));
     const advanceTime = async (timeMs: number): Promise<void> => {
         for (const end = now + timeMs; now < end;) {
             now += 100;
@@ -24,7 +25,7 @@
     };
 
     const createRegistry = (minLeaseMs: number): FleetRegistry => {
-        const store = { grantLease, renewLease, transact } as unknown as MetadataStore;
+        const store = { grantLease, renewLease, transact, endLease } as unknown as MetadataStore;
         const logs = createGatewayLogs({ level: "error" });
         return new FleetRegistry(store, memberOf("router-1"), minLeaseMs, logs, () => now);
     };
@@ -115,4 +116,98 @@
             expect(renewLease.mock.calls.length).toBeGreaterThanOrEqual(9);
         });
     });
+
+    // Guards against callers that are sent to a router that has left, as its registration stays or is written again.
+    describe("the registration of a router that leaves", () => {
+        const leaseIds = [7, 8];
+        const endedLeases = (): unknown[] => endLease.mock.calls.map(([lease]) => lease);
+        // Delays responses to a call of the store, and returns a function that lets them arrive.
+        const hold = (
+            call: { mockImplementation(respond: () => Promise<object>): unknown; },
+            result: object,
+        ): () => void => {
+            let release!: () => void;
+            const released = new Promise<void>((resolve) => release = resolve);
+            call.mockImplementation(async () => {
+                await released;
+                return result;
+            });
+            return release;
+        };
+
+        beforeEach(() => {
+            const ids = leaseIds.values();
+            grantLease.mockImplementation(async () => ({ kind: "done", value: ids.next().value }));
+            transact.mockImplementation(async () => ({ kind: "done", value: 2 }));
+            endLease.mockImplementation(async () => ({ kind: "done", value: undefined }));
+        });
+
+        it("ends with its lease", async () => {
+            registry.start();
+            await advanceTime(1_000);
+            await registry.leave();
+            await advanceTime(5_000);
+            expect(endedLeases()).toEqual([7]);
+            expect(grantLease).toHaveBeenCalledTimes(1);
+        });
+
+        it("is not written once a lease arrives that was requested before, which is ended", async () => {
+            const release = hold(grantLease, { kind: "done", value: 7 });
+            registry.start();
+            await registry.leave();
+            release();
+            await advanceTime(1_000);
+            expect(transact).not.toHaveBeenCalled();
+            expect(endedLeases()).toEqual([7]);
+        });
+
+        it("ends while it is moved to a short lease", async () => {
+            registry.start();
+            await advanceTime(3_000);
+            const release = hold(grantLease, { kind: "done", value: 8 });
+            await advanceTime(1_000);
+            transact.mockClear();
+            await registry.leave();
+            expect(endedLeases()).toEqual([7]);
+            release();
+            await advanceTime(1_000);
+            expect(transact).not.toHaveBeenCalled();
+            expect(endedLeases()).toEqual([7, 8]);
+        });
+
+        it("ends with both leases while the move is written, and is not listed again", async () => {
+            registry.start();
+            await advanceTime(3_000);
+            const release = hold(transact, { kind: "done", value: 3 });
+            await advanceTime(1_000);
+            await registry.leave();
+            expect(endedLeases()).toEqual(leaseIds);
+            release();
+            await advanceTime(1_000);
+            expect(registry.members.has(`${FLEET_PREFIX}router-1`)).toBe(false);
+        });
+
+        it("is ended again until the store has confirmed it", async () => {
+            registry.start();
+            await advanceTime(1_000);
+            endLease.mockImplementation(async () => ({ kind: "unanswered", detail: "" }));
+            await registry.leave();
+            await advanceTime(2_000);
+            expect(endedLeases().length).toBeGreaterThanOrEqual(3);
+            endLease.mockImplementation(async () => ({ kind: "done", value: undefined }));
+            await advanceTime(1_000);
+            endLease.mockClear();
+            await advanceTime(3_000);
+            expect(endLease).not.toHaveBeenCalled();
+        });
+
+        it("keeps no lease of before the store lost its latest changes, which may belong to another router", async () => {
+            registry.start();
+            await advanceTime(1_000);
+            registry.registerAgain();
+            await advanceTime(1_000);
+            await registry.leave();
+            expect(endedLeases()).toEqual([8]);
+        });
+    });
 });
--- a/packages/router/src/gateway/fleet-registry.ts
+++ b/packages/router/src/gateway/fleet-registry.ts
@@ -51,6 +51,8 @@
     private cachedStoreWatchers: readonly FleetMember[] = [];
     private areStoreWatchersCurrent = false;
     private lease: number | undefined;
+    /** Leases that the stored registration may be attached to: while it is moved, both the old and the new one. */
+    private readonly heldLeases = new Set<number>();
     /** True once the lease has the short lifetime of a serving router. */
     private isLeaseShort = false;
     private registeredAt = Infinity;
@@ -76,20 +78,28 @@
         this.timer = setInterval(() => void this.renew(), SERVING_RENEWAL_MS);
     }
 
-    /** Ends the registration, so that callers are no longer sent to this router. */
+    /** Ends the registration, so that callers are no longer sent to this router; the timer retries this. */
     async leave(): Promise<void> {
         this.isLeaving = true;
-        clearInterval(this.timer);
+        this.timer?.unref();
         this.deleteMember(FLEET_PREFIX + this.self.name);
-        if (this.lease !== undefined) {
-            const result = await this.store.endLease(this.lease);
-            this.logs.fleet.info("This router ended its registration.", { result: result.kind });
-        }
+        await this.endLeases();
+    }
+
+    private async endLeases(): Promise<void> {
+        await Promise.all([...this.heldLeases].map(async (lease) => {
+            const result = await this.store.endLease(lease);
+            if (result.kind === "done" || result.kind === "lease-ended") {
+                this.heldLeases.delete(lease);
+            }
+            this.logs.fleet.info("This router ended its registration.", { result: result.kind, lease });
+        }));
     }
 
     /** Registers anew after the store came back from an older copy: it may give out the lease to another router. */
     registerAgain(): void {
         this.lease = undefined;
+        this.heldLeases.clear();
         void this.renew();
     }
 
@@ -216,11 +226,25 @@
     }
 
     private async renew(): Promise<void> {
-        const now = this.clock();
-        if (this.isRenewing || this.isLeaving || !this.isRenewalDue(now)) {
+        if (this.isRenewing) {
             return;
         }
         this.isRenewing = true;
+        if (!this.isLeaving && this.isRenewalDue(this.clock())) {
+            await this.renewLease();
+            // The router may leave while the store answers.
+            if (!this.isLeaving && this.isOutdated && this.lease !== undefined) {
+                await this.register(this.lease);
+            }
+        }
+        if (this.isLeaving) {
+            await this.endLeases();
+        }
+        this.isRenewing = false;
+    }
+
+    private async renewLease(): Promise<void> {
+        const now = this.clock();
         if (this.needsShortLease(now)) {
             // The old lease expires by itself; the registration is moved to a new, short one.
             this.lease = undefined;
@@ -233,19 +257,16 @@
                 this.lease = undefined;
             }
         }
-        if (this.lease === undefined) {
+        if (this.lease === undefined && !this.isLeaving) {
             const lifetimeMs = this.isLeaseShort ? SERVING_LEASE_MS : STANDBY_LEASE_MS;
             const granted = await this.store.grantLease(Math.max(lifetimeMs, this.minLeaseMs));
             if (granted.kind === "done") {
                 this.lease = granted.value;
+                this.heldLeases.add(granted.value);
                 this.renewedAt = now;
                 this.isOutdated = true;
             }
         }
-        if (this.isOutdated && this.lease !== undefined) {
-            await this.register(this.lease);
-        }
-        this.isRenewing = false;
     }
 
     private isRenewalDue(now: number): boolean {
@@ -264,7 +285,8 @@
         const member = { ...self, hasShortLease: this.isLeaseShort };
         const put = { key, value: JSON.stringify(member), lease };
         const written = await this.store.transact({ conditions: new Map(), puts: [put], deletes: [] });
-        if (written.kind === "done") {
+        if (written.kind === "done" && !this.isLeaving) {
+            [...this.heldLeases].filter((held) => held !== lease).forEach((held) => this.heldLeases.delete(held));
             this.isOutdated = this.self !== self;
             this.registeredAt = Math.min(this.registeredAt, this.clock());
             this.setMember(key, member);
