--- a/packages/router/src/gateway/fleet-registry.test.ts
+++ b/packages/router/src/gateway/fleet-registry.test.ts
@@ -14,7 +14,7 @@
     let registry: FleetRegistry;
     let now = 0;
     const grantLease = vi.fn(async (unusedMs: number): Promise<object> => ({ kind: "unavailable", detail: "" }));
-    const renewLease = vi.fn(async () => ({ kind: "done", value: undefined }));
+    const renewLease = vi.fn(async (): Promise<object> => ({ kind: "done", value: undefined }));
     const transact = vi.fn(async () => ({ kind: "done", value: 2 }));
     const endLease = vi.fn(async (unusedLease: number): Promise<object> => ({ kind: "done", value: undefined }));
     const advanceTime = async (timeMs: number): Promise<void> => {
@@ -138,6 +138,7 @@
         beforeEach(() => {
             const ids = leaseIds.values();
             grantLease.mockImplementation(async () => ({ kind: "done", value: ids.next().value }));
+            renewLease.mockImplementation(async () => ({ kind: "done", value: undefined }));
             transact.mockImplementation(async () => ({ kind: "done", value: 2 }));
             endLease.mockImplementation(async () => ({ kind: "done", value: undefined }));
         });
@@ -161,6 +162,20 @@
             expect(endedLeases()).toEqual([7]);
         });
 
+        it("is not written with a new lease if a renewal finds that its lease has ended", async () => {
+            registry.start();
+            await advanceTime(500);
+            const release = hold(renewLease, { kind: "lease-ended" });
+            registry.publishHighLoad(true);
+            await advanceTime(200);
+            transact.mockClear();
+            await registry.leave();
+            release();
+            await advanceTime(1_000);
+            expect(transact).not.toHaveBeenCalled();
+            expect(endedLeases()).toEqual([7]);
+        });
+
         it("ends while it is moved to a short lease", async () => {
             registry.start();
             await advanceTime(3_000);
