Stop renewing the registration of a router that has stopped

A stopped router went on to renew its lease, or to register again, until its process ended. In test processes, which start and stop many routers, a store whose port had been used before could get such registrations, and addresses of routers that do not exist.

--- a/packages/router/src/gateway/fleet-registry.ts
+++ b/packages/router/src/gateway/fleet-registry.ts
@@ -86,6 +86,11 @@
         await this.endLeases();
     }
 
+    /** Stops renewing the registration, which expires unless the router has left. */
+    stop(): void {
+        clearInterval(this.timer);
+    }
+
     private async endLeases(): Promise<void> {
         await Promise.all([...this.heldLeases].map(async (lease) => {
             const result = await this.store.endLease(lease);
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -271,6 +271,7 @@
     /** Stops all work, returns unused tokens and closes the connections. */
     async stop(): Promise<void> {
         this.follower.stop();
+        this.registry.stop();
         this.timers.forEach((timer) => clearInterval(timer));
         this.crashReports.close();
         await this.prepaid.close();
