Return tokens on shutdown to a slow store if no router takes them

A router whose last write to the store took over 50 ms hands its tokens to another router when it shuts down, and writes no records. If no router took them, as in a fleet of one, the account lost the tokens that the router held and its record the use since the last write.

Tokens that no router takes are now written back unless the store fails.

The new test with calls of 80 ms failed before: granted 85000 and used 0, 120 each now.

--- a/packages/router/src/gateway/prepaid-accounts.test.ts
+++ b/packages/router/src/gateway/prepaid-accounts.test.ts
@@ -117,6 +117,23 @@
     });
 
     // Guards against old checkpoints after an outage, by which whole allowances count as used if the power then fails.
+    describe("of a router that shuts down", () => {
+        // Guards against tokens, and the use since the last write, that are lost with the only router of a slow store.
+        it.each([1, 80])("return unused tokens to a store whose calls take %i ms", async (callMs) => {
+            const store = new FakeMetadataStore();
+            const accounts = aloneWith(store, callMs);
+            await ended(accounts.reserve(account, 10_000, 200));
+            accounts.settle(account, 10_000, 120);
+            const closed = accounts.close();
+            await vi.advanceTimersByTimeAsync(2_000);
+            await closed;
+            const { holdings } = JSON.parse(store.items.get(`${PREPAID_PREFIX}${account}`)!.value.toString()) as {
+                holdings: Record<string, { granted: number; used: number; }>;
+            };
+            expect(holdings["router-1"]).toMatchObject({ granted: 120, used: 120 });
+        });
+    });
+
     describe("whose store comes back", () => {
         it("store new checkpoints at once, also if those before the outage had no response", async () => {
             const store = new FakeMetadataStore();
--- a/packages/router/src/gateway/prepaid-accounts.ts
+++ b/packages/router/src/gateway/prepaid-accounts.ts
@@ -368,7 +368,7 @@
 
     /**
      * Returns all tokens that are not in use; called on shutdown. If the store is slow or away, writes of records would
-     * conflict or stay without a response, and another router takes the tokens.
+     * conflict or stay without a response, and another router takes the tokens; without one, a slow store gets them.
      */
     async close(): Promise<void> {
         this.stop();
@@ -381,11 +381,17 @@
         if (heldByRow.size === 0) {
             return;
         }
-        if (this.health.failingMs(this.clock().monotonic) === undefined) {
+        if (!this.isStoreFailing()) {
             // All that is held becomes usable, so that all can be handed over.
             await this.checkpoints.write([...heldByRow.keys()], heldByRow);
         }
-        await this.transfers.handOver();
+        if (!await this.transfers.handOver() && !this.isStoreFailing()) {
+            await this.returnTokens();
+        }
+    }
+
+    private isStoreFailing(): boolean {
+        return this.health.failingMs(this.clock().monotonic) !== undefined;
     }
 
     private async returnTokens(): Promise<void> {
--- a/packages/router/src/gateway/token-transfers.ts
+++ b/packages/router/src/gateway/token-transfers.ts
@@ -100,15 +100,18 @@
         }
     }
 
-    /** Hands over all usable tokens to one other router; from now on none are received. */
-    async handOver(): Promise<void> {
+    /**
+     * Hands over all usable tokens to one other router; from now on none are received. Returns whether a router takes
+     * tokens: it may have received them even if it has not confirmed that.
+     */
+    async handOver(): Promise<boolean> {
         this.isClosing = true;
         const asked = this.receivers().flatMap((name) => this.host.addressOf(name) ?? []);
         const answers = await Promise.all(asked.map((address) => this.send(address, "probe", {})));
         const receiver = asked.find((unusedAddress, index) => answers[index]);
         if (receiver === undefined) {
             this.logs.prepaid.warn("No router took the tokens of this one, which shuts down.", { asked });
-            return;
+            return false;
         }
         const tokens = this.takeUsable();
         const id = this.host.holder.incarnation;
@@ -117,6 +120,7 @@
             isConfirmed = await this.send(receiver, id, tokens);
         }
         this.logs.prepaid.info("Tokens handed over to another router.", { receiver, id, tokens, isConfirmed });
+        return true;
     }
 
     // Routers that hold tokens by the records, those with most first, then those that may have more than the records.
