Decide a request for tokens only by a write that covers its account

Requests could be refused for a lack of tokens that the store had. A write of token records holds 16 accounts, or is an earlier one that had no response and is sent again. All requests that waited when it was planned counted as decided by it, so that those of other accounts were refused once it was done. After at most six writes, requests that were left waited for their time to run out.

A write now decides the requests of the accounts that it was planned for. There are as many writes as the waiting requests take; those that conflict are bounded as before. A failed write decides all, as the store is then left alone for a second. Accounts that other routers are short of and that did not fit into a write stay for the next one. Waiting requests have a module of their own.

--- a/packages/router/src/gateway/prepaid-accounts.test.ts
+++ b/packages/router/src/gateway/prepaid-accounts.test.ts
@@ -117,6 +117,32 @@
     });
 
     // Guards against old checkpoints after an outage, by which whole allowances count as used if the power then fails.
+    describe("that requests of many accounts wait for", () => {
+        const ids = Array.from({ length: 40 }, (unused, index) => brand<AccountId>(`account-${index + 1}`));
+        const reserveAll = (accounts: PrepaidAccounts): Promise<unknown[]> =>
+            Promise.all(ids.map((id) => accounts.reserve(id, 1_000, 200)));
+
+        // Guards against refusals of requests whose accounts did not fit into the write that was made meanwhile.
+        it("are requested from the store in as many writes as it takes", async () => {
+            const accounts = aloneWith(new FakeMetadataStore(), 10);
+            accounts.setTotals(new Map(ids.map((id) => [id, 100_000])));
+            expect(await ended(reserveAll(accounts))).toEqual(ids.map(() => "reserved"));
+        });
+
+        // Guards against refusals of requests that wait while an earlier write without a response is sent again.
+        it("are requested after a write without a response has been sent again", async () => {
+            const store = new FakeMetadataStore();
+            const accounts = aloneWith(store, 10);
+            accounts.setTotals(new Map(ids.map((id) => [id, 100_000])));
+            store.behavior = "unanswered";
+            const first = accounts.reserve(ids[0]!, 1_000, 200);
+            await ended(first);
+            store.behavior = "well";
+            await vi.advanceTimersByTimeAsync(1_000);
+            expect(await ended(reserveAll(accounts))).toEqual(ids.map(() => "reserved"));
+        });
+    });
+
     describe("of a router that shuts down", () => {
         // Guards against tokens, and the use since the last write, that are lost with the only router of a slow store.
         it.each([1, 80])("return unused tokens to a store whose calls take %i ms", async (callMs) => {
--- a/packages/router/src/gateway/prepaid-accounts.ts
+++ b/packages/router/src/gateway/prepaid-accounts.ts
@@ -48,6 +48,7 @@
 import { StoreHealth } from "./store-health.js";
 import { TokenLoans } from "./token-loans.js";
 import { TokenTransfers } from "./token-transfers.js";
+import { type TokenWaiter, TokenWaiters } from "./token-waiters.js";
 
 /** Maximum records per transaction: the store accepts 32 entries, and each record takes two. */
 const MAX_RECORDS_PER_WRITE = 16;
@@ -76,12 +77,13 @@
 /** Shortest time in ms between two checks whether a checkpoint is due: one that is due may have nothing to store. */
 const MIN_CHECKPOINT_PAUSE_MS = 100;
 
-type Waiter = { readonly row: PrepaidRow; readonly tokens: number; readonly resolve: (value: Reservation) => void; };
+/** Writes to send in one transaction, and the requests whose tokens they ask for. */
+type PlannedWrites = { readonly writes: readonly PrepaidWrite[]; readonly waiters: readonly TokenWaiter[]; };
 
 /** Manages this router's token allowances, and writes its use and demand to the store. */
 export class PrepaidAccounts {
     readonly rows = new Map<AccountId, PrepaidRow>();
-    private waiters: Waiter[] = [];
+    private readonly waiters = new TokenWaiters(() => this.clock().monotonic);
     private flushing: Promise<void> | undefined;
     private isStopped = false;
     /** Number of routers that would hold tokens if all had as much of the demand as this one; sets intervals. */
@@ -334,12 +336,9 @@
         if (this.health.hasFailedWithin(REQUEST_BACKOFF_MS) || !canGainPrepaid(row, tokens, this.holder, now)) {
             return "short";
         }
-        return new Promise((resolve) => {
-            const waiter = { row, tokens, resolve };
-            this.waiters.push(waiter);
-            setTimeout(() => this.timeOutWaiter(waiter), waitMs);
-            void this.flush();
-        });
+        const reservation = this.waiters.wait(row, tokens, waitMs);
+        void this.flush();
+        return reservation;
     }
 
     /** Returns the time in ms after which tokens may be available again, with jitter so that callers come apart. */
@@ -410,14 +409,6 @@
         this.logs.prepaid.info("Return of unused tokens on shutdown ended.", { outcome });
     }
 
-    private timeOutWaiter(waiter: Waiter): void {
-        const index = this.waiters.indexOf(waiter);
-        if (index >= 0) {
-            this.waiters.splice(index, 1);
-            waiter.resolve("short");
-        }
-    }
-
     private flush(): Promise<void> {
         if (this.storeRevision === undefined) {
             return Promise.resolve();
@@ -429,35 +420,40 @@
     }
 
     private async writeDue(): Promise<void> {
-        for (let attempt = 0; attempt < MAX_FLUSH_WRITES && !this.isStopped; attempt++) {
-            const plannedWaiters = [...this.waiters];
-            const outcome = await this.writer.write(this.planWrites());
-            this.serveWaiters(outcome === "conflict" ? [] : plannedWaiters);
+        for (let attempt = 0; attempt < MAX_FLUSH_WRITES && !this.isStopped;) {
+            const { writes, waiters } = this.planWrites();
+            const outcome = await this.writer.write(writes);
+            if (outcome === "failed") {
+                this.waiters.serve(this.waiters.all);
+                break;
+            }
+            this.waiters.serve(outcome === "conflict" ? [] : waiters);
             if (outcome === "conflict") {
                 await sleep(conflictPauseMs(attempt, this.random()));
             }
-            const isAllWritten = this.waiters.length === 0 && this.unstatedRows().length === 0;
-            if (outcome !== "conflict" && (outcome === "failed" || isAllWritten)) {
+            else if (this.waiters.isEmpty && this.unstatedRows().length === 0) {
                 break;
             }
+            // The rows of all waiting requests may take more writes than one, each of which serves some of them.
+            attempt += outcome === "done" && !this.waiters.isEmpty ? 0 : 1;
         }
     }
 
-    private planWrites(): readonly PrepaidWrite[] {
+    private planWrites(): PlannedWrites {
         if (this.writer.unanswered !== undefined) {
-            return this.writer.unanswered;
-        }
-        const requestedByRow = new Map<PrepaidRow, number>();
-        for (const waiter of this.waiters) {
-            requestedByRow.set(waiter.row, (requestedByRow.get(waiter.row) ?? 0) + waiter.tokens);
+            return { writes: this.writer.unanswered, waiters: [] };
         }
+        const requestedByRow = this.waiters.tokensByRow;
         const now = this.clock().monotonic;
         // Waiting requests get a small write of their own: more records would conflict with more writes of others.
         const urgentRows = new Set([...this.unstatedRows(), ...requestedByRow.keys(), ...this.rowsToReturn]);
-        this.rowsToReturn.clear();
-        return (urgentRows.size > 0 ? [...urgentRows] : this.dueRows(now)).slice(0, MAX_RECORDS_PER_WRITE)
-            .map((row) => this.planRow(row, requestedByRow.get(row) ?? 0, this.policyAt(now)))
-            .filter((write) => write !== undefined);
+        const rows = (urgentRows.size > 0 ? [...urgentRows] : this.dueRows(now)).slice(0, MAX_RECORDS_PER_WRITE);
+        rows.forEach((row) => this.rowsToReturn.delete(row));
+        return {
+            writes: rows.map((row) => this.planRow(row, requestedByRow.get(row) ?? 0, this.policyAt(now)))
+                .filter((write) => write !== undefined),
+            waiters: this.waiters.all.filter(({ row }) => rows.includes(row)),
+        };
     }
 
     // Nearly every write meets one of another router once, so that few writes of many accounts are cheaper.
@@ -525,17 +521,4 @@
     private allRecords(): readonly PrepaidRecord[] {
         return [...this.rows.values(), ...this.unconfiguredRecords.values()].map(({ record }) => record);
     }
-
-    private serveWaiters(plannedWaiters: readonly Waiter[]): void {
-        const waiting = this.waiters;
-        this.waiters = [];
-        for (const waiter of waiting) {
-            const reservation = reservePrepaid(waiter.row, waiter.tokens, this.clock().monotonic);
-            if (reservation === "short" && !plannedWaiters.includes(waiter)) {
-                this.waiters.push(waiter);
-                continue;
-            }
-            waiter.resolve(reservation);
-        }
-    }
 }
--- /dev/null
+++ b/packages/router/src/gateway/token-waiters.ts
@@ -0,0 +1,64 @@
+import { type PrepaidRow, type Reservation, reservePrepaid } from "@gooseberrybend/core/dispatch";
+
+type Waiter = { readonly row: PrepaidRow; readonly tokens: number; readonly resolve: (value: Reservation) => void; };
+
+/** Requests that wait for tokens from the store. */
+export class TokenWaiters {
+    private waiters: Waiter[] = [];
+
+    constructor(
+        /** Monotonic time in ms. */
+        private readonly now: () => number,
+    ) {}
+
+    get isEmpty(): boolean {
+        return this.waiters.length === 0;
+    }
+
+    get all(): readonly Waiter[] {
+        return this.waiters;
+    }
+
+    /** Tokens that are requested, by row. */
+    get tokensByRow(): ReadonlyMap<PrepaidRow, number> {
+        const tokens = new Map<PrepaidRow, number>();
+        for (const waiter of this.waiters) {
+            tokens.set(waiter.row, (tokens.get(waiter.row) ?? 0) + waiter.tokens);
+        }
+        return tokens;
+    }
+
+    /** Waits for tokens of a row, for a time in ms at most. */
+    wait(row: PrepaidRow, tokens: number, waitMs: number): Promise<Reservation> {
+        return new Promise((resolve) => {
+            const waiter = { row, tokens, resolve };
+            this.waiters.push(waiter);
+            setTimeout(() => this.timeOut(waiter), waitMs);
+        });
+    }
+
+    /** Serves the requests for which there are tokens now. The others wait on, except those that a write has decided. */
+    serve(decided: readonly Waiter[]): void {
+        const waiting = this.waiters;
+        this.waiters = [];
+        for (const waiter of waiting) {
+            const reservation = reservePrepaid(waiter.row, waiter.tokens, this.now());
+            if (reservation === "short" && !decided.includes(waiter)) {
+                this.waiters.push(waiter);
+                continue;
+            }
+            waiter.resolve(reservation);
+        }
+    }
+
+    private timeOut(waiter: Waiter): void {
+        const index = this.waiters.indexOf(waiter);
+        if (index >= 0) {
+            this.waiters.splice(index, 1);
+            waiter.resolve("short");
+        }
+    }
+}
+
+/** A request that waits. */
+export type TokenWaiter = TokenWaiters["all"][number];
