Bound the writes of token records that decide no request

A flush whose writes did not cover any waiting request could go on without end, as its attempts were not counted while requests waited: 16 accounts that always come first and that no write can be planned for would have been enough.

--- a/packages/router/src/gateway/prepaid-accounts.ts
+++ b/packages/router/src/gateway/prepaid-accounts.ts
@@ -434,8 +434,8 @@
             else if (this.waiters.isEmpty && this.unstatedRows().length === 0) {
                 break;
             }
-            // The rows of all waiting requests may take more writes than one, each of which serves some of them.
-            attempt += outcome === "done" && !this.waiters.isEmpty ? 0 : 1;
+            // Writes that decide waiting requests don't count, as there are only as many as requests.
+            attempt += outcome === "done" && waiters.length > 0 ? 0 : 1;
         }
     }
 
