--- a/packages/router/src/gateway/fleet-registry.ts
+++ b/packages/router/src/gateway/fleet-registry.ts
@@ -78,7 +78,7 @@
         this.timer = setInterval(() => void this.renew(), SERVING_RENEWAL_MS);
     }
 
-    /** Ends the registration, so that callers are no longer sent to this router; the timer retries this. */
+    /** Ends the registration, so that callers are no longer sent to this router; repeated until the store confirms it. */
     async leave(): Promise<void> {
         this.isLeaving = true;
         this.timer?.unref();
@@ -86,7 +86,7 @@
         await this.endLeases();
     }
 
-    /** Stops renewing the registration, which expires unless the router has left. */
+    /** Stops renewing the registration, which then expires. */
     stop(): void {
         clearInterval(this.timer);
     }
@@ -259,6 +259,7 @@
             const renewed = await this.store.renewLease(this.lease);
             this.renewedAt = renewed.kind === "done" ? now : this.renewedAt;
             if (renewed.kind === "lease-ended") {
+                this.heldLeases.delete(this.lease);
                 this.lease = undefined;
             }
         }
--- a/packages/router/src/gateway/token-waiters.ts
+++ b/packages/router/src/gateway/token-waiters.ts
@@ -1,10 +1,15 @@
 import { type PrepaidRow, type Reservation, reservePrepaid } from "@gooseberrybend/core/dispatch";
 
-type Waiter = { readonly row: PrepaidRow; readonly tokens: number; readonly resolve: (value: Reservation) => void; };
+/** A request that waits for tokens. */
+export type TokenWaiter = {
+    readonly row: PrepaidRow;
+    readonly tokens: number;
+    readonly resolve: (value: Reservation) => void;
+};
 
 /** Requests that wait for tokens from the store. */
 export class TokenWaiters {
-    private waiters: Waiter[] = [];
+    private waiters: TokenWaiter[] = [];
 
     constructor(
         /** Monotonic time in ms. */
@@ -15,7 +20,7 @@
         return this.waiters.length === 0;
     }
 
-    get all(): readonly Waiter[] {
+    get all(): readonly TokenWaiter[] {
         return this.waiters;
     }
 
@@ -38,7 +43,7 @@
     }
 
     /** Serves the requests for which there are tokens now. The others wait on, except those that a write has decided. */
-    serve(decided: readonly Waiter[]): void {
+    serve(decided: readonly TokenWaiter[]): void {
         const waiting = this.waiters;
         this.waiters = [];
         for (const waiter of waiting) {
@@ -51,7 +56,7 @@
         }
     }
 
-    private timeOut(waiter: Waiter): void {
+    private timeOut(waiter: TokenWaiter): void {
         const index = this.waiters.indexOf(waiter);
         if (index >= 0) {
             this.waiters.splice(index, 1);
@@ -59,6 +64,3 @@
         }
     }
 }
-
-/** A request that waits. */
-export type TokenWaiter = TokenWaiters["all"][number];
