--- a/packages/router/src/gateway/prepaid-accounts.test.ts
+++ b/packages/router/src/gateway/prepaid-accounts.test.ts
@@ -116,7 +116,6 @@
         });
     });
 
-    // Guards against old checkpoints after an outage, by which whole allowances count as used if the power then fails.
     describe("that requests of many accounts wait for", () => {
         const ids = Array.from({ length: 40 }, (unused, index) => brand<AccountId>(`account-${index + 1}`));
         const reserveAll = (accounts: PrepaidAccounts): Promise<unknown[]> =>
@@ -160,6 +159,7 @@
         });
     });
 
+    // Guards against old checkpoints after an outage, by which whole allowances count as used if the power then fails.
     describe("whose store comes back", () => {
         it("store new checkpoints at once, also if those before the outage had no response", async () => {
             const store = new FakeMetadataStore();
