Add up requested tokens by row in one place; tell outcomes of writes apart once

Requests that wait for a record and those that wait for a checkpoint were added up by two copies of the same loop. The flush of token records tested the same outcome in three places. No change of behavior.

--- a/packages/router/src/gateway/checkpoint-requests.ts
+++ b/packages/router/src/gateway/checkpoint-requests.ts
@@ -1,5 +1,6 @@
 import { isCheckpointMissing, type PrepaidRow, type Reservation, reservePrepaid } from "@gooseberrybend/core/dispatch";
 import { sleep } from "./sleep.js";
+import { tokensByRow } from "./tokens-by-row.js";
 
 /** Maximum writes of checkpoints for one request: one that was under way, and one that covers it. */
 const MAX_CHECKPOINT_WRITES = 2;
@@ -22,11 +23,7 @@
 
     /** Returns the tokens that requests wait for. */
     tokensByRow(): ReadonlyMap<PrepaidRow, number> {
-        const byRow = new Map<PrepaidRow, number>();
-        for (const { row, tokens } of this.waiting) {
-            byRow.set(row, (byRow.get(row) ?? 0) + tokens);
-        }
-        return byRow;
+        return tokensByRow(this.waiting);
     }
 
     /** Reserves tokens after a checkpoint, for which the request waits up to `waitMs`. */
--- a/packages/router/src/gateway/prepaid-accounts.ts
+++ b/packages/router/src/gateway/prepaid-accounts.ts
@@ -49,6 +49,7 @@
 import { TokenLoans } from "./token-loans.js";
 import { TokenTransfers } from "./token-transfers.js";
 import { type TokenWaiter, TokenWaiters } from "./token-waiters.js";
+import { tokensByRow } from "./tokens-by-row.js";
 
 /** Maximum records per transaction: the store accepts 32 entries, and each record takes two. */
 const MAX_RECORDS_PER_WRITE = 16;
@@ -427,15 +428,18 @@
                 this.waiters.serve(this.waiters.all);
                 break;
             }
-            this.waiters.serve(outcome === "conflict" ? [] : waiters);
             if (outcome === "conflict") {
+                this.waiters.serve([]);
                 await sleep(conflictPauseMs(attempt, this.random()));
+                attempt++;
+                continue;
             }
-            else if (this.waiters.isEmpty && this.unstatedRows().length === 0) {
+            this.waiters.serve(waiters);
+            if (this.waiters.isEmpty && this.unstatedRows().length === 0) {
                 break;
             }
             // Writes that decide waiting requests don't count, as there are only as many as requests.
-            attempt += outcome === "done" && waiters.length > 0 ? 0 : 1;
+            attempt += waiters.length > 0 ? 0 : 1;
         }
     }
 
@@ -443,7 +447,7 @@
         if (this.writer.unanswered !== undefined) {
             return { writes: this.writer.unanswered, waiters: [] };
         }
-        const requestedByRow = this.waiters.tokensByRow;
+        const requestedByRow = tokensByRow(this.waiters.all);
         const now = this.clock().monotonic;
         // Waiting requests get a small write of their own: more records would conflict with more writes of others.
         const urgentRows = new Set([...this.unstatedRows(), ...requestedByRow.keys(), ...this.rowsToReturn]);
--- a/packages/router/src/gateway/token-waiters.ts
+++ b/packages/router/src/gateway/token-waiters.ts
@@ -24,15 +24,6 @@
         return this.waiters;
     }
 
-    /** Tokens that are requested, by row. */
-    get tokensByRow(): ReadonlyMap<PrepaidRow, number> {
-        const tokens = new Map<PrepaidRow, number>();
-        for (const waiter of this.waiters) {
-            tokens.set(waiter.row, (tokens.get(waiter.row) ?? 0) + waiter.tokens);
-        }
-        return tokens;
-    }
-
     /** Waits for tokens of a row, for a time in ms at most. */
     wait(row: PrepaidRow, tokens: number, waitMs: number): Promise<Reservation> {
         return new Promise((resolve) => {
