--- a/packages/router/src/gateway/store-follower.ts
+++ b/packages/router/src/gateway/store-follower.ts
@@ -186,8 +186,7 @@
         this.recordSuccess();
         this.limitOutage(relayed.readingSince);
         const { confirmedAt } = this;
-        this.recordAllRead(relayed.readAt);
-        this.recordConfirmed(relayed.readAt, "other-router");
+        this.recordAllRead(relayed.readAt, "other-router");
         const { changes, deferred, revision, readAt } = relayed;
         this.history.add(changes, revision, readAt, deferred);
         this.apply(changes);
@@ -249,8 +248,7 @@
         if (this.revision !== undefined && eraOf(revision) > eraOf(this.revision)) {
             this.recordRestored(this.revision, revision);
         }
-        this.recordAllRead(startedAt);
-        this.recordConfirmed(startedAt, "store");
+        this.recordAllRead(startedAt, "store");
         this.newerRevisions.clear();
         this.prefixRevisions.clear();
         items.forEach((item) => this.newerRevisions.set(item.key, item.revision));
@@ -314,8 +312,7 @@
         const now = this.clock();
         const readAt = changes.length === 0 ? Math.min(now, startedAt + waitMs) : startedAt;
         this.recordSuccess();
-        this.recordAllRead(readAt);
-        this.recordConfirmed(readAt, "store");
+        this.recordAllRead(readAt, "store");
         this.allConfirmedAt = Math.max(this.allConfirmedAt, readAt);
         this.history.add(changes, revision, readAt);
         this.apply(changes);
@@ -413,8 +410,8 @@
         return Math.min(Infinity, ...times);
     }
 
-    // Records that all changes up to a time were read, before this time is confirmed.
-    private recordAllRead(readAt: number): void {
+    // Records that all changes up to a time were read, of all prefixes.
+    private recordAllRead(readAt: number, source: string): void {
         for (const [prefix, since] of this.unreadSince) {
             if (readAt >= this.confirmedAt) {
                 this.unreadSince.delete(prefix);
@@ -423,6 +420,7 @@
                 this.unreadSince.set(prefix, Math.max(since, readAt));
             }
         }
+        this.recordConfirmed(readAt, source);
     }
 
     // Records which prefixes are not covered by the next time up to which changes are confirmed.
