--- a/packages/router/src/gateway/ingress.ts
+++ b/packages/router/src/gateway/ingress.ts
@@ -51,7 +51,7 @@
 const MAX_PIECES_WITHOUT_PAUSE = 4_096;
 /**
  * Time in ms for which a request may have lain unread without another look whether its caller is still there. The look
- * takes a turn of the event loop, which makes responses of routers under normal load late.
+ * takes a turn of the event loop.
  */
 const MAX_UNNOTICED_MS = 50;
 /** Account of requests that have none. */
