--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -16,9 +16,10 @@
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
 const takenPorts = new Set();
-/** Below the ports that connections get by themselves. */
+/** Below the ports that connections get by themselves; scripts that run side by side begin at different ones. */
 const FIRST_PORT = 15_000;
 const PORTS = 15_000;
+let nextPort = process.pid * 64;
 
 async function canListen(port) {
     const server = createServer();
@@ -32,7 +33,7 @@
 
 export async function freePort() {
     for (;;) {
-        const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
+        const port = FIRST_PORT + nextPort++ % PORTS;
         if (!takenPorts.has(port) && await canListen(port)) {
             takenPorts.add(port);
             return port;
@@ -107,7 +108,8 @@
         });
         const router = { name, front, ready, child };
         child.stdout.on("data", () => undefined);
-        child.stderr.on("data", () => undefined);
+        child.stderr.on("data", (bytes) => this.record(`router ${name} stderr ${bytes}`));
+        child.once("exit", (code, signal) => this.record(`router ${name} ended, code ${code}, signal ${signal}`));
         this.routers.push(router);
         this.record(`router ${name} started`);
         return router;
